--- /dev/null
+++ b/bench/src/main/java/org/fulmargap/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements of policies and of the cost of control state.
+ */
+package org.fulmargap.bench;
--- /dev/null
+++ b/cli/src/main/java/org/fulmargap/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' command line.
+ */
+package org.fulmargap.cli;
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Admission of requests, retry budgets and the division of deadlines over stages.
+ */
+package org.fulmargap.admission;
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/claim/RecordedOutcome.java
@@ -0,0 +1,28 @@
+package org.fulmargap.claim;
+
+import java.util.Objects;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * The final answer to a non-idempotent request, as recorded in the claims stream.
+ *
+ * @param httpStatus the HTTP status that the first caller received
+ * @param body the JSON body that the first caller received; empty if it was too large to
+ * record
+ * @param unknown whether the request may have run without a known result
+ */
+public record RecordedOutcome(@JsonProperty("http_status") int httpStatus, @JsonProperty("body") String body,
+		@JsonProperty("unknown") boolean unknown) {
+
+	/** The longest body that is recorded, in UTF-16 code units. */
+	public static final int MAX_BODY_CHARS = 16 * 1024;
+
+	/**
+	 * Checks the components.
+	 */
+	public RecordedOutcome {
+		Objects.requireNonNull(body, "body");
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Members, failure detection and administrative orders.
+ */
+package org.fulmargap.membership;
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/request/Deadline.java
@@ -0,0 +1,42 @@
+package org.fulmargap.request;
+
+/**
+ * Point in time after which an answer is of no use to the caller.
+ *
+ * @param atMs the deadline in milliseconds since the epoch
+ */
+public record Deadline(long atMs) {
+
+	/**
+	 * Creates a deadline relative to the present time.
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @param durationMs the time until the deadline in milliseconds, positive
+	 * @return the deadline
+	 * @throws IllegalArgumentException if the duration is not positive
+	 */
+	public static Deadline after(long nowMs, long durationMs) {
+		if (durationMs <= 0) {
+			throw new IllegalArgumentException("durationMs must be positive: " + durationMs);
+		}
+		return new Deadline(nowMs + durationMs);
+	}
+
+	/**
+	 * Returns the time that remains.
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return the remaining time in milliseconds, zero if the deadline has passed
+	 */
+	public long remainingMs(long nowMs) {
+		return Math.max(0, this.atMs - nowMs);
+	}
+
+	/**
+	 * Tells whether the deadline has passed.
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return {@code true} if no time remains
+	 */
+	public boolean isPassed(long nowMs) {
+		return nowMs >= this.atMs;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/request/DispatchState.java
@@ -0,0 +1,26 @@
+package org.fulmargap.request;
+
+/**
+ * How far the dispatch of one attempt got. A request may be reported as not run only if
+ * every attempt is still {@link #NOT_SENT}.
+ */
+public enum DispatchState {
+
+	/** No byte was written to an established connection. */
+	NOT_SENT,
+
+	/** Bytes may have reached the endpoint, and no answer arrived. */
+	MAYBE_SENT,
+
+	/** The endpoint answered. */
+	ANSWERED;
+
+	/**
+	 * Tells whether the endpoint may have run the attempt.
+	 * @return {@code false} only if the attempt provably never reached the endpoint
+	 */
+	public boolean mayHaveRun() {
+		return this != NOT_SENT;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Identities, deadlines and failure types of requests.
+ */
+package org.fulmargap.request;
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/routing/LoadReport.java
@@ -0,0 +1,28 @@
+package org.fulmargap.routing;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * The load that an endpoint reports about itself.
+ *
+ * @param incarnation the incarnation of the endpoint process
+ * @param inFlight the number of running requests
+ * @param queued the number of waiting requests
+ * @param capacity the number of requests that the endpoint can run at the same time now
+ * @param reportedAtMs when the endpoint took the reading, milliseconds since the epoch
+ * @param attempts the attempts that are running or queued
+ */
+public record LoadReport(@JsonProperty("incarnation") String incarnation, @JsonProperty("in_flight") int inFlight,
+		@JsonProperty("queued") int queued, @JsonProperty("capacity") int capacity,
+		@JsonProperty("reported_at_ms") long reportedAtMs, @JsonProperty("attempts") List<String> attempts) {
+
+	/**
+	 * Copies the list of attempts.
+	 */
+	public LoadReport {
+		attempts = (attempts != null) ? List.copyOf(attempts) : List.of();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of the endpoint for each attempt.
+ */
+package org.fulmargap.routing;
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections between entry VMs.
+ */
+package org.fulmargap.peer;
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/platform/ClaimService.java
@@ -0,0 +1,83 @@
+package org.fulmargap.platform;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.fulmargap.claim.ClaimKey;
+import org.fulmargap.claim.RecordedOutcome;
+import org.fulmargap.request.Deadline;
+import org.fulmargap.request.FulmargapException;
+
+/**
+ * Makes non-idempotent requests run at most once.
+ */
+public interface ClaimService {
+
+	/**
+	 * Claims a key, or waits for the outcome of the request that owns it.
+	 * @param key the client account and idempotency key
+	 * @param digest the SHA-256 digest of pipeline and body, in hexadecimal
+	 * @param attemptId the identity of this request, unique for all time
+	 * @param deadline the deadline of the request
+	 * @return a future that completes by the deadline, never exceptionally
+	 */
+	CompletableFuture<Result> claim(ClaimKey key, String digest, String attemptId, Deadline deadline);
+
+	/**
+	 * Result of a claim.
+	 */
+	sealed interface Result {
+
+		/**
+		 * The caller of {@link ClaimService#claim} owns the key.
+		 *
+		 * @param handle controls the claim
+		 */
+		record Owned(Handle handle) implements Result {
+		}
+
+		/**
+		 * An earlier request with the same key has finished.
+		 *
+		 * @param outcome the recorded answer
+		 */
+		record Finished(RecordedOutcome outcome) implements Result {
+		}
+
+		/**
+		 * The request is refused.
+		 *
+		 * @param failure the typed refusal
+		 */
+		record Refused(FulmargapException failure) implements Result {
+		}
+
+	}
+
+	/**
+	 * Controls an owned claim. Exactly one of {@link #complete} and {@link #release} ends
+	 * it.
+	 */
+	interface Handle {
+
+		/**
+		 * Moves the claim to the dispatched state. Must return {@code true} before the
+		 * first byte is sent to an endpoint, and is called once only.
+		 * @param nowMs the present time in milliseconds since the epoch
+		 * @return {@code false} if the claim was abandoned or its time has passed
+		 */
+		boolean markDispatched(long nowMs);
+
+		/**
+		 * Records the answer.
+		 * @param outcome the answer
+		 */
+		void complete(RecordedOutcome outcome);
+
+		/**
+		 * Gives the key free because no endpoint ran the request.
+		 */
+		void release();
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/server/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings, start and shutdown of an entry VM.
+ */
+package org.fulmargap.server;
--- /dev/null
+++ b/standin/src/main/java/org/fulmargap/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Test support processes that take the place of the platform, the endpoints and callers.
+ */
+package org.fulmargap.standin;
