--- /dev/null
+++ b/core/src/main/java/org/fulmargap/routing/CrashQuarantine.java
@@ -0,0 +1,267 @@
+package org.fulmargap.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Keeps requests that crash endpoints away from the remaining endpoints. A fingerprint
+ * gets a strike for each endpoint that crashed while a request with it was in flight
+ * there. Safe for use by several threads.
+ */
+public final class CrashQuarantine {
+
+	/** How long strikes and quarantine last in milliseconds. */
+	public static final long LIFETIME_MS = 600_000;
+
+	/**
+	 * A broken connection counts towards a crash that is confirmed within this time.
+	 */
+	static final long SUSPICION_MS = 5_000;
+
+	private static final int STRIKES_TO_QUARANTINE = 2;
+
+	private final int maxFingerprints;
+
+	private final LinkedHashMap<String, Entry> entries = new LinkedHashMap<>();
+
+	private final LinkedHashMap<Suspicion, Long> suspicions = new LinkedHashMap<>();
+
+	/**
+	 * Creates a quarantine without strikes.
+	 * @param maxFingerprints the highest number of fingerprints kept; the oldest are
+	 * dropped first
+	 */
+	public CrashQuarantine(int maxFingerprints) {
+		if (maxFingerprints < 1) {
+			throw new IllegalArgumentException("maxFingerprints must be at least 1: " + maxFingerprints);
+		}
+		this.maxFingerprints = maxFingerprints;
+	}
+
+	/**
+	 * Decides how a request may run.
+	 * @param fingerprint the fingerprint of the request
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return the verdict
+	 */
+	public synchronized Verdict verdict(String fingerprint, long nowMs) {
+		expire(nowMs);
+		Entry entry = this.entries.get(fingerprint);
+		if (entry != null && entry.endpoints.size() >= STRIKES_TO_QUARANTINE) {
+			return Verdict.QUARANTINED;
+		}
+		if (entry != null || isSuspected(fingerprint)) {
+			return Verdict.ISOLATED;
+		}
+		return Verdict.ALLOWED;
+	}
+
+	/**
+	 * Returns the endpoints that must not get a request with this fingerprint again.
+	 * @param fingerprint the fingerprint of the request
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return the names of the endpoints that crashed, or may have crashed, with it
+	 */
+	public synchronized Set<String> struckEndpoints(String fingerprint, long nowMs) {
+		expire(nowMs);
+		Set<String> endpoints = new TreeSet<>();
+		Entry entry = this.entries.get(fingerprint);
+		if (entry != null) {
+			endpoints.addAll(entry.endpoints.keySet());
+		}
+		for (Suspicion suspicion : this.suspicions.keySet()) {
+			if (suspicion.fingerprint.equals(fingerprint)) {
+				endpoints.add(suspicion.endpoint);
+			}
+		}
+		return endpoints;
+	}
+
+	/**
+	 * Records that the connection of a request broke. It becomes a strike if
+	 * {@link #confirmCrash} follows within five seconds.
+	 * @param endpoint the name of the endpoint
+	 * @param fingerprint the fingerprint of the request
+	 * @param nowMs the present time in milliseconds since the epoch
+	 */
+	public synchronized void connectionLost(String endpoint, String fingerprint, long nowMs) {
+		expire(nowMs);
+		this.suspicions.put(new Suspicion(endpoint, fingerprint), nowMs);
+		trim(this.suspicions, this.maxFingerprints);
+	}
+
+	/**
+	 * Records that an endpoint refuses connections or returned as a new incarnation. Each
+	 * request whose connection to it broke shortly before gets a strike.
+	 * @param endpoint the name of the endpoint
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return the new strikes to send to all peers, endpoints by fingerprint
+	 */
+	public synchronized Map<String, List<String>> confirmCrash(String endpoint, long nowMs) {
+		expire(nowMs);
+		List<String> fingerprints = new ArrayList<>();
+		for (Iterator<Suspicion> i = this.suspicions.keySet().iterator(); i.hasNext();) {
+			Suspicion suspicion = i.next();
+			if (suspicion.endpoint.equals(endpoint)) {
+				fingerprints.add(suspicion.fingerprint);
+				i.remove();
+			}
+		}
+		return recordCrash(endpoint, fingerprints, nowMs);
+	}
+
+	/**
+	 * Records the crash of an endpoint.
+	 * @param endpoint the name of the endpoint
+	 * @param fingerprints the fingerprints of the requests that were in flight there
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return the new strikes to send to all peers, endpoints by fingerprint
+	 */
+	public synchronized Map<String, List<String>> recordCrash(String endpoint, Collection<String> fingerprints,
+			long nowMs) {
+		expire(nowMs);
+		Map<String, List<String>> added = new TreeMap<>();
+		for (String fingerprint : fingerprints) {
+			if (strike(fingerprint, endpoint, true, nowMs)) {
+				added.put(fingerprint, List.of(endpoint));
+			}
+		}
+		return added;
+	}
+
+	/**
+	 * Removes the strike of a request that ended without a crash. A quarantined
+	 * fingerprint stays quarantined.
+	 * @param fingerprint the fingerprint of the request
+	 */
+	public synchronized void completed(String fingerprint) {
+		Entry entry = this.entries.get(fingerprint);
+		if (entry != null && entry.endpoints.size() < STRIKES_TO_QUARANTINE) {
+			this.entries.remove(fingerprint);
+		}
+		if (!this.suspicions.isEmpty()) {
+			this.suspicions.keySet().removeIf((suspicion) -> suspicion.fingerprint.equals(fingerprint));
+		}
+	}
+
+	/**
+	 * Returns the strikes that this entry VM observed itself, for heartbeats. Strikes
+	 * learned from peers are left out, because otherwise two peers would keep each
+	 * other's copies alive for ever.
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return endpoints by fingerprint
+	 */
+	public synchronized Map<String, List<String>> strikes(long nowMs) {
+		expire(nowMs);
+		Map<String, List<String>> strikes = new HashMap<>();
+		this.entries.forEach((fingerprint, entry) -> {
+			List<String> own = entry.endpoints.entrySet()
+				.stream()
+				.filter(Map.Entry::getValue)
+				.map(Map.Entry::getKey)
+				.toList();
+			if (!own.isEmpty()) {
+				strikes.put(fingerprint, own);
+			}
+		});
+		return strikes;
+	}
+
+	/**
+	 * Merges strikes of a peer.
+	 * @param strikes endpoints by fingerprint
+	 * @param nowMs the present time in milliseconds since the epoch
+	 */
+	public synchronized void mergeStrikes(Map<String, List<String>> strikes, long nowMs) {
+		expire(nowMs);
+		strikes.forEach((fingerprint, endpoints) -> endpoints
+			.forEach((endpoint) -> strike(fingerprint, endpoint, false, nowMs)));
+	}
+
+	private boolean strike(String fingerprint, String endpoint, boolean own, long nowMs) {
+		Entry entry = this.entries.get(fingerprint);
+		if (entry == null) {
+			entry = new Entry(nowMs);
+			this.entries.put(fingerprint, entry);
+			trim(this.entries, this.maxFingerprints);
+		}
+		if (entry.endpoints.size() >= STRIKES_TO_QUARANTINE) {
+			return false;
+		}
+		boolean isNew = entry.endpoints.putIfAbsent(endpoint, own) == null;
+		if (isNew && entry.endpoints.size() == STRIKES_TO_QUARANTINE) {
+			// The quarantine lasts its full time from the last strike, and the map stays
+			// in the order of expiry.
+			Entry quarantined = new Entry(nowMs);
+			quarantined.endpoints.putAll(entry.endpoints);
+			this.entries.remove(fingerprint);
+			this.entries.put(fingerprint, quarantined);
+		}
+		return isNew;
+	}
+
+	private boolean isSuspected(String fingerprint) {
+		return !this.suspicions.isEmpty()
+				&& this.suspicions.keySet().stream().anyMatch((suspicion) -> suspicion.fingerprint.equals(fingerprint));
+	}
+
+	private void expire(long nowMs) {
+		this.entries.values().removeIf((entry) -> nowMs - entry.sinceMs >= LIFETIME_MS);
+		this.suspicions.values().removeIf((atMs) -> nowMs - atMs >= SUSPICION_MS);
+	}
+
+	private static <K, V> void trim(LinkedHashMap<K, V> map, int size) {
+		for (Iterator<K> i = map.keySet().iterator(); map.size() > size && i.hasNext();) {
+			i.next();
+			i.remove();
+		}
+	}
+
+	private record Suspicion(String endpoint, String fingerprint) {
+	}
+
+	private static final class Entry {
+
+		private final long sinceMs;
+
+		private final Map<String, Boolean> endpoints = new TreeMap<>();
+
+		private Entry(long sinceMs) {
+			this.sinceMs = sinceMs;
+		}
+
+	}
+
+	/**
+	 * How a request may run.
+	 */
+	public enum Verdict {
+
+		/** The request runs like any other. */
+		ALLOWED,
+
+		/** The request must not share an endpoint with another one that has a strike. */
+		ISOLATED,
+
+		/** The request is refused. */
+		QUARANTINED;
+
+		/**
+		 * Tells whether the request may run.
+		 * @return {@code false} if it must be refused
+		 */
+		public boolean mayRun() {
+			return this != QUARANTINED;
+		}
+
+	}
+
+}
