--- /dev/null
+++ b/standin/src/main/java/org/fulmargap/standin/EndpointFaults.java
@@ -0,0 +1,111 @@
+package org.fulmargap.standin;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * Faults of an endpoint stand-in. Absent fields keep their value.
+ *
+ * @param match the faults of requests apply only to inputs that contain this text; empty
+ * for all
+ * @param limit the number of further requests that the faults of requests apply to, -1
+ * for all
+ * @param delayMs the additional time that a request takes, in milliseconds
+ * @param slowFactor the factor by which requests take longer
+ * @param hold whether started requests are kept running until this is switched off
+ * @param failStatus the HTTP status that requests get without being run, zero for none
+ * @param notRun whether requests are refused with the header that states that they did
+ * not run
+ * @param closeBefore whether the connection is closed before the request is run
+ * @param closeAfter whether the connection is closed after the request was run
+ * @param crossAnswer whether the request gets the answer of another attempt, with the id
+ * of that attempt
+ * @param duplicateAnswer whether the answer, or each token, is sent twice
+ * @param truncateAnswer how the answer is cut short
+ * @param crashMarker a request whose input contains this text crashes the endpoint; empty
+ * for none
+ * @param crashExit whether a crash ends the process; otherwise all connections break and
+ * the endpoint returns as a new incarnation
+ * @param crashDownMs the time for which a crashed endpoint refuses connections, in
+ * milliseconds
+ * @param leaving whether the endpoint says that it is leaving
+ * @param silenceOpenConnections lets the connections that are open now go silent, once
+ * @param becomeCold makes the endpoint cold, once, without a new incarnation
+ * @param crash crashes the endpoint, once
+ */
+record EndpointFaults(@JsonProperty("match") String match, @JsonProperty("limit") int limit,
+		@JsonProperty("delay_ms") long delayMs, @JsonProperty("slow_factor") double slowFactor,
+		@JsonProperty("hold") boolean hold, @JsonProperty("fail_status") int failStatus,
+		@JsonProperty("not_run") boolean notRun, @JsonProperty("close_before") boolean closeBefore,
+		@JsonProperty("close_after") boolean closeAfter, @JsonProperty("cross_answer") boolean crossAnswer,
+		@JsonProperty("duplicate_answer") boolean duplicateAnswer,
+		@JsonProperty("truncate_answer") Truncation truncateAnswer, @JsonProperty("crash_marker") String crashMarker,
+		@JsonProperty("crash_exit") boolean crashExit, @JsonProperty("crash_down_ms") long crashDownMs,
+		@JsonProperty("leaving") boolean leaving,
+		@JsonProperty("silence_open_connections") boolean silenceOpenConnections,
+		@JsonProperty("become_cold") boolean becomeCold, @JsonProperty("crash") boolean crash) {
+
+	static final EndpointFaults NONE = new EndpointFaults("", -1, 0, 1, false, 0, false, false, false, false, false,
+			Truncation.NONE, "", false, 500, false, false, false, false);
+
+	EndpointFaults {
+		match = (match != null) ? match : "";
+		crashMarker = (crashMarker != null) ? crashMarker : "";
+		truncateAnswer = (truncateAnswer != null) ? truncateAnswer : Truncation.NONE;
+		if (limit < -1 || delayMs < 0 || !(slowFactor > 0) || crashDownMs < 0) {
+			throw new IllegalArgumentException("limit, times and factors must not be negative");
+		}
+		if (failStatus != 0 && (failStatus < 400 || failStatus > 599)) {
+			throw new IllegalArgumentException("fail_status must be from 400 to 599: " + failStatus);
+		}
+	}
+
+	boolean appliesTo(String input) {
+		return this.limit != 0 && input.contains(this.match);
+	}
+
+	boolean crashes(String input) {
+		return !this.crashMarker.isEmpty() && input.contains(this.crashMarker);
+	}
+
+	/**
+	 * Returns the faults after one request was subject to them.
+	 * @param input the input of the request
+	 * @return a copy with a lower limit, or the same faults
+	 */
+	EndpointFaults afterRequest(String input) {
+		return (this.limit > 0 && appliesTo(input)) ? with(this.limit - 1, true) : this;
+	}
+
+	EndpointFaults withoutTriggers() {
+		return with(this.limit, false);
+	}
+
+	private EndpointFaults with(int newLimit, boolean keepTriggers) {
+		return new EndpointFaults(this.match, newLimit, this.delayMs, this.slowFactor, this.hold, this.failStatus,
+				this.notRun, this.closeBefore, this.closeAfter, this.crossAnswer, this.duplicateAnswer,
+				this.truncateAnswer, this.crashMarker, this.crashExit, this.crashDownMs, this.leaving,
+				keepTriggers && this.silenceOpenConnections, keepTriggers && this.becomeCold,
+				keepTriggers && this.crash);
+	}
+
+	/**
+	 * Ways to cut an answer short.
+	 */
+	enum Truncation {
+
+		/** The answer is whole. */
+		NONE,
+
+		/** The connection is closed in the middle of the answer. */
+		CLOSE,
+
+		/** The answer ends regularly, but too early. */
+		END;
+
+		boolean closesConnection() {
+			return this == CLOSE;
+		}
+
+	}
+
+}
