THIN: run claims and configuration over the platform's log

Cause: the server needs ClaimService and ConfigService to be assembled. Checkpoints are not yet written.

--- /dev/null
+++ b/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
@@ -0,0 +1,338 @@
+package org.fulmargap.claim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Deterministic state machine over the claims stream: which attempt owns which key, and
+ * with what outcome. Instances are not thread safe.
+ */
+public final class ClaimLedger {
+
+	private final Map<ClaimKey, KeyEntry> entries = new HashMap<>();
+
+	private final long keyLifetimeMs;
+
+	private boolean boundsSeen;
+
+	private boolean complete;
+
+	/** The first retained offset when reading began or when the last gap was noticed. */
+	private long readFrom;
+
+	private long readSinceMs;
+
+	private boolean gap;
+
+	private long nextOffset;
+
+	private long firstRetained;
+
+	private long end;
+
+	private long coveredSince = -1;
+
+	/**
+	 * Creates an empty ledger.
+	 * @param keyLifetimeMs how long a key is remembered, in milliseconds
+	 */
+	public ClaimLedger(long keyLifetimeMs) {
+		if (keyLifetimeMs <= 0) {
+			throw new IllegalArgumentException("keyLifetimeMs must be positive: " + keyLifetimeMs);
+		}
+		this.keyLifetimeMs = keyLifetimeMs;
+	}
+
+	/**
+	 * Notes the bounds of the stream, before the records of a page are applied.
+	 * @param firstOffset the first offset that is retained
+	 * @param endOffset the offset that the next append gets
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return what was noticed
+	 */
+	public List<ClaimEvent> observeBounds(long firstOffset, long endOffset, long nowMs) {
+		this.firstRetained = firstOffset;
+		this.end = endOffset;
+		if (!this.boundsSeen) {
+			this.boundsSeen = true;
+			this.nextOffset = firstOffset;
+			this.readFrom = firstOffset;
+			this.readSinceMs = nowMs;
+			return List.of();
+		}
+		if (firstOffset > this.nextOffset || endOffset < this.nextOffset) {
+			ClaimEvent event = new ClaimEvent(ClaimEvent.Type.GAP, firstOffset,
+					"expected offset " + this.nextOffset + ", stream holds " + firstOffset + " to " + endOffset);
+			noteGap(firstOffset, nowMs);
+			return List.of(event);
+		}
+		return List.of();
+	}
+
+	/**
+	 * Applies the next record of the stream. A record with an offset that was applied
+	 * before has no effect.
+	 * @param offset the offset of the record
+	 * @param appendedAtMs when the log stored the record, milliseconds since the epoch
+	 * @param value the record, a batch
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return the keys whose claims may have changed and what was noticed
+	 */
+	public Applied apply(long offset, long appendedAtMs, JsonNode value, long nowMs) {
+		Set<ClaimKey> changed = new HashSet<>();
+		List<ClaimEvent> events = new ArrayList<>();
+		if (offset < this.nextOffset) {
+			return new Applied(changed, events);
+		}
+		if (offset > this.nextOffset) {
+			events.add(new ClaimEvent(ClaimEvent.Type.GAP, offset, "expected offset " + this.nextOffset));
+			noteGap(offset, nowMs);
+		}
+		this.nextOffset = offset + 1;
+		try {
+			List<ClaimBatch.Parsed> batch = ClaimBatch.fromJson(value);
+			for (int index = 0; index < batch.size(); index++) {
+				ClaimBatch.Parsed parsed = batch.get(index);
+				if (parsed.record() == null) {
+					events.add(new ClaimEvent(ClaimEvent.Type.UNREADABLE, offset, parsed.error()));
+				}
+				else {
+					apply(parsed.record(), new Position(offset, index, appendedAtMs), changed, events);
+				}
+			}
+		}
+		catch (JsonProcessingException ex) {
+			events.add(new ClaimEvent(ClaimEvent.Type.UNREADABLE, offset, ex.getOriginalMessage()));
+		}
+		return new Applied(changed, events);
+	}
+
+	/**
+	 * Reports whether the end of the stream has been reached, which may complete the
+	 * ledger.
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return whether the ledger became complete by this call
+	 */
+	public boolean tryComplete(long nowMs) {
+		if (this.complete || !this.boundsSeen || this.nextOffset < this.end) {
+			return false;
+		}
+		boolean covered = this.coveredSince >= this.readFrom;
+		boolean outlived = nowMs - this.readSinceMs > this.keyLifetimeMs;
+		if ((this.readFrom > 0 || this.gap) && !covered && !outlived) {
+			return false;
+		}
+		if (this.gap && covered) {
+			// Claims released in the gap would otherwise block their keys.
+			this.entries.values().forEach((entry) -> entry.dropBelow(this.coveredSince));
+			this.entries.values().removeIf(KeyEntry::isEmpty);
+		}
+		this.gap = false;
+		this.complete = true;
+		return true;
+	}
+
+	/**
+	 * Finds the claim that owns a key.
+	 * @param key the key
+	 * @return the owner, or empty if the key is free
+	 */
+	public Optional<ClaimView> owner(ClaimKey key) {
+		KeyEntry entry = this.entries.get(key);
+		return (entry != null && entry.owner() != null) ? Optional.of(entry.owner().view()) : Optional.empty();
+	}
+
+	/**
+	 * Lists all claims for a key that are not released.
+	 * @param key the key
+	 * @return the claims, the owner first
+	 */
+	public List<ClaimView> claims(ClaimKey key) {
+		KeyEntry entry = this.entries.get(key);
+		return (entry != null) ? entry.claims().stream().map(HeldClaim::view).toList() : List.of();
+	}
+
+	/**
+	 * Tells whether the claim of an attempt, or its release, has been applied.
+	 * @param key the key
+	 * @param attemptId the identity of the attempt
+	 * @return {@code true} if the attempt was seen in the stream
+	 */
+	public boolean hasSeen(ClaimKey key, String attemptId) {
+		KeyEntry entry = this.entries.get(key);
+		return entry != null && (entry.find(attemptId) != null || entry.isReleased(attemptId));
+	}
+
+	/**
+	 * Tells whether an attempt was released.
+	 * @param key the key
+	 * @param attemptId the identity of the attempt
+	 * @return {@code true} if its release was applied
+	 */
+	public boolean isReleased(ClaimKey key, String attemptId) {
+		KeyEntry entry = this.entries.get(key);
+		return entry != null && entry.isReleased(attemptId);
+	}
+
+	/**
+	 * Tells whether the ledger holds every live claim of the stream as far as it was
+	 * read.
+	 * @return {@code true} if claims may be decided by this ledger
+	 */
+	public boolean isComplete() {
+		return this.complete;
+	}
+
+	/**
+	 * Returns the offset of the next record to read.
+	 * @return an offset
+	 */
+	public long nextOffset() {
+		return this.nextOffset;
+	}
+
+	/**
+	 * Returns the number of keys in memory.
+	 * @return a count
+	 */
+	public int size() {
+		return this.entries.size();
+	}
+
+	/**
+	 * Forgets claims that are older than the key lifetime.
+	 * @param nowMs the present time in milliseconds since the epoch
+	 */
+	public void expire(long nowMs) {
+		this.entries.values().removeIf((entry) -> entry.expire(nowMs - this.keyLifetimeMs));
+	}
+
+	private void noteGap(long offset, long nowMs) {
+		this.complete = false;
+		this.gap = true;
+		this.nextOffset = offset;
+		this.readFrom = offset;
+		this.readSinceMs = nowMs;
+		this.coveredSince = -1;
+	}
+
+	private void apply(ClaimRecord record, Position position, Set<ClaimKey> changed, List<ClaimEvent> events) {
+		if (record instanceof ClaimRecord.Claim claim) {
+			// The later of the two clocks counts, so that a claim by a VM whose clock is
+			// behind does not expire early.
+			long claimedAtMs = Math.max(claim.claimedAtMs(), position.appendedAtMs());
+			insert(claim, claimedAtMs, position.rank(), null, position);
+			changed.add(claim.key());
+		}
+		else if (record instanceof ClaimRecord.Checkpoint checkpoint) {
+			insert(checkpoint.claim(), checkpoint.claim().claimedAtMs(), checkpoint.rank(), checkpoint.outcome(),
+					position);
+			changed.add(checkpoint.claim().key());
+		}
+		else if (record instanceof ClaimRecord.Outcome outcome) {
+			finish(outcome, position, events);
+			changed.add(outcome.key());
+		}
+		else if (record instanceof ClaimRecord.Release release) {
+			release(release, position, events);
+			changed.add(release.key());
+		}
+		else if (record instanceof ClaimRecord.Coverage coverage) {
+			this.coveredSince = Math.max(this.coveredSince, coverage.since());
+		}
+	}
+
+	private void insert(ClaimRecord.Claim claim, long claimedAtMs, long rank, RecordedOutcome outcome,
+			Position position) {
+		KeyEntry entry = this.entries.computeIfAbsent(claim.key(), (key) -> new KeyEntry(claimedAtMs));
+		HeldClaim known = entry.find(claim.attemptId());
+		if (known != null) {
+			known.rank = Math.min(known.rank, rank);
+			entry.sort();
+			if (known.outcome == null || outcome != null) {
+				known.lastOffset = position.offset();
+			}
+			if (known.outcome == null && outcome != null) {
+				entry.finish(known, outcome);
+			}
+			return;
+		}
+		if (entry.isFinished() || entry.isReleased(claim.attemptId())) {
+			return;
+		}
+		entry.touch(claimedAtMs);
+		HeldClaim held = new HeldClaim(claim, claimedAtMs, rank, position.offset());
+		entry.add(held);
+		if (outcome != null) {
+			entry.finish(held, outcome);
+		}
+	}
+
+	private void finish(ClaimRecord.Outcome outcome, Position position, List<ClaimEvent> events) {
+		KeyEntry entry = this.entries.get(outcome.key());
+		HeldClaim claim = (entry != null) ? entry.find(outcome.attemptId()) : null;
+		if (claim == null) {
+			boolean released = entry != null && entry.isReleased(outcome.attemptId());
+			events.add(new ClaimEvent(
+					released ? ClaimEvent.Type.OUTCOME_AFTER_RELEASE : ClaimEvent.Type.OUTCOME_WITHOUT_CLAIM,
+					position.offset(), "attempt " + outcome.attemptId()));
+			return;
+		}
+		if (claim.outcome != null) {
+			return;
+		}
+		if (claim != entry.owner()) {
+			events.add(new ClaimEvent(ClaimEvent.Type.OUTCOME_OF_LOSER, position.offset(),
+					"attempt " + outcome.attemptId() + ", the owner is " + entry.owner().attemptId));
+		}
+		entry.touch(position.appendedAtMs());
+		entry.finish(claim, outcome.outcome());
+	}
+
+	private void release(ClaimRecord.Release release, Position position, List<ClaimEvent> events) {
+		KeyEntry entry = this.entries.computeIfAbsent(release.key(), (key) -> new KeyEntry(position.appendedAtMs()));
+		HeldClaim claim = entry.find(release.attemptId());
+		if (claim != null && claim.outcome != null) {
+			events.add(new ClaimEvent(ClaimEvent.Type.RELEASE_AFTER_OUTCOME, position.offset(),
+					"attempt " + release.attemptId()));
+			return;
+		}
+		if (!entry.isFinished() && !entry.isReleased(release.attemptId())) {
+			entry.touch(position.appendedAtMs());
+			entry.release(claim, release.attemptId());
+		}
+	}
+
+	/**
+	 * Place of a record in the stream.
+	 *
+	 * @param offset the offset of the batch
+	 * @param index the index within the batch
+	 * @param appendedAtMs when the log stored the batch
+	 */
+	private record Position(long offset, int index, long appendedAtMs) {
+
+		long rank() {
+			return this.offset * ClaimBatch.MAX_RECORDS + this.index;
+		}
+
+	}
+
+	/**
+	 * Result of one record.
+	 *
+	 * @param changed the keys whose claims may have changed
+	 * @param events what was noticed
+	 */
+	public record Applied(Set<ClaimKey> changed, List<ClaimEvent> events) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/claim/ClaimView.java
@@ -0,0 +1,28 @@
+package org.fulmargap.claim;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What the claim ledger knows about the claim that owns a key.
+ *
+ * @param attemptId the identity of the owning attempt
+ * @param incarnation the incarnation of the owner
+ * @param digest the digest of pipeline and body
+ * @param claimedAtMs when the claim was made, milliseconds since the epoch
+ * @param outcome the outcome, if one is recorded
+ */
+public record ClaimView(String attemptId, String incarnation, String digest, long claimedAtMs,
+		Optional<RecordedOutcome> outcome) {
+
+	/**
+	 * Checks the components.
+	 */
+	public ClaimView {
+		Objects.requireNonNull(attemptId, "attemptId");
+		Objects.requireNonNull(incarnation, "incarnation");
+		Objects.requireNonNull(digest, "digest");
+		Objects.requireNonNull(outcome, "outcome");
+	}
+
+}
--- a/core/src/main/java/org/fulmargap/claim/RecordedOutcome.java
+++ b/core/src/main/java/org/fulmargap/claim/RecordedOutcome.java
@@ -25,4 +25,13 @@
 		Objects.requireNonNull(body, "body");
 	}
 
+	/**
+	 * Returns the form that is recorded in the stream.
+	 * @return this outcome, without its body if that is longer than
+	 * {@link #MAX_BODY_CHARS}
+	 */
+	public RecordedOutcome toRecord() {
+		return (this.body.length() <= MAX_BODY_CHARS) ? this : new RecordedOutcome(this.httpStatus, "", this.unknown);
+	}
+
 }
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/config/Member.java
@@ -0,0 +1,27 @@
+package org.fulmargap.config;
+
+import java.util.Objects;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * An entry VM that has joined.
+ *
+ * @param vm the name of the entry VM
+ * @param incarnation the incarnation that joined last
+ * @param failureDomain the failure domain of the entry VM
+ */
+public record Member(@JsonProperty(value = "vm", required = true) String vm,
+		@JsonProperty(value = "incarnation", required = true) String incarnation,
+		@JsonProperty(value = "failure_domain", required = true) String failureDomain) {
+
+	/**
+	 * Checks the components.
+	 */
+	public Member {
+		Objects.requireNonNull(vm, "vm");
+		Objects.requireNonNull(incarnation, "incarnation");
+		Objects.requireNonNull(failureDomain, "failure_domain");
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/config/PatchDecision.java
@@ -0,0 +1,37 @@
+package org.fulmargap.config;
+
+import java.util.Objects;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * Decision about one patch as the configuration stream records it.
+ *
+ * @param patchId the identity of the patch
+ * @param version the version in force after the decision
+ * @param rejection why the patch was refused, or {@code null} if it was accepted
+ * @param message a text for people
+ */
+public record PatchDecision(@JsonProperty(value = "patch_id", required = true) String patchId,
+		@JsonProperty(value = "version", required = true) long version,
+		@JsonInclude(JsonInclude.Include.NON_NULL) @JsonProperty("rejection") PatchRejection rejection,
+		@JsonProperty(value = "message", required = true) String message) {
+
+	/**
+	 * Checks the components.
+	 */
+	public PatchDecision {
+		Objects.requireNonNull(patchId, "patch_id");
+		Objects.requireNonNull(message, "message");
+	}
+
+	/**
+	 * Tells whether the patch is in force.
+	 * @return {@code true} if the patch was committed
+	 */
+	public boolean accepted() {
+		return this.rejection == null;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/config/PatchRejection.java
@@ -0,0 +1,28 @@
+package org.fulmargap.config;
+
+/**
+ * Reasons for which the configuration stream decides against a patch.
+ */
+public enum PatchRejection {
+
+	/** The expected version is not the version in force. */
+	STALE_VERSION,
+
+	/** The patched document is not valid. */
+	INVALID,
+
+	/** Another patch is pending. */
+	CONFLICT,
+
+	/** Not every member acknowledged the patch in time. */
+	NOT_ACKNOWLEDGED;
+
+	/**
+	 * Tells whether proposing the same change again may succeed without editing it.
+	 * @return {@code false} for an invalid patch
+	 */
+	public boolean isTransient() {
+		return this != INVALID;
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/platform/ServiceIdentity.java
@@ -0,0 +1,23 @@
+package org.fulmargap.platform;
+
+import java.util.Objects;
+
+/**
+ * Identity of the running entry VM process.
+ *
+ * @param vm the name of the entry VM
+ * @param incarnation the incarnation, unique for all time
+ * @param failureDomain the failure domain
+ */
+public record ServiceIdentity(String vm, String incarnation, String failureDomain) {
+
+	/**
+	 * Checks the components.
+	 */
+	public ServiceIdentity {
+		Objects.requireNonNull(vm, "vm");
+		Objects.requireNonNull(incarnation, "incarnation");
+		Objects.requireNonNull(failureDomain, "failureDomain");
+	}
+
+}
