THIN: Add the TCP links between entry VMs, orders and the membership view

The server needs a working PeerNetwork, PeerHandler, AdminOrders, MembershipView and OrderService to be assembled.

--- /dev/null
+++ b/core/src/main/java/org/fulmargap/membership/AdminOrder.java
@@ -0,0 +1,160 @@
+package org.fulmargap.membership;
+
+import java.util.Comparator;
+import java.util.Objects;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * An operator's order to take a failure domain or an endpoint out of service or to bring
+ * it back.
+ *
+ * @param target what the order is about
+ * @param state the state that the order sets
+ * @param counter the logical time of the order
+ * @param issuer the incarnation of the entry VM that received the order
+ */
+public record AdminOrder(@JsonProperty(value = "target", required = true) Target target,
+		@JsonProperty(value = "state", required = true) State state,
+		@JsonProperty(value = "counter", required = true) long counter,
+		@JsonProperty(value = "issuer", required = true) String issuer) {
+
+	/** The highest number of characters of a target or VM name. */
+	public static final int MAX_NAME_CHARS = 256;
+
+	/**
+	 * The highest counter. It is far above any clock reading in milliseconds, so that a
+	 * corrupt order cannot use up the range of the counter.
+	 */
+	public static final long MAX_COUNTER = 1L << 52;
+
+	// A copy of an order with another state does not occur while issuers are unique. OUT
+	// then wins on every VM, so that the registers stay equal.
+	private static final Comparator<AdminOrder> PRECEDENCE = Comparator.comparingLong(AdminOrder::counter)
+		.thenComparing(AdminOrder::issuer)
+		.thenComparing(AdminOrder::state);
+
+	/**
+	 * Checks the components.
+	 */
+	public AdminOrder {
+		Objects.requireNonNull(target, "target");
+		Objects.requireNonNull(state, "state");
+		Objects.requireNonNull(issuer, "issuer");
+		if (counter < 1 || counter > MAX_COUNTER) {
+			throw new IllegalArgumentException("counter must be from 1 to 2^52: " + counter);
+		}
+	}
+
+	/**
+	 * Tells whether this order replaces another one for the same target.
+	 * @param other the other order
+	 * @return {@code true} if counter and issuer of this order are the higher pair
+	 */
+	public boolean supersedes(AdminOrder other) {
+		return PRECEDENCE.compare(this, other) > 0;
+	}
+
+	/**
+	 * Kinds of target.
+	 */
+	public enum TargetKind {
+
+		/** All endpoints of a failure domain. */
+		@JsonProperty("failure_domain")
+		FAILURE_DOMAIN("failure-domain"),
+
+		/** A single endpoint. */
+		@JsonProperty("endpoint")
+		ENDPOINT("endpoint");
+
+		private final String label;
+
+		TargetKind(String label) {
+			this.label = label;
+		}
+
+		/**
+		 * Returns the name that operators use.
+		 * @return lower-case words with hyphens
+		 */
+		public String label() {
+			return this.label;
+		}
+
+	}
+
+	/**
+	 * States that an order sets.
+	 */
+	public enum State {
+
+		/** The target gets new work. */
+		IN,
+
+		/** The target gets no new work. */
+		OUT;
+
+		/**
+		 * Tells whether the target may get new work.
+		 * @return {@code true} for targets in service
+		 */
+		public boolean takesNewWork() {
+			return this == IN;
+		}
+
+	}
+
+	/**
+	 * Target of an order.
+	 *
+	 * @param kind the kind of target
+	 * @param name the name of the failure domain or endpoint
+	 */
+	public record Target(@JsonProperty(value = "kind", required = true) TargetKind kind,
+			@JsonProperty(value = "name", required = true) String name) implements Comparable<Target> {
+
+		private static final Comparator<Target> ORDER = Comparator.comparing(Target::kind).thenComparing(Target::name);
+
+		/**
+		 * Checks the components.
+		 */
+		public Target {
+			Objects.requireNonNull(kind, "kind");
+			Objects.requireNonNull(name, "name");
+			if (name.isEmpty() || name.length() > MAX_NAME_CHARS) {
+				throw new IllegalArgumentException("name must have 1 to 256 characters");
+			}
+		}
+
+		/**
+		 * Creates the target for a failure domain.
+		 * @param name the name of the failure domain
+		 * @return the target
+		 */
+		public static Target failureDomain(String name) {
+			return new Target(TargetKind.FAILURE_DOMAIN, name);
+		}
+
+		/**
+		 * Creates the target for an endpoint.
+		 * @param name the name of the endpoint
+		 * @return the target
+		 */
+		public static Target endpoint(String name) {
+			return new Target(TargetKind.ENDPOINT, name);
+		}
+
+		@Override
+		public int compareTo(Target other) {
+			return ORDER.compare(this, other);
+		}
+
+		@Override
+		public String toString() {
+			return this.kind.label() + " " + this.name;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/peer/PeerLoop.java
@@ -0,0 +1,402 @@
+package org.fulmargap.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.LongSupplier;
+
+import org.fulmargap.membership.Hello;
+import org.fulmargap.membership.PeerMessage;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The I/O thread: it accepts and dials connections, moves bytes, and closes links that
+ * fail. A fault on one link never touches another one.
+ */
+final class PeerLoop implements AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(PeerLoop.class);
+
+	// Bounds the time by which deadlines and heartbeats can be late.
+	private static final long TICK_MS = 20;
+
+	private static final int READ_BUFFER_BYTES = 64 << 10;
+
+	// Connections beyond twice the peers that await their hello, for example while all
+	// peers reconnect at once or a peer that is not configured here joins.
+	private static final int SPARE_LINKS = 64;
+
+	private final PeerSettings settings;
+
+	private final Hello self;
+
+	private final FrameCodec codec;
+
+	private final Listener listener;
+
+	private final PeerEvents events;
+
+	private final LongSupplier clock;
+
+	private final Selector selector;
+
+	private final ServerSocketChannel server;
+
+	private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+
+	private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+
+	private final List<PeerLink> links = new ArrayList<>();
+
+	private final List<Dialer> dialers = new ArrayList<>();
+
+	private final Thread thread;
+
+	private volatile boolean closed;
+
+	PeerLoop(PeerSettings settings, Hello self, FrameCodec codec, Listener listener, PeerEvents events,
+			LongSupplier clock) throws IOException {
+		this.settings = settings;
+		this.self = self;
+		this.codec = codec;
+		this.listener = listener;
+		this.events = events;
+		this.clock = clock;
+		this.selector = Selector.open();
+		this.server = ServerSocketChannel.open();
+		try {
+			this.server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+			this.server.bind(settings.listenAddress());
+			this.server.configureBlocking(false);
+			this.server.register(this.selector, SelectionKey.OP_ACCEPT);
+		}
+		catch (IOException ex) {
+			this.server.close();
+			this.selector.close();
+			throw ex;
+		}
+		settings.peers()
+			.stream()
+			.distinct()
+			.filter((peer) -> !peer.equals(settings.listenAddress()))
+			.forEach((peer) -> this.dialers.add(new Dialer(peer)));
+		this.thread = new Thread(this::run, "peer-io");
+		this.thread.setDaemon(true);
+	}
+
+	void start() {
+		this.thread.start();
+	}
+
+	InetSocketAddress localAddress() throws IOException {
+		return (InetSocketAddress) this.server.getLocalAddress();
+	}
+
+	/**
+	 * Runs a task on the I/O thread.
+	 * @param task the task
+	 */
+	void execute(Runnable task) {
+		this.tasks.add(task);
+		this.selector.wakeup();
+	}
+
+	Collection<PeerLink> links() {
+		return this.links;
+	}
+
+	List<Dialer> dialers() {
+		return this.dialers;
+	}
+
+	void send(PeerLink link, PeerMessage message) {
+		try {
+			send(link, this.codec.encode(message));
+		}
+		catch (FrameException ex) {
+			this.events.record(ex.type(), link.name(), ex.getMessage());
+		}
+	}
+
+	void send(PeerLink link, ByteBuffer frame) {
+		if (link.isOpen()) {
+			try {
+				link.send(frame);
+			}
+			catch (IOException ex) {
+				close(link, ex);
+			}
+		}
+	}
+
+	void close(PeerLink link, PeerEventType type, String detail) {
+		if (!link.isOpen()) {
+			return;
+		}
+		boolean wasEstablished = link.isEstablished();
+		String name = link.name();
+		link.close();
+		this.links.remove(link);
+		boolean report = true;
+		for (Dialer dialer : this.dialers) {
+			if (dialer.link() == link) {
+				report = dialer.ended(wasEstablished, this.clock.getAsLong()) || type.isProtocolFault();
+			}
+		}
+		if (report) {
+			boolean replaced = type == PeerEventType.LINK_LOST && wasEstablished && hasLink(link.remote());
+			this.events.record(replaced ? PeerEventType.DUPLICATE_LINK : type, name, detail);
+		}
+		this.listener.linkClosed(link);
+	}
+
+	private boolean hasLink(Hello remote) {
+		return this.links.stream()
+			.anyMatch((link) -> link.isEstablished() && link.remote().incarnation().equals(remote.incarnation()));
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.selector.wakeup();
+		try {
+			this.thread.join(2_000);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void run() {
+		try {
+			while (!this.closed) {
+				this.selector.select(this::ready, TICK_MS);
+				for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
+					guarded(task);
+				}
+				guarded(this::tick);
+			}
+		}
+		catch (IOException ex) {
+			logger.error("event=PEER_IO_STOPPED message=\"{}\"", ex.getMessage());
+		}
+		finally {
+			shutDown();
+		}
+	}
+
+	// An unexpected exception must not end the thread that serves all links.
+	private void guarded(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			logger.error("event=PEER_IO_FAULT", ex);
+		}
+	}
+
+	private void ready(SelectionKey key) {
+		if (key.attachment() instanceof PeerLink link) {
+			try {
+				if (key.isConnectable()) {
+					link.finishConnect();
+					link.flush();
+				}
+				if (key.isValid() && key.isWritable()) {
+					link.flush();
+				}
+				if (key.isValid() && key.isReadable()) {
+					link.read(this.readBuffer, this.clock.getAsLong(), (frame) -> frame(link, frame));
+				}
+			}
+			catch (IOException ex) {
+				close(link, ex);
+			}
+			catch (RuntimeException ex) {
+				logger.error("event=PEER_IO_FAULT peer={}", link.name(), ex);
+				close(link, PeerEventType.LINK_LOST, "internal fault: " + ex);
+			}
+		}
+		else if (key.isValid() && key.isAcceptable()) {
+			guarded(this::accept);
+		}
+	}
+
+	private void frame(PeerLink link, byte[] body) {
+		if (link.isOpen()) {
+			try {
+				this.listener.message(link, this.codec.decode(body));
+			}
+			catch (FrameException ex) {
+				close(link, ex);
+			}
+		}
+	}
+
+	private void close(PeerLink link, IOException ex) {
+		if (ex instanceof FrameException frameException) {
+			close(link, frameException.type(), ex.getMessage());
+		}
+		else {
+			boolean connecting = link.isDialed() && !link.channel().isConnected();
+			close(link, connecting ? PeerEventType.CONNECT_FAILED : PeerEventType.LINK_LOST,
+					String.valueOf(ex.getMessage()));
+		}
+	}
+
+	private void accept() {
+		try {
+			SocketChannel channel = this.server.accept();
+			if (channel == null) {
+				return;
+			}
+			if (this.links.size() >= 2 * this.settings.peers().size() + SPARE_LINKS) {
+				this.events.record(PeerEventType.TOO_MANY_LINKS, String.valueOf(channel.getRemoteAddress()),
+						this.links.size() + " connections are open");
+				channel.close();
+				return;
+			}
+			register(channel, null, SelectionKey.OP_READ);
+		}
+		catch (IOException ex) {
+			logger.warn("event=PEER_ACCEPT_FAILED message=\"{}\"", ex.getMessage());
+		}
+	}
+
+	private void dial(Dialer dialer) {
+		try {
+			SocketChannel channel = SocketChannel.open();
+			PeerLink link = register(channel, dialer.address(), SelectionKey.OP_CONNECT);
+			dialer.started(link);
+			try {
+				if (channel.connect(dialer.address())) {
+					link.finishConnect();
+				}
+			}
+			catch (IOException ex) {
+				close(link, ex);
+			}
+		}
+		catch (IOException ex) {
+			logger.warn("event=PEER_DIAL_FAILED message=\"{}\"", ex.getMessage());
+		}
+	}
+
+	private PeerLink register(SocketChannel channel, InetSocketAddress dialedAddress, int operations)
+			throws IOException {
+		try {
+			channel.configureBlocking(false);
+			channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+			SelectionKey key = channel.register(this.selector, operations);
+			PeerLink link = new PeerLink(channel, key, dialedAddress, this.codec, this.settings.maxQueuedBytes(),
+					this.clock.getAsLong());
+			key.attach(link);
+			this.links.add(link);
+			send(link, this.self);
+			return link;
+		}
+		catch (IOException ex) {
+			channel.close();
+			throw ex;
+		}
+	}
+
+	private void tick() {
+		long nowMs = this.clock.getAsLong();
+		for (PeerLink link : List.copyOf(this.links)) {
+			if (nowMs - link.lastReceivedMs() >= this.settings.silenceLimitMs()) {
+				boolean connecting = !link.channel().isConnected();
+				close(link, connecting ? PeerEventType.CONNECT_FAILED : PeerEventType.LINK_SILENT,
+						"nothing received for " + (nowMs - link.lastReceivedMs()) + " ms");
+			}
+		}
+		for (Dialer dialer : this.dialers) {
+			if (dialer.isDue(nowMs) && !isServedByPeer(dialer)) {
+				dial(dialer);
+			}
+		}
+		this.listener.tick(nowMs);
+	}
+
+	// Of two VMs, the one with the lower name keeps the link that it dialed, and the
+	// other
+	// one needs none. This halves the heartbeats.
+	private boolean isServedByPeer(Dialer dialer) {
+		String address = PeerAddresses.format(dialer.address());
+		return this.links.stream()
+			.anyMatch((link) -> isKeptByPeer(link) && address.equals(link.remote().peerAddress()));
+	}
+
+	private boolean isKeptByPeer(PeerLink link) {
+		return link.isEstablished() && !link.isDialed() && link.remote().vm().compareTo(this.self.vm()) < 0;
+	}
+
+	/**
+	 * Tells whether a dialed link is not needed because its peer keeps one as well.
+	 * @param dialed the link
+	 * @return {@code true} if the link may be closed
+	 */
+	boolean isDuplicate(PeerLink dialed) {
+		return dialed.isEstablished() && dialed.isDialed() && this.links.stream()
+			.anyMatch(
+					(link) -> isKeptByPeer(link) && link.remote().incarnation().equals(dialed.remote().incarnation()));
+	}
+
+	private void shutDown() {
+		this.closed = true;
+		List.copyOf(this.links).forEach(PeerLink::close);
+		this.links.clear();
+		try {
+			this.server.close();
+			this.selector.close();
+		}
+		catch (IOException ex) {
+			logger.warn("event=PEER_CLOSE_FAILED message=\"{}\"", ex.getMessage());
+		}
+		this.listener.stopped();
+	}
+
+	/**
+	 * Receives messages and changes of the links on the I/O thread.
+	 */
+	interface Listener {
+
+		/**
+		 * Handles a message.
+		 * @param link the link that carried it
+		 * @param message the message
+		 * @throws FrameException if the message is not allowed; the link is closed
+		 */
+		void message(PeerLink link, PeerMessage message) throws FrameException;
+
+		/**
+		 * Handles the end of a link.
+		 * @param link the closed link
+		 */
+		void linkClosed(PeerLink link);
+
+		/**
+		 * Does what is due.
+		 * @param nowMs the present time in milliseconds since the epoch
+		 */
+		void tick(long nowMs);
+
+		/**
+		 * Handles the end of the I/O thread.
+		 */
+		void stopped();
+
+	}
+
+}
--- /dev/null
+++ b/server/src/test/java/org/fulmargap/peer/TcpPeerNetworkTests.java
@@ -0,0 +1,109 @@
+package org.fulmargap.peer;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.fulmargap.claim.ClaimKey;
+import org.fulmargap.claim.RecordedOutcome;
+import org.fulmargap.membership.AdminOrder.State;
+import org.fulmargap.membership.AdminOrder.Target;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against messages between entry VMs that get lost, reach another asker or hang.
+ */
+class TcpPeerNetworkTests {
+
+	private static final ClaimKey KEY = new ClaimKey("andinas", "k-1");
+
+	@Nested
+	class BetweenThreeVms {
+
+		private PeerNode first;
+
+		private PeerNode second;
+
+		private PeerNode third;
+
+		@BeforeEach
+		void connect() throws Exception {
+			List<InetSocketAddress> addresses = PeerNode.freeAddresses(3);
+			this.first = new PeerNode("vm-a", 1, "gent-a", addresses.get(0), addresses);
+			this.second = new PeerNode("vm-b", 1, "gent-b", addresses.get(1), addresses);
+			this.third = new PeerNode("vm-c", 1, "gent-c", addresses.get(2), addresses);
+			this.first.awaitEvent(PeerEventType.LINK_UP, "vm-b");
+			this.first.awaitEvent(PeerEventType.LINK_UP, "vm-c");
+			this.second.awaitEvent(PeerEventType.LINK_UP, "vm-c");
+		}
+
+		@AfterEach
+		void close() {
+			this.first.close();
+			this.second.close();
+			this.third.close();
+		}
+
+		@Test
+		void answersKeyQueriesOfEachMemberSeparately() {
+			this.second.keys.put(KEY, PeerNetwork.KeyState.ABANDONED);
+			this.third.keys.put(KEY, PeerNetwork.KeyState.DISPATCHED);
+			assertThat(this.first.network.queryKey(List.of("vm-a", "vm-b", "vm-c", "vm-d"), KEY, PeerNode.WAIT_MS)
+				.orTimeout(PeerNode.WAIT_MS, TimeUnit.MILLISECONDS)
+				.join())
+				.isEqualTo(Map.of("vm-a", PeerNetwork.KeyState.NONE, "vm-b", PeerNetwork.KeyState.ABANDONED, "vm-c",
+						PeerNetwork.KeyState.DISPATCHED));
+		}
+
+		@Test
+		void waitsForTheOutcomeOfARunningRequest() {
+			CompletableFuture<Optional<RecordedOutcome>> running = new CompletableFuture<>();
+			this.second.outcomes.put(KEY, running);
+			CompletableFuture<Optional<RecordedOutcome>> answer = this.first.network.queryOutcome("vm-b-1", KEY,
+					PeerNode.WAIT_MS);
+			assertThat(this.third.network.queryOutcome("vm-b-2", KEY, PeerNode.WAIT_MS).join()).isEmpty();
+			assertThat(answer).isNotDone();
+			RecordedOutcome outcome = new RecordedOutcome(200, "{}", false);
+			running.complete(Optional.of(outcome));
+			assertThat(answer.join()).contains(outcome);
+		}
+
+		@Test
+		void reportsConfirmationsOfAnOrder() {
+			OrderService.OrderResult result = this.first.orders
+				.issue(Target.failureDomain("gent-b"), State.OUT, PeerNode.WAIT_MS, System.currentTimeMillis())
+				.join();
+			assertThat(result.confirmed()).containsExactly("vm-a", "vm-b", "vm-c");
+			assertThat(result.isInForce()).isTrue();
+			assertThat(this.third.orders.current().isOut(Target.failureDomain("gent-b"))).isTrue();
+		}
+
+		@Test
+		void sendsStrikesAtOnceAndWarmUpStartsWithHeartbeats() throws Exception {
+			this.first.ownWarmUps = Map.of("e1", 7L);
+			this.first.network.spreadStrikes(Map.of("f1", List.of("e1")));
+			assertThat(this.second.strikes.poll(PeerNode.WAIT_MS, TimeUnit.MILLISECONDS))
+				.isEqualTo(Map.of("f1", List.of("e1")));
+			assertThat(this.third.warmUps.poll(PeerNode.WAIT_MS, TimeUnit.MILLISECONDS)).isEqualTo(Map.of("e1", 7L));
+		}
+
+		@Test
+		void fetchesTheHighestConfigurationFirst() {
+			this.second.configVersion = 4;
+			this.third.configVersion = 9;
+			assertThat(this.first.network.fetchConfigs(PeerNode.WAIT_MS).join())
+				.extracting(PeerHandler.ConfigCopy::version)
+				.containsExactly(9L, 4L);
+		}
+
+	}
+
+}
