--- /dev/null
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
@@ -0,0 +1,109 @@
+package org.fulmargap.endpoint;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.fulmargap.config.Json;
+import org.fulmargap.routing.LoadReport;
+
+/**
+ * Asks an endpoint on a new connection whether it lives and which attempts it runs. Calls
+ * that wait for the same endpoint share one probe.
+ */
+final class EndpointProbe {
+
+	/** Time for one answer; endpoints answer these requests without queueing. */
+	static final long ANSWER_LIMIT_MS = 150;
+
+	private final OkHttpClient client;
+
+	private final Map<String, CompletableFuture<Finding>> running = new ConcurrentHashMap<>();
+
+	EndpointProbe(OkHttpClient base) {
+		this.client = base.newBuilder()
+			.connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+			.callTimeout(ANSWER_LIMIT_MS, TimeUnit.MILLISECONDS)
+			.build();
+	}
+
+	/**
+	 * Starts a probe, or joins the one that runs.
+	 * @param url the base URL of the endpoint
+	 * @return a future with the finding, never completed exceptionally
+	 */
+	CompletableFuture<Finding> probe(String url) {
+		CompletableFuture<Finding> own = new CompletableFuture<>();
+		CompletableFuture<Finding> present = this.running.putIfAbsent(url, own);
+		if (present != null) {
+			return present;
+		}
+		own.whenComplete((finding, ex) -> this.running.remove(url, own));
+		get(url + "/health")
+			.thenCompose((health) -> health.isEmpty() ? CompletableFuture.completedFuture("") : get(url + "/v1/load"))
+			.thenAccept((body) -> own.complete(finding(body)));
+		return own;
+	}
+
+	private static Finding finding(String body) {
+		if (body.isEmpty()) {
+			return new Finding(null);
+		}
+		try {
+			return new Finding(Json.mapper().readValue(body, LoadReport.class));
+		}
+		catch (IOException ex) {
+			return new Finding(null);
+		}
+	}
+
+	private CompletableFuture<String> get(String url) {
+		CompletableFuture<String> body = new CompletableFuture<>();
+		this.client.newCall(new Request.Builder().url(url).build()).enqueue(new Callback() {
+
+			@Override
+			public void onFailure(Call call, IOException ex) {
+				body.complete("");
+			}
+
+			@Override
+			public void onResponse(Call call, Response response) {
+				try (response) {
+					String text = response.peekBody(1 << 20).string();
+					body.complete(response.isSuccessful() ? (text.isEmpty() ? " " : text) : "");
+				}
+				catch (IOException ex) {
+					body.complete("");
+				}
+			}
+
+		});
+		return body;
+	}
+
+	/**
+	 * What a probe found.
+	 *
+	 * @param load the load report, or {@code null} if the endpoint did not answer
+	 */
+	record Finding(LoadReport load) {
+
+		boolean answered() {
+			return this.load != null;
+		}
+
+		boolean lists(String attempt) {
+			return this.load != null && this.load.attempts().contains(attempt);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls to endpoints.
+ */
+package org.fulmargap.endpoint;
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/http/Admission.java
@@ -0,0 +1,22 @@
+package org.fulmargap.http;
+
+import org.fulmargap.admission.AdmissionListener;
+import org.fulmargap.admission.AdmissionRequest;
+import org.fulmargap.config.PipelineSpec;
+
+/**
+ * Admits requests by pipeline.
+ */
+@FunctionalInterface
+public interface Admission {
+
+	/**
+	 * Asks for a slot.
+	 * @param pipeline the pipeline that the request will run
+	 * @param request the request
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @param listener receives the decision exactly once
+	 */
+	void admit(PipelineSpec pipeline, AdmissionRequest request, long nowMs, AdmissionListener listener);
+
+}
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/http/HttpServers.java
@@ -0,0 +1,51 @@
+package org.fulmargap.http;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.Javalin;
+import io.javalin.config.RoutesConfig;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.fulmargap.config.Json;
+import org.fulmargap.pipeline.RunState;
+
+/**
+ * Creates the HTTP servers of an entry VM.
+ */
+final class HttpServers {
+
+	/** Header with the identity of the request, set on every typed answer. */
+	static final String TYPED = "Fulmargap-Request";
+
+	/** A caller that sends its body more slowly than this is disconnected. */
+	private static final int MIN_BYTES_PER_SECOND = 1024;
+
+	private HttpServers() {
+	}
+
+	static Javalin create(int maxThreads, Consumer<RoutesConfig> routes) {
+		return Javalin.create((config) -> {
+			QueuedThreadPool threads = new QueuedThreadPool(maxThreads, 4);
+			threads.setName("http");
+			config.jetty.threadPool = threads;
+			config.jetty.modifyHttpConfiguration((http) -> {
+				http.setSendServerVersion(false);
+				http.setMinRequestDataRate(MIN_BYTES_PER_SECOND);
+			});
+			config.startup.showJavalinBanner = false;
+			routes.accept(config.routes);
+		});
+	}
+
+	static Reply unknownPath(String path) {
+		ObjectNode root = Json.mapper().createObjectNode();
+		ObjectNode error = root.putObject("error");
+		error.put("type", "MALFORMED_REQUEST");
+		error.put("reason", "UNKNOWN_PATH");
+		error.put("message", "there is no resource at " + path + " for this method");
+		error.put("request_id", "");
+		return new Reply(404, root.toString(), Optional.empty(), RunState.NOT_RUN, Optional.empty());
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP interfaces for callers and operators.
+ */
+package org.fulmargap.http;
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/pipeline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Execution of the stages of a request.
+ */
+package org.fulmargap.pipeline;
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/server/EntryVm.java
@@ -0,0 +1,135 @@
+package org.fulmargap.server;
+
+import java.net.BindException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
+
+import org.fulmargap.endpoint.EndpointClient;
+import org.fulmargap.endpoint.LoadPoller;
+import org.fulmargap.http.CallerApi;
+import org.fulmargap.http.OperatorApi;
+import org.fulmargap.timeline.EventType;
+import org.fulmargap.timeline.Timeline;
+
+/**
+ * A running entry VM: starts its parts, drains and stops them.
+ */
+final class EntryVm implements AutoCloseable {
+
+	private static final long POLL_NANOS = 10_000_000;
+
+	private final Settings settings;
+
+	private final Incarnation incarnation;
+
+	private final Lifecycle lifecycle;
+
+	private final Threads threads;
+
+	private final EndpointClient client;
+
+	private final RouterFeed routerFeed;
+
+	private final LoadPoller loadPoller;
+
+	private final CallerApi callerApi;
+
+	private final OperatorApi operatorApi;
+
+	private final Timeline timeline;
+
+	private final LongSupplier clock;
+
+	EntryVm(Settings settings, Incarnation incarnation, Lifecycle lifecycle, Threads threads, EndpointClient client,
+			RouterFeed routerFeed, LoadPoller loadPoller, CallerApi callerApi, OperatorApi operatorApi,
+			Timeline timeline, LongSupplier clock) {
+		this.settings = settings;
+		this.incarnation = incarnation;
+		this.lifecycle = lifecycle;
+		this.threads = threads;
+		this.client = client;
+		this.routerFeed = routerFeed;
+		this.loadPoller = loadPoller;
+		this.callerApi = callerApi;
+		this.operatorApi = operatorApi;
+		this.timeline = timeline;
+		this.clock = clock;
+	}
+
+	/**
+	 * Starts all parts.
+	 * @throws SettingsException if an address cannot be used
+	 */
+	void start() throws SettingsException {
+		listen("admin_address", this.settings.adminAddress(), this.operatorApi::start);
+		this.routerFeed.start();
+		this.loadPoller.start();
+		listen("caller_address", this.settings.callerAddress(), this.callerApi::start);
+		this.timeline.record(EventType.STARTED, "", 0, "incarnation", this.incarnation.text(), "caller_port",
+				this.callerApi.port(), "admin_port", this.operatorApi.port());
+	}
+
+	private static void listen(String field, Address address, Listener listener) throws SettingsException {
+		try {
+			listener.start(address.host(), address.port());
+		}
+		catch (RuntimeException ex) {
+			for (Throwable cause = ex; cause != null; cause = cause.getCause()) {
+				if (cause instanceof BindException || cause instanceof java.net.SocketException) {
+					throw new SettingsException(
+							"settings: field '" + field + "': " + address + " cannot be used: " + cause.getMessage(),
+							ex);
+				}
+			}
+			throw ex;
+		}
+	}
+
+	int callerPort() {
+		return this.callerApi.port();
+	}
+
+	int adminPort() {
+		return this.operatorApi.port();
+	}
+
+	/**
+	 * Shuts down without interrupting requests: announces the end, waits until no new
+	 * requests come and the running ones have ended, and stops.
+	 */
+	void drain() {
+		long startMs = this.clock.getAsLong();
+		this.lifecycle.drain(startMs);
+		this.timeline.record(EventType.DRAINING, "", 0, "in_flight", this.callerApi.inFlight());
+		long noticeEndMs = startMs + this.settings.drainNoticeMs();
+		long limitMs = noticeEndMs + this.settings.drainLimitMs();
+		while (this.clock.getAsLong() < noticeEndMs
+				|| (this.callerApi.inFlight() > 0 && this.clock.getAsLong() < limitMs)) {
+			LockSupport.parkNanos(POLL_NANOS);
+		}
+		close();
+	}
+
+	@Override
+	public void close() {
+		int interrupted = this.callerApi.inFlight();
+		this.callerApi.close();
+		this.loadPoller.close();
+		this.routerFeed.close();
+		this.threads.stop();
+		this.client.close();
+		this.operatorApi.close();
+		this.timeline.record(EventType.STOPPED, "", 0, "interrupted", interrupted);
+	}
+
+	/**
+	 * Starts a server on an address.
+	 */
+	@FunctionalInterface
+	private interface Listener {
+
+		void start(String host, int port);
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/server/RequestGate.java
@@ -0,0 +1,39 @@
+package org.fulmargap.server;
+
+import org.fulmargap.http.ServiceGate;
+import org.fulmargap.request.FailureType;
+import org.fulmargap.request.FulmargapException;
+import org.fulmargap.routing.CrashQuarantine;
+
+/**
+ * Refuses requests during a shutdown, when cut off with the policy to stop, and requests
+ * that crash endpoints.
+ */
+final class RequestGate implements ServiceGate {
+
+	private final Lifecycle lifecycle;
+
+	private final CrashQuarantine quarantine;
+
+	RequestGate(Lifecycle lifecycle, CrashQuarantine quarantine) {
+		this.lifecycle = lifecycle;
+		this.quarantine = quarantine;
+	}
+
+	@Override
+	public void check(String fingerprint, long nowMs) throws FulmargapException {
+		if (this.lifecycle.refusesRequests(nowMs)) {
+			throw new FulmargapException(FailureType.NOT_RUN, "DRAINING", "the entry VM is shutting down");
+		}
+		if (!this.quarantine.verdict(fingerprint, nowMs).mayRun()) {
+			throw new FulmargapException(FailureType.REQUEST_QUARANTINED, "REQUEST_QUARANTINED",
+					"this request crashed several endpoints and is refused for a while");
+		}
+	}
+
+	@Override
+	public boolean ownDomainOnly(long nowMs) {
+		return false;
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/timeline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Events of an entry VM, kept in a bounded ring and written as log lines.
+ */
+package org.fulmargap.timeline;
