--- a/server/src/main/java/org/fulmargap/endpoint/DispatchTracker.java
+++ b/server/src/main/java/org/fulmargap/endpoint/DispatchTracker.java
@@ -1,6 +1,6 @@
 package org.fulmargap.endpoint;
 
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 
 import okhttp3.Call;
 import okhttp3.EventListener;
@@ -10,13 +10,15 @@
  */
 final class DispatchTracker extends EventListener {
 
-	private final AtomicBoolean headersStarted = new AtomicBoolean();
+	private final LongSupplier clock;
 
-	private volatile long progressAtMs;
+	private volatile boolean headersStarted;
+
+	private volatile long sentAtMs;
 
-	private final java.util.function.LongSupplier clock;
+	private volatile long progressAtMs;
 
-	DispatchTracker(java.util.function.LongSupplier clock) {
+	DispatchTracker(LongSupplier clock) {
 		this.clock = clock;
 		this.progressAtMs = clock.getAsLong();
 	}
@@ -28,8 +30,9 @@
 	 */
 	@Override
 	public void requestHeadersStart(Call call) {
-		this.headersStarted.set(true);
-		progress();
+		this.sentAtMs = this.clock.getAsLong();
+		this.progressAtMs = this.sentAtMs;
+		this.headersStarted = true;
 	}
 
 	@Override
@@ -38,7 +41,16 @@
 	}
 
 	boolean mayHaveSent() {
-		return this.headersStarted.get();
+		return this.headersStarted;
+	}
+
+	/**
+	 * Returns when the request was sent.
+	 * @return milliseconds since the epoch, meaningful only if something may have been
+	 * sent
+	 */
+	long sentAtMs() {
+		return this.sentAtMs;
 	}
 
 	void progress() {
--- a/server/src/main/java/org/fulmargap/endpoint/EndpointClient.java
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointClient.java
@@ -49,6 +49,16 @@
 
 	private final OkHttpClient client;
 
+	/**
+	 * Opens a connection for each call. A call that must not be repeated then never meets
+	 * a pooled connection that the endpoint has just closed, whose failure would leave
+	 * the outcome unknown.
+	 */
+	private final OkHttpClient freshClient;
+
+	/** Carries everything but stage calls, so that their answers cannot be mixed up. */
+	private final OkHttpClient controlClient;
+
 	private final EndpointProbe probe;
 
 	private final AttemptCanceller canceller;
@@ -81,13 +91,19 @@
 			.eventListenerFactory(EndpointClient::listenerOf)
 			.addNetworkInterceptor(new SingleSendInterceptor())
 			.build();
+		this.freshClient = this.client.newBuilder()
+			.connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+			.build();
+		this.controlClient = this.client.newBuilder()
+			.connectionPool(new ConnectionPool(maxInFlight, 30, TimeUnit.SECONDS))
+			.build();
 		this.scheduler = Executors.newSingleThreadScheduledExecutor((task) -> {
 			Thread thread = new Thread(task, "call-watch");
 			thread.setDaemon(true);
 			return thread;
 		});
-		this.probe = new EndpointProbe(this.client);
-		this.canceller = new AttemptCanceller(this.client);
+		this.probe = new EndpointProbe(this.controlClient);
+		this.canceller = new AttemptCanceller(this.controlClient);
 	}
 
 	private static okhttp3.EventListener listenerOf(Call call) {
@@ -110,21 +126,16 @@
 			throw new EndpointException(CallFailure.CONNECT_FAILED, "no time remains for the call", null);
 		}
 		DispatchTracker tracker = new DispatchTracker(this.clock);
-		Call call = this.client.newCall(request(stageCall, tracker, remainingMs));
+		OkHttpClient http = stageCall.repeatable() ? this.client : this.freshClient;
+		Call call = http.newCall(request(stageCall, tracker, remainingMs));
 		call.timeout().timeout(remainingMs, TimeUnit.MILLISECONDS);
 		try (ProgressWatch watch = new ProgressWatch(stageCall, call, tracker, this.probe, this.scheduler, this.clock,
 				this::probed, this.client.connectionPool()::evictAll)) {
 			watch.start();
-			try (Response response = call.execute()) {
-				tracker.progress();
-				return read(stageCall, sink, tracker, response, startMs);
-			}
-			catch (EndpointException ex) {
-				call.cancel();
-				throw ex;
+			try {
+				return execute(stageCall, sink, tracker, call, startMs);
 			}
 			catch (IOException ex) {
-				call.cancel();
 				throw failure(stageCall, tracker, watch, ex);
 			}
 		}
@@ -136,6 +147,26 @@
 		}
 	}
 
+	private StageAnswer execute(StageCall stageCall, TokenSink sink, DispatchTracker tracker, Call call, long startMs)
+			throws EndpointException, IOException {
+		boolean complete = false;
+		Response response = call.execute();
+		try {
+			tracker.progress();
+			StageAnswer answer = read(stageCall, sink, tracker, response, startMs);
+			complete = true;
+			return answer;
+		}
+		finally {
+			// Closing the response alone could return the connection to the pool, and a
+			// wrong answer may be followed by more of them.
+			if (!complete) {
+				call.cancel();
+			}
+			response.close();
+		}
+	}
+
 	private EndpointException failure(StageCall stageCall, DispatchTracker tracker, ProgressWatch watch,
 			IOException cause) {
 		if (!tracker.mayHaveSent()) {
@@ -236,14 +267,14 @@
 		}
 	}
 
-	private void probed(StageCall stageCall, boolean answered, boolean listed) {
+	private void probed(StageCall stageCall, boolean answered, boolean gone) {
 		this.metrics.counter("probes").inc();
 		this.timeline.record(EventType.PROBED, stageCall.attempt().requestId(), 0, "endpoint", stageCall.endpoint(),
-				"attempt", stageCall.attempt(), "answered", answered, "listed", listed);
+				"attempt", stageCall.attempt(), "answered", answered, "attempt_gone", gone);
 	}
 
 	OkHttpClient http() {
-		return this.client;
+		return this.controlClient;
 	}
 
 	@Override
@@ -252,6 +283,7 @@
 		this.client.dispatcher().cancelAll();
 		this.client.dispatcher().executorService().shutdown();
 		this.client.connectionPool().evictAll();
+		this.controlClient.connectionPool().evictAll();
 	}
 
 }
--- a/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
@@ -100,8 +100,15 @@
 			return this.load != null;
 		}
 
-		boolean lists(String attempt) {
-			return this.load != null && this.load.attempts().contains(attempt);
+		/**
+		 * Tells whether the endpoint neither runs nor queues an attempt. Load reports
+		 * lag, so one that was taken before the attempt was sent says nothing about it.
+		 * @param attempt the attempt
+		 * @param sentAtMs when the attempt was sent
+		 * @return {@code true} if a current report does not list the attempt
+		 */
+		boolean rulesOut(String attempt, long sentAtMs) {
+			return this.load != null && this.load.reportedAtMs() >= sentAtMs && !this.load.attempts().contains(attempt);
 		}
 
 	}
--- a/server/src/main/java/org/fulmargap/endpoint/LoadPoller.java
+++ b/server/src/main/java/org/fulmargap/endpoint/LoadPoller.java
@@ -21,6 +21,8 @@
 import org.fulmargap.config.Json;
 import org.fulmargap.routing.LoadReport;
 import org.fulmargap.routing.Router;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the load reports of all endpoints twice a second, at jittered times so that the
@@ -28,6 +30,8 @@
  */
 public final class LoadPoller implements AutoCloseable {
 
+	private static final Logger LOG = LoggerFactory.getLogger(LoadPoller.class);
+
 	private static final long INTERVAL_MS = 500;
 
 	private static final long TICK_MS = 50;
@@ -69,7 +73,17 @@
 	 * Starts polling.
 	 */
 	public void start() {
-		this.scheduler.scheduleWithFixedDelay(this::poll, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+		this.scheduler.scheduleWithFixedDelay(this::pollSafely, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void pollSafely() {
+		try {
+			poll();
+		}
+		catch (RuntimeException ex) {
+			// An exception would end the schedule.
+			LOG.error("reading of load reports failed", ex);
+		}
 	}
 
 	private void poll() {
--- a/server/src/main/java/org/fulmargap/endpoint/ProgressWatch.java
+++ b/server/src/main/java/org/fulmargap/endpoint/ProgressWatch.java
@@ -97,12 +97,12 @@
 		if (this.closed) {
 			return;
 		}
-		boolean listed = finding.lists(this.stageCall.attempt().toString());
-		this.listener.probed(this.stageCall, finding.answered(), listed);
+		boolean gone = finding.rulesOut(this.stageCall.attempt().toString(), this.tracker.sentAtMs());
+		this.listener.probed(this.stageCall, finding.answered(), gone);
 		this.waitingSinceMs = this.clock.getAsLong();
 		if (finding.answered()) {
 			this.unanswered = 0;
-			if (listed || !this.stageCall.repeatable()) {
+			if (!gone || !this.stageCall.repeatable()) {
 				schedule(this::check, this.stageCall.progressLimitMs());
 			}
 			else {
@@ -147,7 +147,7 @@
 	@FunctionalInterface
 	interface ProbeListener {
 
-		void probed(StageCall call, boolean answered, boolean listed);
+		void probed(StageCall call, boolean answered, boolean gone);
 
 	}
 
--- a/server/src/main/java/org/fulmargap/endpoint/TokenStream.java
+++ b/server/src/main/java/org/fulmargap/endpoint/TokenStream.java
@@ -39,6 +39,9 @@
 	void readAll(TokenSink sink) throws IOException {
 		String event = "";
 		while (true) {
+			if (this.source.exhausted()) {
+				throw new IncompleteStreamException("the stream ended after " + this.nextIndex + " tokens without end");
+			}
 			String line = this.source.readUtf8LineStrict(MAX_LINE_BYTES);
 			this.progress.run();
 			if (line.startsWith("event:")) {
--- /dev/null
+++ b/server/src/test/java/org/fulmargap/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the calls to endpoints.
+ */
+package org.fulmargap.endpoint;
