--- a/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
@@ -98,14 +98,14 @@
 		}
 		this.nextOffset = offset + 1;
 		try {
-			List<ClaimBatch.Parsed> batch = ClaimBatch.fromJson(value);
-			for (int index = 0; index < batch.size(); index++) {
-				ClaimBatch.Parsed parsed = batch.get(index);
+			int index = 0;
+			for (ClaimBatch.Parsed parsed : ClaimBatch.fromJson(value)) {
+				Position position = new Position(offset, index++, appendedAtMs);
 				if (parsed.record() == null) {
 					events.add(new ClaimEvent(ClaimEvent.Type.UNREADABLE, offset, parsed.error()));
 				}
 				else {
-					apply(parsed.record(), new Position(offset, index, appendedAtMs), changed, events);
+					apply(parsed.record(), position, changed, events);
 				}
 			}
 		}
@@ -207,6 +207,30 @@
 		return this.entries.size();
 	}
 
+	/**
+	 * Returns the records to append so that readers who start at the first retained
+	 * offset find every live claim: checkpoints of the claims whose records are the
+	 * oldest, or the statement that none is left below the middle of the stream.
+	 * @param max the highest number of records
+	 * @return the records, empty if none is due or the ledger is incomplete
+	 */
+	public List<ClaimRecord> checkpointsDue(int max) {
+		long retained = this.end - this.firstRetained;
+		if (!this.complete || this.firstRetained == 0 || this.coveredSince >= this.firstRetained + retained / 4) {
+			return List.of();
+		}
+		long target = this.firstRetained + retained / 2;
+		List<ClaimRecord> due = new ArrayList<>();
+		for (Map.Entry<ClaimKey, KeyEntry> entry : this.entries.entrySet()) {
+			for (HeldClaim claim : entry.getValue().claims()) {
+				if (claim.lastOffset < target && due.size() < max) {
+					due.add(claim.checkpoint(entry.getKey()));
+				}
+			}
+		}
+		return due.isEmpty() ? List.of(new ClaimRecord.Coverage(target)) : due;
+	}
+
 	/**
 	 * Forgets claims that are older than the key lifetime.
 	 * @param nowMs the present time in milliseconds since the epoch
@@ -255,9 +279,15 @@
 		KeyEntry entry = this.entries.computeIfAbsent(claim.key(), (key) -> new KeyEntry(claimedAtMs));
 		HeldClaim known = entry.find(claim.attemptId());
 		if (known != null) {
-			known.rank = Math.min(known.rank, rank);
-			entry.sort();
-			if (known.outcome == null || outcome != null) {
+			if (rank < known.rank) {
+				known.rank = rank;
+				known.claimedAtMs = claimedAtMs;
+				entry.sort();
+			}
+			// A repeated append carries neither the first rank nor the outcome, so that
+			// it
+			// cannot stand in for the first record.
+			if (rank != position.rank() && (known.outcome == null || outcome != null)) {
 				known.lastOffset = position.offset();
 			}
 			if (known.outcome == null && outcome != null) {
--- a/core/src/main/java/org/fulmargap/claim/HeldClaim.java
+++ b/core/src/main/java/org/fulmargap/claim/HeldClaim.java
@@ -13,11 +13,11 @@
 
 	final String digest;
 
-	final long claimedAtMs;
+	long claimedAtMs;
 
 	long rank;
 
-	/** Offset of the newest record that carries the claim and all that is known of it. */
+	/** Offset of the newest record with the first rank and all that is known. */
 	long lastOffset;
 
 	RecordedOutcome outcome;
--- a/server/src/main/java/org/fulmargap/platform/AppendQueue.java
+++ b/server/src/main/java/org/fulmargap/platform/AppendQueue.java
@@ -23,7 +23,7 @@
 	/** The value tells whether the record was part of an append that may have arrived. */
 	private final Map<ClaimRecord, Boolean> records = new LinkedHashMap<>();
 
-	void add(ClaimRecord record) {
+	synchronized void add(ClaimRecord record) {
 		this.records.putIfAbsent(record, Boolean.FALSE);
 	}
 
@@ -32,12 +32,12 @@
 	 * @param record the record
 	 * @return whether the record may be in the stream
 	 */
-	boolean remove(ClaimRecord record) {
+	synchronized boolean remove(ClaimRecord record) {
 		Boolean sent = this.records.remove(record);
 		return sent == null || sent;
 	}
 
-	List<ClaimRecord> takeBatch() {
+	synchronized List<ClaimRecord> takeBatch() {
 		List<ClaimRecord> batch = new ArrayList<>();
 		int chars = 0;
 		for (Map.Entry<ClaimRecord, Boolean> entry : this.records.entrySet()) {
@@ -51,7 +51,7 @@
 		return batch;
 	}
 
-	void confirm(List<ClaimRecord> batch) {
+	synchronized void confirm(List<ClaimRecord> batch) {
 		batch.forEach(this.records::remove);
 	}
 
@@ -59,16 +59,20 @@
 	 * Removes the records that the ledger has read from the stream.
 	 * @param ledger the ledger
 	 */
-	void removeSeen(ClaimLedger ledger) {
+	synchronized void removeSeen(ClaimLedger ledger) {
 		this.records.keySet().removeIf((record) -> isSeen(record, ledger));
 	}
 
-	boolean isEmpty() {
-		return this.records.isEmpty();
+	/**
+	 * Removes checkpoints. They are planned anew from the ledger after a failed append.
+	 */
+	synchronized void removeCheckpoints() {
+		this.records.keySet()
+			.removeIf((record) -> record instanceof ClaimRecord.Checkpoint || record instanceof ClaimRecord.Coverage);
 	}
 
-	int size() {
-		return this.records.size();
+	synchronized boolean isEmpty() {
+		return this.records.isEmpty();
 	}
 
 	private static boolean isSeen(ClaimRecord record, ClaimLedger ledger) {
--- a/server/src/main/java/org/fulmargap/platform/ClaimTable.java
+++ b/server/src/main/java/org/fulmargap/platform/ClaimTable.java
@@ -29,9 +29,11 @@
 	 * answered does not dispatch the key within this time, so that "not run" is still
 	 * true when the answer is given.
 	 */
-
 	static final long RESOLVE_MS = 400;
 
+	/** The number of checkpoints per append; each may carry a result of 16 KiB. */
+	private static final int MAX_CHECKPOINTS = 256;
+
 	private final ServiceIdentity identity;
 
 	private final long keyLifetimeMs;
@@ -46,12 +48,13 @@
 
 	private final Map<ClaimKey, Long> holdUntilMs = new HashMap<>();
 
-	private final AppendQueue queue = new AppendQueue();
+	private final AppendQueue queue;
 
-	ClaimTable(ServiceIdentity identity, long keyLifetimeMs, ClaimOutside outside, PlatformEvents events) {
+	ClaimTable(ServiceIdentity identity, long keyLifetimeMs, ClaimOutside outside, AppendQueue queue, PlatformEvents events) {
 		this.identity = identity;
 		this.keyLifetimeMs = keyLifetimeMs;
 		this.outside = outside;
+		this.queue = queue;
 		this.events = events;
 		this.ledger = new ClaimLedger(keyLifetimeMs);
 	}
@@ -262,16 +265,13 @@
 		return effects;
 	}
 
-	synchronized List<ClaimRecord> takeBatch() {
-		return this.queue.takeBatch();
-	}
-
-	synchronized void confirm(List<ClaimRecord> batch) {
-		this.queue.confirm(batch);
-	}
-
-	synchronized boolean hasRecords() {
-		return !this.queue.isEmpty();
+	// Queues the records that keep live claims readable despite retention.
+	synchronized boolean planCheckpoints(boolean turn) {
+		List<ClaimRecord> due = this.ledger.checkpointsDue(MAX_CHECKPOINTS);
+		if (turn) {
+			due.forEach(this.queue::add);
+		}
+		return !due.isEmpty();
 	}
 
 	synchronized boolean isComplete() {
--- a/server/src/main/java/org/fulmargap/platform/LogClaimService.java
+++ b/server/src/main/java/org/fulmargap/platform/LogClaimService.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -35,6 +37,9 @@
 	 */
 	private static final long APPENDS_PER_SECOND = 200;
 
+	/** How often the need for checkpoints is checked, and the delay between members. */
+	private static final long CHECKPOINT_EVERY_MS = 500;
+
 	private static final long EXPIRE_EVERY_MS = 10_000;
 
 	private final PlatformLog log;
@@ -51,6 +56,8 @@
 
 	private final PlatformEvents events;
 
+	private final AppendQueue queue = new AppendQueue();
+
 	private final ClaimTable table;
 
 	private final LogTailer tailer;
@@ -61,6 +68,10 @@
 
 	private long nextExpiryAtMs;
 
+	private long nextCheckpointAtMs;
+
+	private long checkpointDueSinceMs = -1;
+
 	/**
 	 * Creates a service. It does nothing until {@link #start()}.
 	 * @param log the log
@@ -81,7 +92,7 @@
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.timers = Objects.requireNonNull(timers, "timers");
 		this.events = new PlatformEvents(metrics);
-		this.table = new ClaimTable(identity, keyLifetimeMs, new Calls(), this.events);
+		this.table = new ClaimTable(identity, keyLifetimeMs, new Calls(), this.queue, this.events);
 		this.tailer = new LogTailer(log, STREAM, new Pages());
 		this.thread = new PumpThread("claims-log", clock, this::pump);
 	}
@@ -141,7 +152,7 @@
 	 * @return {@code true} if nothing waits to be appended
 	 */
 	public boolean isFlushed() {
-		return !this.table.hasRecords();
+		return this.queue.isEmpty();
 	}
 
 	/**
@@ -150,7 +161,7 @@
 	 */
 	long pump() {
 		long nowMs = this.clock.getAsLong();
-		if (this.table.hasRecords() && !this.tailer.isFailing() && nowMs >= this.nextAppendAtMs) {
+		if (!this.queue.isEmpty() && !this.tailer.isFailing() && nowMs >= this.nextAppendAtMs) {
 			append(nowMs);
 		}
 		else if (nowMs >= this.tailer.nextPollAtMs()) {
@@ -160,7 +171,11 @@
 			this.table.expire(nowMs);
 			this.nextExpiryAtMs = nowMs + EXPIRE_EVERY_MS;
 		}
-		boolean appendWaits = this.table.hasRecords() && !this.tailer.isFailing();
+		if (nowMs >= this.nextCheckpointAtMs) {
+			planCheckpoints(nowMs);
+			this.nextCheckpointAtMs = nowMs + CHECKPOINT_EVERY_MS;
+		}
+		boolean appendWaits = !this.queue.isEmpty() && !this.tailer.isFailing();
 		return appendWaits ? Math.min(this.nextAppendAtMs, this.tailer.nextPollAtMs()) : this.tailer.nextPollAtMs();
 	}
 
@@ -170,16 +185,17 @@
 	}
 
 	private void append(long nowMs) {
-		List<ClaimRecord> batch = this.table.takeBatch();
+		List<ClaimRecord> batch = this.queue.takeBatch();
 		this.nextAppendAtMs = nowMs + spacingMs();
 		try {
 			this.log.append(STREAM, ClaimBatch.toJson(batch));
-			this.table.confirm(batch);
+			this.queue.confirm(batch);
 			this.events.count("claims.appends");
 		}
 		catch (IOException ex) {
 			this.events.logFailed(STREAM, "append", ex);
 			this.tailer.noteFailure(nowMs);
+			this.queue.removeCheckpoints();
 			return;
 		}
 		readOn(this.clock.getAsLong());
@@ -195,6 +211,19 @@
 		}
 	}
 
+	private void planCheckpoints(long nowMs) {
+		// Each member waits longer than the one before it, so that usually one writes.
+		int rank = new TreeSet<>(this.members.vms()).headSet(this.identity.vm()).size();
+		boolean turn = this.checkpointDueSinceMs >= 0
+				&& nowMs - this.checkpointDueSinceMs >= rank * CHECKPOINT_EVERY_MS;
+		if (!this.table.planCheckpoints(turn)) {
+			this.checkpointDueSinceMs = -1;
+		}
+		else if (this.checkpointDueSinceMs < 0) {
+			this.checkpointDueSinceMs = nowMs;
+		}
+	}
+
 	private long spacingMs() {
 		return Math.max(MIN_SPACING_MS, this.members.vms().size() * 1000L / APPENDS_PER_SECOND);
 	}
@@ -203,7 +232,7 @@
 		effects.apply(this.timers);
 	}
 
-	private boolean allDeny(Collection<String> asked, java.util.Map<String, PeerNetwork.KeyState> replies) {
+	private boolean allDeny(Collection<String> asked, Map<String, PeerNetwork.KeyState> replies) {
 		// Claims of a member that has gone can only be found in the stream, so it must
 		// have been read to its end since.
 		return this.members.lastRemovalAtMs() < this.tailer.reachedEndAtMs()
