Keep releases readable after retention as well

Cause: a reader that started after a release took a late repeat of the claim as live and blocked the key. Change: releases are checkpointed like claims; an outcome overrides a release.

--- a/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
@@ -210,8 +210,9 @@
 	/**
 	 * Returns the records to append so that readers who start at the first retained
 	 * offset find every live claim: checkpoints of the claims whose records are the
-	 * oldest, or the statement that none is left below the middle of the stream.
-	 * @param max the highest number of records
+	 * oldest, releases that keep repeated appends of their claims without effect, or the
+	 * statement that none is left below the middle of the stream.
+	 * @param max the number of records that is enough for one append
 	 * @return the records, empty if none is due or the ledger is incomplete
 	 */
 	public List<ClaimRecord> checkpointsDue(int max) {
@@ -222,10 +223,9 @@
 		long target = this.firstRetained + retained / 2;
 		List<ClaimRecord> due = new ArrayList<>();
 		for (Map.Entry<ClaimKey, KeyEntry> entry : this.entries.entrySet()) {
-			for (HeldClaim claim : entry.getValue().claims()) {
-				if (claim.lastOffset < target && due.size() < max) {
-					due.add(claim.checkpoint(entry.getKey()));
-				}
+			entry.getValue().checkpoints(entry.getKey(), target, due);
+			if (due.size() >= max) {
+				return due;
 			}
 		}
 		return due.isEmpty() ? List.of(new ClaimRecord.Coverage(target)) : due;
@@ -295,7 +295,8 @@
 			}
 			return;
 		}
-		if (entry.isFinished() || entry.isReleased(claim.attemptId())) {
+		// An outcome counts more than a release: the request has run.
+		if (entry.isFinished() || (outcome == null && entry.isReleased(claim.attemptId()))) {
 			return;
 		}
 		entry.touch(claimedAtMs);
@@ -335,9 +336,11 @@
 					"attempt " + release.attemptId()));
 			return;
 		}
-		if (!entry.isFinished() && !entry.isReleased(release.attemptId())) {
-			entry.touch(position.appendedAtMs());
-			entry.release(claim, release.attemptId());
+		if (!entry.isFinished()) {
+			if (!entry.isReleased(release.attemptId())) {
+				entry.touch(position.appendedAtMs());
+			}
+			entry.release(claim, release.attemptId(), position.offset());
 		}
 	}
 
--- a/core/src/main/java/org/fulmargap/claim/KeyEntry.java
+++ b/core/src/main/java/org/fulmargap/claim/KeyEntry.java
@@ -1,7 +1,9 @@
 package org.fulmargap.claim;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * All claims of one key.
@@ -11,8 +13,11 @@
 	/** Claims that are not released, lowest rank first. */
 	private final List<HeldClaim> claims = new ArrayList<>(1);
 
-	/** Attempts that were released; repeated appends of their claims are ignored. */
-	private List<String> released = List.of();
+	/**
+	 * Attempts that were released, with the offset of the newest release. Repeated
+	 * appends of their claims are ignored.
+	 */
+	private Map<String, Long> released = Map.of();
 
 	/** The newest time of any record of the key; decides when the entry expires. */
 	private long touchedAtMs;
@@ -47,7 +52,7 @@
 	}
 
 	boolean isReleased(String attemptId) {
-		return this.released.contains(attemptId);
+		return this.released.containsKey(attemptId);
 	}
 
 	void add(HeldClaim claim) {
@@ -59,21 +64,34 @@
 		this.claims.sort((left, right) -> Long.compare(left.rank, right.rank));
 	}
 
-	void release(HeldClaim claim, String attemptId) {
+	void checkpoints(ClaimKey key, long target, List<ClaimRecord> due) {
+		for (HeldClaim claim : this.claims) {
+			if (claim.lastOffset < target) {
+				due.add(claim.checkpoint(key));
+			}
+		}
+		this.released.forEach((attemptId, offset) -> {
+			if (offset < target) {
+				due.add(new ClaimRecord.Release(key, attemptId));
+			}
+		});
+	}
+
+	void release(HeldClaim claim, String attemptId, long offset) {
 		if (claim != null) {
 			this.claims.remove(claim);
 		}
 		if (this.released.isEmpty()) {
-			this.released = new ArrayList<>(1);
+			this.released = new HashMap<>(2);
 		}
-		this.released.add(attemptId);
+		this.released.put(attemptId, offset);
 	}
 
 	void finish(HeldClaim owner, RecordedOutcome outcome) {
 		owner.outcome = outcome;
 		// After an outcome no other claim can come to own the key.
 		this.claims.removeIf((claim) -> claim != owner);
-		this.released = List.of();
+		this.released = Map.of();
 	}
 
 	/**
