--- a/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
+++ b/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
@@ -1,164 +1,284 @@
 package org.fulmargap.routing;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
 
 import org.fulmargap.config.Configuration;
-import org.fulmargap.config.EndpointSpec;
+import org.fulmargap.routing.EndpointState.MemberView;
 
 /**
- * Routes each attempt to the endpoint with the fewest own requests, own failure domain
- * first.
+ * Routes each attempt to the endpoint with the least expected extra time, among a sample
+ * of the endpoints of the own failure domain first. The state of the endpoints is held in
+ * shards, each under its own lock.
  */
 public final class AdaptiveRouter implements Router {
 
+	private static final int SHARDS = 16;
+
+	private static final int SAMPLE = 3;
+
+	private static final long MIN_PROGRESS_LIMIT_MS = 200;
+
 	private final RouterSettings settings;
 
-	private final Map<String, Integer> inFlight = new HashMap<>();
+	private final SlowStart slowStart;
 
-	private final Map<String, Long> durations = new HashMap<>();
+	private final Shard[] shards = new Shard[SHARDS];
 
-	private Configuration configuration = Configuration.EMPTY;
+	private final ConcurrentHashMap<String, ServiceStats> stats = new ConcurrentHashMap<>();
 
-	private Set<String> unavailable = Set.of();
+	private final AtomicLong choices = new AtomicLong();
 
-	private int members = 1;
+	private volatile Topology topology = Topology.of(Configuration.EMPTY, Set.of(), "");
+
+	private boolean updated;
 
 	/**
 	 * Creates a router without endpoints.
 	 * @param settings the settings of this entry VM
 	 */
 	public AdaptiveRouter(RouterSettings settings) {
-		this.settings = settings;
+		this.settings = Objects.requireNonNull(settings, "settings");
+		this.slowStart = new SlowStart(settings.initialConcurrency(), settings.doublingMs());
+		for (int i = 0; i < SHARDS; i++) {
+			this.shards[i] = new Shard();
+		}
 	}
 
 	@Override
 	public synchronized void update(Configuration configuration, Set<String> unavailable, Collection<String> members,
 			long nowMs) {
-		this.configuration = configuration;
-		this.unavailable = Set.copyOf(unavailable);
-		this.members = Math.max(1, members.size());
+		TreeSet<String> names = new TreeSet<>(members);
+		names.add(this.settings.vm());
+		MemberView view = new MemberView(this.settings.vm(), List.copyOf(names));
+		configuration.endpoints().forEach((name, spec) -> {
+			Shard shard = shard(name);
+			synchronized (shard) {
+				// An endpoint of the first configuration may run for a long time already.
+				EndpointState state = shard.states.computeIfAbsent(name,
+						(key) -> new EndpointState(key, spec, view, this.updated, nowMs));
+				state.update(spec, view, !unavailable.contains(name), nowMs);
+			}
+		});
+		for (Shard shard : this.shards) {
+			synchronized (shard) {
+				shard.states.keySet().retainAll(configuration.endpoints().keySet());
+			}
+		}
+		this.updated |= !configuration.endpoints().isEmpty();
+		this.topology = Topology.of(configuration, unavailable, this.settings.failureDomain());
 	}
 
 	@Override
-	public synchronized Optional<Reservation> select(RouteRequest request, long nowMs) {
-		List<Map.Entry<String, EndpointSpec>> candidates = new ArrayList<>();
-		for (Map.Entry<String, EndpointSpec> entry : this.configuration.endpoints().entrySet()) {
-			EndpointSpec spec = entry.getValue();
-			if (spec.service().equals(request.service()) && !this.unavailable.contains(entry.getKey())
-					&& !request.excluded().contains(entry.getKey()) && (!request.ownDomainOnly() || isOwnDomain(spec))
-					&& load(entry.getKey()) < share(spec)) {
-				candidates.add(entry);
+	public Optional<Reservation> select(RouteRequest request, long nowMs) {
+		Topology.Service service = this.topology.service(request.service());
+		List<String> others = (request.ownDomainOnly()) ? List.of() : service.others();
+		ServiceStats serviceStats = stats(request.service());
+		Candidate own = best(service.own(), request, serviceStats, nowMs);
+		Candidate other = best(others, request, serviceStats, nowMs);
+		Candidate chosen = choose(own, other, serviceStats);
+		if (chosen != null) {
+			Optional<Reservation> reservation = reserve(chosen.endpoint, request, serviceStats, nowMs);
+			if (reservation.isPresent()) {
+				return reservation;
 			}
 		}
-		return candidates.stream()
-			.min(Comparator.comparing((Map.Entry<String, EndpointSpec> entry) -> !isOwnDomain(entry.getValue()))
-				.thenComparing((entry) -> load(entry.getKey())))
-			.map((entry) -> {
-				this.inFlight.merge(entry.getKey(), 1, Integer::sum);
-				return new CountedReservation(entry.getKey(), entry.getValue());
-			});
+		// Another thread took the last slot of the chosen endpoint.
+		return firstFree(service.own(), request, serviceStats, nowMs)
+			.or(() -> firstFree(others, request, serviceStats, nowMs));
 	}
 
 	@Override
 	public void observeLoad(String endpoint, LoadReport report, long nowMs) {
+		withState(endpoint, (state) -> state.observe(report, this.slowStart, nowMs));
+	}
+
+	/**
+	 * Records an event of the prefix cache of an endpoint.
+	 * @param endpoint the name of the endpoint
+	 * @param prefixKey identifies the prefix
+	 * @param tokens the number of cached tokens, zero if the prefix was evicted
+	 * @param nowMs the present time in milliseconds since the epoch
+	 */
+	public void observeCache(String endpoint, String prefixKey, int tokens, long nowMs) {
+		withState(endpoint, (state) -> state.prefixes().event(prefixKey, tokens, nowMs));
 	}
 
 	@Override
 	public Map<String, Long> warmUpStarts() {
-		return Map.of();
+		Map<String, Long> starts = new TreeMap<>();
+		for (Shard shard : this.shards) {
+			synchronized (shard) {
+				shard.states.forEach((name, state) -> {
+					if (state.warmUp().isObserved() && !state.isWarm(this.slowStart)) {
+						starts.put(name, state.warmUp().startMs());
+					}
+				});
+			}
+		}
+		return starts;
 	}
 
 	@Override
 	public void mergeWarmUpStarts(Map<String, Long> starts, long nowMs) {
+		starts.forEach((endpoint, startMs) -> withState(endpoint, (state) -> {
+			if (state.warmUp().merge(startMs, nowMs)) {
+				state.prefixes().clear();
+			}
+		}));
 	}
 
 	@Override
-	public synchronized long expectedStageMs(String service) {
-		return this.durations.getOrDefault(service, 0L);
+	public long expectedStageMs(String service) {
+		return stats(service).medianMs();
 	}
 
 	@Override
 	public long progressLimitMs(String service, long remainingMs) {
-		return Math.min(remainingMs / 2, Math.max(200, 4 * expectedStageMs(service)));
+		return Math.min(remainingMs / 2, Math.max(MIN_PROGRESS_LIMIT_MS, 4 * stats(service).highMs()));
 	}
 
 	@Override
-	public synchronized int concurrencyShare(String service, long nowMs) {
-		return this.configuration.endpoints()
-			.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().service().equals(service) && !this.unavailable.contains(entry.getKey()))
-			.mapToInt((entry) -> share(entry.getValue()))
-			.sum();
+	public int concurrencyShare(String service, long nowMs) {
+		Topology.Service endpoints = this.topology.service(service);
+		int share = 0;
+		for (List<String> group : List.of(endpoints.own(), endpoints.others())) {
+			for (String endpoint : group) {
+				share += query(endpoint, (shard, state) -> {
+					state.advance(this.slowStart, nowMs);
+					boolean usable = state.takesNewWork(nowMs) && !state.isBackingOff();
+					return (usable) ? state.share(this.slowStart, nowMs) : 0;
+				}, 0);
+			}
+		}
+		boolean isAny = !endpoints.own().isEmpty() || !endpoints.others().isEmpty();
+		return (isAny) ? Math.max(1, share) : 0;
 	}
 
-	private boolean isOwnDomain(EndpointSpec spec) {
-		return spec.failureDomain().equals(this.settings.failureDomain());
+	private Candidate choose(Candidate own, Candidate other, ServiceStats serviceStats) {
+		if (own == null || other == null) {
+			return (own != null) ? own : other;
+		}
+		// Below this difference it is better to depend on one failure domain only.
+		double spillMs = Math.max(5, serviceStats.medianMs() / 4.0);
+		return (own.cost <= other.cost + spillMs) ? own : other;
 	}
 
-	private int load(String endpoint) {
-		return this.inFlight.getOrDefault(endpoint, 0);
+	private Candidate best(List<String> group, RouteRequest request, ServiceStats serviceStats, long nowMs) {
+		if (group.isEmpty()) {
+			return null;
+		}
+		// The first of two equal endpoints wins, so a new prefix goes to its owner.
+		int first = (request.prefixKey().isEmpty()) ? random(group.size()) : owner(request.prefixKey(), group);
+		Candidate best = null;
+		if (group.size() > SAMPLE) {
+			best = scan(List.of(group.get(first), group.get(random(group.size())), group.get(random(group.size()))), 0,
+					request, serviceStats, nowMs);
+		}
+		return (best != null) ? best : scan(group, first, request, serviceStats, nowMs);
 	}
 
-	private int share(EndpointSpec spec) {
-		return Math.max(1, spec.maxConcurrency() / this.members);
+	private Candidate scan(List<String> endpoints, int first, RouteRequest request, ServiceStats serviceStats,
+			long nowMs) {
+		Candidate best = null;
+		for (int i = 0; i < endpoints.size(); i++) {
+			String endpoint = endpoints.get((first + i) % endpoints.size());
+			if (!request.excluded().contains(endpoint)) {
+				double cost = query(endpoint,
+						(shard, state) -> state.cost(request, serviceStats, this.slowStart, nowMs), -1.0);
+				if (cost >= 0 && (best == null || cost < best.cost)) {
+					best = new Candidate(endpoint, cost);
+				}
+			}
+		}
+		return best;
 	}
 
-	private synchronized void free(String endpoint) {
-		this.inFlight.merge(endpoint, -1, Integer::sum);
+	private static int owner(String prefixKey, List<String> group) {
+		int owner = 0;
+		long highest = Long.MIN_VALUE;
+		for (int i = 0; i < group.size(); i++) {
+			long score = Rendezvous.score(prefixKey, group.get(i));
+			if (score > highest) {
+				highest = score;
+				owner = i;
+			}
+		}
+		return owner;
 	}
 
-	private synchronized void record(String service, long durationMs) {
-		this.durations.merge(service, durationMs, (old, value) -> (7 * old + value) / 8);
+	private int random(int bound) {
+		long value = Rendezvous.mix(this.settings.seed() + this.choices.incrementAndGet() * 0x9e3779b97f4a7c15L);
+		return (int) Math.floorMod(value, (long) bound);
 	}
 
-	private final class CountedReservation implements Reservation {
-
-		private final String endpoint;
+	private Optional<Reservation> firstFree(List<String> group, RouteRequest request, ServiceStats serviceStats,
+			long nowMs) {
+		for (String endpoint : group) {
+			Optional<Reservation> reservation = (request.excluded().contains(endpoint)) ? Optional.empty()
+					: reserve(endpoint, request, serviceStats, nowMs);
+			if (reservation.isPresent()) {
+				return reservation;
+			}
+		}
+		return Optional.empty();
+	}
 
-		private final EndpointSpec spec;
+	private Optional<Reservation> reserve(String endpoint, RouteRequest request, ServiceStats serviceStats,
+			long nowMs) {
+		return query(endpoint, (shard, state) -> {
+			if (state.cost(request, serviceStats, this.slowStart, nowMs) < 0) {
+				return Optional.empty();
+			}
+			boolean probe = state.reserve(request.isolated());
+			return Optional.of(new Lease(shard, state, request, serviceStats, probe, this.slowStart, nowMs));
+		}, Optional.empty());
+	}
 
-		private boolean closed;
+	private ServiceStats stats(String service) {
+		return this.stats.computeIfAbsent(service, (key) -> new ServiceStats());
+	}
 
-		private CountedReservation(String endpoint, EndpointSpec spec) {
-			this.endpoint = endpoint;
-			this.spec = spec;
-		}
+	private Shard shard(String endpoint) {
+		return this.shards[Math.floorMod(endpoint.hashCode(), SHARDS)];
+	}
 
-		@Override
-		public String endpoint() {
-			return this.endpoint;
-		}
+	private void withState(String endpoint, Consumer<EndpointState> action) {
+		query(endpoint, (shard, state) -> {
+			action.accept(state);
+			return null;
+		}, null);
+	}
 
-		@Override
-		public EndpointSpec spec() {
-			return this.spec;
+	private <T> T query(String endpoint, BiFunction<Shard, EndpointState, T> function, T absent) {
+		Shard shard = shard(endpoint);
+		synchronized (shard) {
+			EndpointState state = shard.states.get(endpoint);
+			return (state != null) ? function.apply(shard, state) : absent;
 		}
+	}
 
-		@Override
-		public void succeeded(long durationMs, int cachedTokens, String incarnation, long nowMs) {
-			record(this.spec.service(), durationMs);
-		}
+	/**
+	 * Part of the endpoints; its monitor guards them.
+	 */
+	static final class Shard {
 
-		@Override
-		public void failed(CallFailure failure, long nowMs) {
-		}
+		private final Map<String, EndpointState> states = new HashMap<>();
 
-		@Override
-		public synchronized void close() {
-			if (!this.closed) {
-				this.closed = true;
-				free(this.endpoint);
-			}
-		}
+	}
 
+	private record Candidate(String endpoint, double cost) {
 	}
 
 }
