--- a/core/src/test/java/org/fulmargap/routing/AdaptiveRouterTests.java
+++ b/core/src/test/java/org/fulmargap/routing/AdaptiveRouterTests.java
@@ -275,6 +275,28 @@
 			assertThat(copies).as("endpoints that computed a prefix").isLessThan(30);
 		}
 
+		@Test
+		void anEndpointThatIsKnownToHoldThePrefixIsPreferredToItsOwner() {
+			endpoint("a1", "a", 4);
+			endpoint("a2", "a", 4);
+			update();
+			report("a1", "i1", 4);
+			report("a2", "i1", 4);
+			for (int i = 0; i < 20; i++) {
+				RouteRequest request = new RouteRequest("generate", "", 100 * i, Set.of(), false, false);
+				try (Reservation call = router().select(request, now()).orElseThrow()) {
+					call.succeeded(100 + 20 * i, 0, "i1", now());
+				}
+			}
+			for (int i = 0; i < 10; i++) {
+				router().observeCache("a1", "p" + i, 800, now());
+				RouteRequest request = new RouteRequest("generate", "p" + i, 1_000, Set.of(), false, false);
+				try (Reservation call = router().select(request, now()).orElseThrow()) {
+					assertThat(call.endpoint()).isEqualTo("a1");
+				}
+			}
+		}
+
 		@Test
 		void theEstimateDecaysAfterAMinuteAndIsBounded() {
 			PrefixAffinity prefixes = new PrefixAffinity(2);
--- a/core/src/test/java/org/fulmargap/routing/CrashQuarantineProperties.java
+++ b/core/src/test/java/org/fulmargap/routing/CrashQuarantineProperties.java
@@ -90,6 +90,16 @@
 			assertThat(this.quarantine.verdict("f", 40_000)).isEqualTo(Verdict.ISOLATED);
 		}
 
+		@Test
+		void aRequestThatCompletesLosesItsStrikeButNotItsQuarantine() {
+			this.quarantine.recordCrash("m1", List.of("f", "g"), 0);
+			this.quarantine.recordCrash("m2", List.of("g"), 0);
+			this.quarantine.completed("f");
+			this.quarantine.completed("g");
+			assertThat(this.quarantine.verdict("f", 1)).isEqualTo(Verdict.ALLOWED);
+			assertThat(this.quarantine.verdict("g", 1)).isEqualTo(Verdict.QUARANTINED);
+		}
+
 		@Test
 		void theQuarantineLastsTenMinutesFromTheSecondStrike() {
 			this.quarantine.recordCrash("m1", List.of("f"), 0);
