--- a/standin/src/main/java/org/fulmargap/standin/Exchange.java
+++ b/standin/src/main/java/org/fulmargap/standin/Exchange.java
@@ -75,10 +75,11 @@
 
 	/**
 	 * Tells whether the connection has gone silent: nothing that is written arrives.
+	 * Control requests are exempt, so that faults can be switched off again.
 	 * @return {@code true} if answers must be swallowed
 	 */
 	boolean isSilent() {
-		return this.server.isSilent(connection());
+		return this.server.isSilent(connection()) && !path().startsWith("/control/");
 	}
 
 	CompletableFuture<byte[]> body() {
