Add the cluster that demo and proofs start

Both need entry VMs of several failure domains as processes, the stand-ins they use, settings generated from templates, and access to faults and counts.

--- /dev/null
+++ b/standin/src/main/java/org/fulmargap/standin/ClusterOptions.java
@@ -0,0 +1,47 @@
+package org.fulmargap.standin;
+
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * Options of a {@link Cluster}.
+ *
+ * @param failureDomains the names of the failure domains
+ * @param vmsPerDomain the number of entry VMs in each failure domain
+ * @param services the services, each with one endpoint per failure domain
+ * @param serverCommand the command that starts an entry VM, without its settings
+ * @param templates the folder with the templates of settings and patches
+ * @param workFolder the folder for settings files and logs
+ * @param platform the options of the platform; its ports are chosen by the cluster
+ */
+public record ClusterOptions(List<String> failureDomains, int vmsPerDomain, List<String> services,
+		List<String> serverCommand, Path templates, Path workFolder, PlatformStandIn.Options platform) {
+
+	/** The services that the templates of this project's pipelines name. */
+	public static final List<String> SERVICES = List.of("encoder", "retriever", "reranker", "generator", "labels");
+
+	/**
+	 * Copies the lists.
+	 */
+	public ClusterOptions {
+		failureDomains = List.copyOf(failureDomains);
+		services = List.copyOf(services);
+		serverCommand = List.copyOf(serverCommand);
+		if (failureDomains.isEmpty() || vmsPerDomain < 1) {
+			throw new IllegalArgumentException("at least one failure domain with one entry VM is required");
+		}
+	}
+
+	/**
+	 * Returns the options for three failure domains with two entry VMs each.
+	 * @param serverCommand the command that starts an entry VM, without its settings
+	 * @param templates the folder with the templates of settings and patches
+	 * @param workFolder the folder for settings files and logs
+	 * @return the options
+	 */
+	public static ClusterOptions threeDomains(List<String> serverCommand, Path templates, Path workFolder) {
+		return new ClusterOptions(List.of("bog-norte", "bog-centro", "bog-sur"), 2, SERVICES, serverCommand, templates,
+				workFolder, PlatformStandIn.Options.defaults());
+	}
+
+}
--- a/standin/src/main/java/org/fulmargap/standin/EntryVm.java
+++ b/standin/src/main/java/org/fulmargap/standin/EntryVm.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -76,7 +75,7 @@
 
 	/**
 	 * Returns the address for operators.
-	 * @return IP address and port
+	 * @return the IP address and port
 	 */
 	public String adminAddress() {
 		return "127.0.0.1:" + this.adminPort;
@@ -160,7 +159,7 @@
 	}
 
 	private void signal(String signal) throws IOException, InterruptedException {
-		List<String> kill = new ArrayList<>(List.of("kill", "-" + signal, Long.toString(pid())));
+		List<String> kill = List.of("/bin/sh", "-c", "kill -" + signal + " " + pid());
 		Process sender = new ProcessBuilder(kill).redirectErrorStream(true).start();
 		if (!sender.waitFor(SIGNAL_TIMEOUT_SECONDS, TimeUnit.SECONDS) || sender.exitValue() != 0) {
 			throw new IOException("signal " + signal + " could not be sent to process " + pid());
