--- a/standin/src/main/java/org/fulmargap/standin/Cluster.java
+++ b/standin/src/main/java/org/fulmargap/standin/Cluster.java
@@ -90,7 +90,7 @@
 		}
 		this.control.send("POST", platformUrl() + "/control/vms",
 				Map.of("vms", this.vms.keySet().stream().map((name) -> Map.of("vm", name, "state", "live")).toList()));
-		String template = Files.readString(this.options.templates().resolve("entry-vm.json"));
+		String template = template("entry-vm.json");
 		for (EntryVm vm : this.vms.values()) {
 			Files.writeString(settingsFile(vm.name()), settings(template, vm));
 			vm.start();
@@ -135,6 +135,10 @@
 		});
 	}
 
+	String template(String name) throws IOException {
+		return Files.readString(this.options.templates().resolve(name));
+	}
+
 	/**
 	 * Returns the first patch, filled from its template.
 	 * @return a JSON Merge Patch
@@ -148,7 +152,7 @@
 					+ "\", \"failure_domain\": \"" + name.substring(split + 1) + "\", \"url\": \"" + endpointUrl(name)
 					+ "\", \"max_concurrency\": 32, \"fencing\": \"IGNORED\"}");
 		});
-		return fill(Files.readString(this.options.templates().resolve("first-patch.json")),
+		return fill(template("first-patch.json"),
 				Map.of("api_key_sha256", sha256(API_KEY), "endpoints", entries.toString()));
 	}
 
--- a/standin/src/main/java/org/fulmargap/standin/StandIn.java
+++ b/standin/src/main/java/org/fulmargap/standin/StandIn.java
@@ -7,7 +7,7 @@
  * Command line of the stand-ins and of the tools that use them.
  */
 @Command(name = "standin", mixinStandardHelpOptions = true, description = "Stand-ins of the platform and of endpoints.",
-		subcommands = { PlatformCommand.class, EndpointCommand.class, LoadCommand.class })
+		subcommands = { PlatformCommand.class, EndpointCommand.class, LoadCommand.class, DemoCommand.class })
 public final class StandIn {
 
 	private StandIn() {
