Measure the slopes of control state

Change: a command that measures heap, time and bytes of accounts, members, endpoints, claims and queues at three sizes and fits a line.

--- /dev/null
+++ b/bench/src/main/java/org/fulmargap/bench/capacity/CapacityCommand.java
@@ -0,0 +1,69 @@
+package org.fulmargap.bench.capacity;
+
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.ToDoubleFunction;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Prints what each kind of control state costs at several sizes, and the fitted slopes.
+ */
+@Command(name = "capacity", mixinStandardHelpOptions = true,
+		description = "Measures heap, time and bytes of control state at several sizes.")
+public final class CapacityCommand implements Callable<Integer> {
+
+	@Spec
+	private CommandSpec spec;
+
+	@Option(names = "--state", split = ",", description = "Only these kinds: ${COMPLETION-CANDIDATES}.")
+	private List<StateKind> kinds = List.of(StateKind.values());
+
+	@Override
+	public Integer call() {
+		PrintWriter out = this.spec.commandLine().getOut();
+		for (StateKind kind : this.kinds) {
+			report(kind, out);
+			out.flush();
+		}
+		return 0;
+	}
+
+	private void report(StateKind kind, PrintWriter out) {
+		int[] sizes = kind.sizes();
+		// Compiles the code under test, so that the first size is not measured slower.
+		kind.measure(sizes[sizes.length - 1]);
+		List<Cost> costs = new ArrayList<>();
+		for (int size : sizes) {
+			Cost cost = kind.measure(size);
+			costs.add(cost);
+			out.printf(Locale.ROOT, "state=%s size=%d heap_bytes=%.0f operation_us=%.2f wire_bytes=%.0f%n", name(kind),
+					size, cost.heapBytes(), cost.operationMicros(), cost.wireBytes());
+		}
+		print(kind, "heap_bytes", sizes, costs, Cost::heapBytes, out);
+		print(kind, "operation_us", sizes, costs, Cost::operationMicros, out);
+		print(kind, "wire_bytes", sizes, costs, Cost::wireBytes, out);
+	}
+
+	private void print(StateKind kind, String quantity, int[] sizes, List<Cost> costs, ToDoubleFunction<Cost> value,
+			PrintWriter out) {
+		List<Slope.Point> points = new ArrayList<>();
+		for (int i = 0; i < sizes.length; i++) {
+			points.add(new Slope.Point(sizes[i], value.applyAsDouble(costs.get(i))));
+		}
+		Slope slope = Slope.fit(points);
+		out.printf(Locale.ROOT, "fit=%s quantity=%s unit=\"%s\" intercept=%.2f per_unit=%.4f r2=%.4f%n", name(kind),
+				quantity, kind.unit(), slope.intercept(), slope.perUnit(), slope.rSquared());
+	}
+
+	private static String name(StateKind kind) {
+		return kind.name().toLowerCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/fulmargap/bench/capacity/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurement of how the cost of control state grows with the size of the system.
+ */
+package org.fulmargap.bench.capacity;
