Add the capacity subcommand to bin/measure

Cause: the slopes of docs/CAPACITY.md need a command that reproduces them. Change: bin/measure capacity.

--- a/bench/src/main/java/org/fulmargap/bench/Measure.java
+++ b/bench/src/main/java/org/fulmargap/bench/Measure.java
@@ -9,6 +9,7 @@
 
 import org.fulmargap.bench.Workload.Request;
 import org.fulmargap.bench.World.Policy;
+import org.fulmargap.bench.capacity.CapacityCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -59,7 +60,8 @@
 	 * @return the command line
 	 */
 	static CommandLine commandLine() {
-		return new CommandLine(new Measure()).setCaseInsensitiveEnumValuesAllowed(true);
+		return new CommandLine(new Measure()).addSubcommand(new CapacityCommand())
+			.setCaseInsensitiveEnumValuesAllowed(true);
 	}
 
 	@Override
