Run three simulated entry VMs over one log with faults

Cause: the promises of claims and configuration must hold under outages, lost and late appends, pauses, retention, restarts and cut-off peers.

--- /dev/null
+++ b/server/src/test/java/org/fulmargap/platform/SimulatedVms.java
@@ -0,0 +1,212 @@
+package org.fulmargap.platform;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import com.codahale.metrics.MetricRegistry;
+import org.fulmargap.claim.ClaimKey;
+import org.fulmargap.claim.RecordedOutcome;
+import org.fulmargap.peer.PeerNetwork;
+
+/**
+ * Several entry VMs in virtual time, in one thread, over one {@link FakeLog}.
+ */
+final class SimulatedVms {
+
+	static final long LIFETIME_MS = 3_600_000;
+
+	final FakeLog log = new FakeLog(this::now);
+
+	final Map<String, Vm> vms = new TreeMap<>();
+
+	final Set<String> cutOff = new HashSet<>();
+
+	final MetricRegistry metrics = new MetricRegistry();
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::atMs).thenComparing(Event::number));
+
+	private long nowMs = 1_000_000;
+
+	private long eventNumber;
+
+	private int starts;
+
+	SimulatedVms(List<String> names) {
+		names.forEach(this::start);
+	}
+
+	long now() {
+		return this.nowMs;
+	}
+
+	void start(String name) {
+		Optional.ofNullable(this.vms.get(name)).ifPresent((vm) -> vm.dead = true);
+		Vm vm = new Vm(name, name + "-" + ++this.starts);
+		this.vms.put(name, vm);
+		vm.pumpConfig();
+		vm.pumpClaims();
+	}
+
+	void at(long delayMs, Runnable task) {
+		this.events.add(new Event(this.nowMs + delayMs, this.eventNumber++, null, task));
+	}
+
+	void runFor(long durationMs) {
+		long untilMs = this.nowMs + durationMs;
+		while (!this.events.isEmpty() && this.events.peek().atMs() <= untilMs) {
+			Event event = this.events.poll();
+			this.nowMs = Math.max(this.nowMs, event.atMs());
+			Vm vm = event.vm();
+			if (vm != null && vm.pausedUntilMs > this.nowMs) {
+				this.events.add(new Event(vm.pausedUntilMs, event.number(), vm, event.task()));
+			}
+			else if (vm == null || !vm.dead) {
+				event.task().run();
+			}
+		}
+		this.nowMs = untilMs;
+	}
+
+	long violations() {
+		return this.metrics.getCounters((name, metric) -> name.endsWith("invariant_violations"))
+			.values()
+			.stream()
+			.mapToLong((counter) -> counter.getCount())
+			.sum();
+	}
+
+	private record Event(long atMs, long number, Vm vm, Runnable task) {
+	}
+
+	/**
+	 * One incarnation of an entry VM.
+	 */
+	final class Vm implements ClaimMembers {
+
+		final String name;
+
+		final String incarnation;
+
+		final LogConfigService config;
+
+		final LogClaimService claims;
+
+		long pausedUntilMs;
+
+		boolean dead;
+
+		Vm(String name, String incarnation) {
+			this.name = name;
+			this.incarnation = incarnation;
+			ServiceIdentity identity = new ServiceIdentity(name, incarnation, "domain-" + name);
+			PlatformLog client = SimulatedVms.this.log.clientOf(name);
+			this.config = new LogConfigService(client, identity, new ConfigSettings(1_000, 5_000, 20, 200),
+					SimulatedVms.this::now, this::schedule, SimulatedVms.this.metrics);
+			this.claims = new LogClaimService(client, () -> new Peers(this), this, identity, LIFETIME_MS,
+					SimulatedVms.this::now, this::schedule, SimulatedVms.this.metrics);
+		}
+
+		void schedule(long delayMs, Runnable task) {
+			SimulatedVms.this.events.add(new Event(now() + delayMs, SimulatedVms.this.eventNumber++, this, task));
+		}
+
+		void pauseFor(long durationMs) {
+			this.pausedUntilMs = now() + durationMs;
+		}
+
+		boolean runs() {
+			return !this.dead && this.pausedUntilMs <= now();
+		}
+
+		@Override
+		public Collection<String> vms() {
+			Set<String> known = new HashSet<>(this.config.vms());
+			// Every VM of the simulation is listed in the settings of the others.
+			known.addAll(SimulatedVms.this.vms.keySet());
+			return this.config.vms().isEmpty() ? Set.of() : known;
+		}
+
+		@Override
+		public long lastRemovalAtMs() {
+			return this.config.lastRemovalAtMs();
+		}
+
+		private void pumpConfig() {
+			this.config.pump();
+			schedule(10, this::pumpConfig);
+		}
+
+		private void pumpClaims() {
+			this.claims.pump();
+			schedule(5, this::pumpClaims);
+		}
+
+	}
+
+	/**
+	 * Connections of one VM to the others.
+	 */
+	private final class Peers implements PeerNetwork {
+
+		private final Vm from;
+
+		Peers(Vm from) {
+			this.from = from;
+		}
+
+		@Override
+		public CompletableFuture<Optional<RecordedOutcome>> queryOutcome(String incarnation, ClaimKey key,
+				long waitMs) {
+			CompletableFuture<Optional<RecordedOutcome>> reply = new CompletableFuture<>();
+			this.from.schedule(waitMs, () -> reply.complete(Optional.empty()));
+			for (Vm vm : SimulatedVms.this.vms.values()) {
+				if (vm.incarnation.equals(incarnation) && reaches(vm)) {
+					vm.claims.answerOutcomeQuery(key, waitMs)
+						.thenAccept((outcome) -> this.from.schedule(1, () -> reply.complete(outcome)));
+				}
+			}
+			return reply;
+		}
+
+		@Override
+		public CompletableFuture<Map<String, KeyState>> queryKey(Collection<String> names, ClaimKey key, long waitMs) {
+			CompletableFuture<Map<String, KeyState>> reply = new CompletableFuture<>();
+			Map<String, KeyState> answers = new HashMap<>();
+			for (String name : names) {
+				Vm vm = SimulatedVms.this.vms.get(name);
+				if (vm != null && reaches(vm)) {
+					answers.put(name, vm.claims.answerKeyQuery(key));
+				}
+			}
+			this.from.schedule((answers.size() == names.size()) ? 2 : waitMs, () -> reply.complete(answers));
+			return reply;
+		}
+
+		@Override
+		public void spreadStrikes(Map<String, List<String>> fingerprints) {
+			// Not part of these tests.
+		}
+
+		@Override
+		public void close() {
+			// Holds nothing.
+		}
+
+		private boolean reaches(Vm vm) {
+			return vm.runs() && !SimulatedVms.this.cutOff.contains(vm.name)
+					&& !SimulatedVms.this.cutOff.contains(this.from.name);
+		}
+
+	}
+
+}
