Add the operators' command line

Operators need one tool for patches, orders, members and time lines.

MembershipView takes failure domains from the configuration stream, and AdminOrder converts to the form of that stream.

--- /dev/null
+++ b/cli/src/main/java/org/fulmargap/cli/TimelineLine.java
@@ -0,0 +1,97 @@
+package org.fulmargap.cli;
+
+import java.time.Instant;
+import java.time.OffsetDateTime;
+import java.time.format.DateTimeParseException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * One event of the time line.
+ *
+ * @param atMs when the event happened, milliseconds since the epoch
+ * @param vm the entry VM that recorded the event
+ * @param event the type of the event
+ * @param requestId the request, or empty
+ * @param configVersion the configuration version, or empty
+ * @param fields further data
+ */
+record TimelineLine(long atMs, String vm, String event, String requestId, String configVersion,
+		Map<String, String> fields) {
+
+	/**
+	 * Reads an event of the operator interface.
+	 * @param node the event
+	 * @return the event
+	 */
+	static TimelineLine of(JsonNode node) {
+		Map<String, String> fields = new LinkedHashMap<>();
+		node.path("fields")
+			.fields()
+			.forEachRemaining((field) -> fields.put(field.getKey(),
+					field.getValue().isContainerNode() ? field.getValue().toString() : field.getValue().asText()));
+		return new TimelineLine(node.path("at_ms").asLong(), node.path("vm").asText(), node.path("type").asText(),
+				node.path("request_id").asText(""), node.path("config_version").asText(""), fields);
+	}
+
+	/**
+	 * Reads a log line.
+	 * @param line the line
+	 * @return the event, or empty if the line is none
+	 */
+	static Optional<TimelineLine> parse(String line) {
+		Map<String, String> pairs = KeyValueLine.parse(line);
+		if (!pairs.containsKey("at") || !pairs.containsKey("event") || !pairs.containsKey("vm")) {
+			return Optional.empty();
+		}
+		try {
+			long atMs = OffsetDateTime.parse(pairs.remove("at")).toInstant().toEpochMilli();
+			pairs.remove("level");
+			pairs.remove("logger");
+			String vm = pairs.remove("vm");
+			String event = pairs.remove("event");
+			String requestId = Optional.ofNullable(pairs.remove("request_id")).orElse("");
+			String version = Optional.ofNullable(pairs.remove("config_version")).orElse("");
+			return Optional.of(new TimelineLine(atMs, vm, event, requestId, version, pairs));
+		}
+		catch (DateTimeParseException ex) {
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Tells whether another line is a copy of this event from another source. A log line
+	 * carries the time at which it was written, a little after the event.
+	 * @param other the other line
+	 * @return {@code true} if only the times differ, by at most 100 ms
+	 */
+	boolean isCopyOf(TimelineLine other) {
+		return this.vm.equals(other.vm) && this.event.equals(other.event) && this.requestId.equals(other.requestId)
+				&& this.configVersion.equals(other.configVersion) && this.fields.equals(other.fields)
+				&& Math.abs(this.atMs - other.atMs) <= 100;
+	}
+
+	/**
+	 * Writes the event as one line of key=value pairs.
+	 * @return the line
+	 */
+	String toLine() {
+		StringBuilder line = new StringBuilder("at=").append(Instant.ofEpochMilli(this.atMs))
+			.append(" vm=")
+			.append(KeyValueLine.quote(this.vm))
+			.append(" event=")
+			.append(KeyValueLine.quote(this.event));
+		if (!this.requestId.isEmpty()) {
+			line.append(" request_id=").append(KeyValueLine.quote(this.requestId));
+		}
+		if (!this.configVersion.isEmpty()) {
+			line.append(" config_version=").append(KeyValueLine.quote(this.configVersion));
+		}
+		this.fields.forEach((key, value) -> line.append(' ').append(key).append('=').append(KeyValueLine.quote(value)));
+		return line.toString();
+	}
+
+}
--- a/core/src/main/java/org/fulmargap/membership/AdminOrder.java
+++ b/core/src/main/java/org/fulmargap/membership/AdminOrder.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import org.fulmargap.config.OrderRegister;
 
 /**
  * An operator's order to take a failure domain or an endpoint out of service or to bring
@@ -46,6 +47,25 @@
 		}
 	}
 
+	/**
+	 * Reads the form that the configuration stream carries.
+	 * @param register the order in the stream
+	 * @return the order
+	 * @throws IllegalArgumentException if the target has an unknown kind
+	 */
+	public static AdminOrder of(OrderRegister register) {
+		return new AdminOrder(Target.parse(register.target()), register.out() ? State.OUT : State.IN,
+				register.counter(), register.issuer());
+	}
+
+	/**
+	 * Returns the form that the configuration stream carries.
+	 * @return the order for the stream
+	 */
+	public OrderRegister toRegister() {
+		return new OrderRegister(this.target.path(), !this.state.takesNewWork(), this.counter, this.issuer);
+	}
+
 	/**
 	 * Tells whether this order replaces another one for the same target.
 	 * @param other the other order
@@ -145,6 +165,29 @@
 			return new Target(TargetKind.ENDPOINT, name);
 		}
 
+		/**
+		 * Parses the form that {@link #path()} returns.
+		 * @param path the kind, a slash and the name
+		 * @return the target
+		 * @throws IllegalArgumentException if the kind is unknown
+		 */
+		public static Target parse(String path) {
+			for (TargetKind kind : TargetKind.values()) {
+				if (path.startsWith(kind.label() + "/")) {
+					return new Target(kind, path.substring(kind.label().length() + 1));
+				}
+			}
+			throw new IllegalArgumentException("target has an unknown kind: " + path);
+		}
+
+		/**
+		 * Returns the form that the configuration stream uses.
+		 * @return {@code failure-domain/NAME} or {@code endpoint/NAME}
+		 */
+		public String path() {
+			return this.kind.label() + "/" + this.name;
+		}
+
 		@Override
 		public int compareTo(Target other) {
 			return ORDER.compare(this, other);
--- a/core/src/main/java/org/fulmargap/membership/Incarnation.java
+++ b/core/src/main/java/org/fulmargap/membership/Incarnation.java
@@ -1,6 +1,7 @@
 package org.fulmargap.membership;
 
 import java.util.Objects;
+import java.util.Optional;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
@@ -41,6 +42,20 @@
 		return new Incarnation(text.substring(0, hyphen), Long.parseLong(text.substring(hyphen + 1)));
 	}
 
+	/**
+	 * Parses the text form if it is one.
+	 * @param text the text
+	 * @return the incarnation, or empty if the text has another form
+	 */
+	public static Optional<Incarnation> find(String text) {
+		try {
+			return Optional.of(parse(text));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
 	/**
 	 * Tells whether this incarnation started before another one of the same VM.
 	 * @param other the other incarnation
--- a/core/src/main/java/org/fulmargap/membership/MembershipView.java
+++ b/core/src/main/java/org/fulmargap/membership/MembershipView.java
@@ -28,6 +28,10 @@
 
 	private boolean selfLeaving;
 
+	private long selfConfigVersion;
+
+	private int selfInFlight;
+
 	private long lastOutsideMs;
 
 	private long lastLogMs;
@@ -74,6 +78,28 @@
 		}
 	}
 
+	/**
+	 * Takes over the members that the configuration stream lists, with their failure
+	 * domains. Members whose incarnation has an unknown form are ignored.
+	 * @param members the members
+	 * @param nowMs the present time in milliseconds since the epoch
+	 */
+	public synchronized void setJoined(Collection<org.fulmargap.config.Member> members, long nowMs) {
+		Map<String, Incarnation> incarnations = new TreeMap<>();
+		for (org.fulmargap.config.Member member : members) {
+			Incarnation.find(member.incarnation())
+				.filter((incarnation) -> incarnation.vm().equals(member.vm()))
+				.ifPresent((incarnation) -> incarnations.put(member.vm(), incarnation));
+		}
+		setJoined(incarnations, nowMs);
+		for (org.fulmargap.config.Member member : members) {
+			Peer peer = this.peers.get(member.vm());
+			if (peer != null && peer.failureDomain.isEmpty()) {
+				peer.failureDomain = member.failureDomain();
+			}
+		}
+	}
+
 	/**
 	 * Records the first message of a link.
 	 * @param hello the message
@@ -133,6 +159,18 @@
 		this.selfLeaving = true;
 	}
 
+	/**
+	 * Records the state of this entry VM that its heartbeats carry.
+	 * @param leaving whether this entry VM is shutting down
+	 * @param configVersion the configuration version in force
+	 * @param inFlight the number of running requests
+	 */
+	public synchronized void selfStatus(boolean leaving, long configVersion, int inFlight) {
+		this.selfLeaving |= leaving;
+		this.selfConfigVersion = configVersion;
+		this.selfInFlight = inFlight;
+	}
+
 	/**
 	 * Tells whether a VM is this one or was heard recently.
 	 * @param vm the name of the VM
@@ -186,8 +224,10 @@
 	 */
 	public synchronized List<Member> members(long nowMs) {
 		Map<String, Member> members = new TreeMap<>();
-		members.put(this.self.vm(), new Member(this.self.incarnation(), this.self.failureDomain(),
-				this.self.peerAddress(), this.joined.contains(this.self.vm()), true, this.selfLeaving, nowMs, 0, 0));
+		members.put(this.self.vm(),
+				new Member(this.self.incarnation(), this.self.failureDomain(), this.self.peerAddress(),
+						this.joined.contains(this.self.vm()), true, this.selfLeaving, nowMs, this.selfConfigVersion,
+						this.selfInFlight));
 		this.peers.forEach((vm, peer) -> members.put(vm,
 				new Member(peer.incarnation, peer.failureDomain, peer.peerAddress, this.joined.contains(vm),
 						isAlive(peer, nowMs), peer.leaving, peer.lastHeardMs, peer.configVersion, peer.inFlight)));
--- a/server/src/main/java/org/fulmargap/peer/PeerDispatcher.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerDispatcher.java
@@ -149,6 +149,7 @@
 	void sendHeartbeats(long nowMs) {
 		this.nextHeartbeatMs = nowMs + this.settings.heartbeatEveryMs();
 		PeerHandler.LocalStatus status = this.handler.status();
+		this.membership.selfStatus(status.leaving(), status.configVersion(), status.inFlight());
 		List<String> silent = this.membership.silentMembers(nowMs);
 		for (PeerLink link : List.copyOf(this.loop.links())) {
 			if (link.isEstablished()) {
--- a/server/src/main/java/org/fulmargap/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/fulmargap/peer/TcpPeerNetwork.java
@@ -101,11 +101,8 @@
 
 	@Override
 	public CompletableFuture<Optional<RecordedOutcome>> queryOutcome(String incarnation, ClaimKey key, long waitMs) {
-		Incarnation owner;
-		try {
-			owner = Incarnation.parse(incarnation);
-		}
-		catch (IllegalArgumentException ex) {
+		Incarnation owner = Incarnation.find(incarnation).orElse(null);
+		if (owner == null) {
 			return CompletableFuture.completedFuture(Optional.empty());
 		}
 		if (owner.equals(this.membership.self().incarnation())) {
@@ -113,7 +110,6 @@
 		}
 		PeerMessage.Query query = new PeerMessage.OutcomeQuery(this.queryIds.incrementAndGet(), key.account(),
 				key.key(), waitMs);
-		// The owner answers at the end of the wait, so the reply needs a little longer.
 		return askIncarnation(owner, query, PeerMessage.OutcomeReply.class, waitMs)
 			.thenApply((reply) -> reply.flatMap(PeerMessage.OutcomeReply::result));
 	}
--- a/server/src/test/java/org/fulmargap/peer/TcpPeerNetworkTests.java
+++ b/server/src/test/java/org/fulmargap/peer/TcpPeerNetworkTests.java
@@ -15,12 +15,15 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
  * Guards against messages between entry VMs that get lost, reach another asker or hang.
  */
+// Without the bound, a link that stays open by mistake would block a read for ever.
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class TcpPeerNetworkTests {
 
 	private static final ClaimKey KEY = new ClaimKey("andinas", "k-1");
