--- a/core/src/main/java/org/fulmargap/membership/AdminOrder.java
+++ b/core/src/main/java/org/fulmargap/membership/AdminOrder.java
@@ -23,10 +23,7 @@
 	/** The highest number of characters of a target or VM name. */
 	public static final int MAX_NAME_CHARS = 256;
 
-	/**
-	 * The highest counter. It is far above any clock reading in milliseconds, so that a
-	 * corrupt order cannot use up the range of the counter.
-	 */
+	/** The highest counter: far above any clock reading, and exact in any JSON reader. */
 	public static final long MAX_COUNTER = 1L << 52;
 
 	// A copy of an order with another state does not occur while issuers are unique. OUT
--- a/server/src/main/java/org/fulmargap/peer/Dialer.java
+++ b/server/src/main/java/org/fulmargap/peer/Dialer.java
@@ -13,8 +13,14 @@
 	// At most this long after a peer is back, a link to it is attempted.
 	private static final long LONGEST_DELAY_MS = 1_000;
 
+	// A link that the peer keeps is looked for this often; the check passes over all
+	// links.
+	private static final long CHECK_EVERY_MS = 200;
+
 	private final InetSocketAddress address;
 
+	private final String text;
+
 	private PeerLink link;
 
 	private long nextAttemptMs;
@@ -25,12 +31,17 @@
 
 	Dialer(InetSocketAddress address) {
 		this.address = address;
+		this.text = PeerAddresses.format(address);
 	}
 
 	InetSocketAddress address() {
 		return this.address;
 	}
 
+	String text() {
+		return this.text;
+	}
+
 	PeerLink link() {
 		return this.link;
 	}
@@ -43,6 +54,10 @@
 		this.link = newLink;
 	}
 
+	void postpone(long nowMs) {
+		this.nextAttemptMs = nowMs + CHECK_EVERY_MS;
+	}
+
 	void established() {
 		this.delayMs = FIRST_DELAY_MS;
 	}
--- a/server/src/main/java/org/fulmargap/peer/FrameCodec.java
+++ b/server/src/main/java/org/fulmargap/peer/FrameCodec.java
@@ -52,7 +52,7 @@
 			frame.add(this.mapper.<JsonNode>valueToTree(message));
 			byte[] body = this.mapper.writeValueAsBytes(frame);
 			if (body.length > this.maxFrameBytes) {
-				throw new FrameException(PeerEventType.MESSAGE_TOO_LARGE,
+				throw new FrameException(PeerEventType.MESSAGE_NOT_ENCODED,
 						TYPES.get(message.getClass()) + " has " + body.length + " bytes");
 			}
 			return ByteBuffer.allocate(HEADER_BYTES + body.length).putInt(body.length).put(body).flip();
@@ -61,7 +61,7 @@
 			throw ex;
 		}
 		catch (IOException | RuntimeException ex) {
-			throw new FrameException(PeerEventType.MESSAGE_TOO_LARGE, "message cannot be encoded: " + ex.getMessage(),
+			throw new FrameException(PeerEventType.MESSAGE_NOT_ENCODED, "message cannot be encoded: " + ex.getMessage(),
 					ex);
 		}
 	}
--- a/server/src/main/java/org/fulmargap/peer/PeerDispatcher.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerDispatcher.java
@@ -1,5 +1,6 @@
 package org.fulmargap.peer;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 
+import org.fulmargap.membership.AdminOrder;
 import org.fulmargap.membership.Heartbeat;
 import org.fulmargap.membership.Hello;
 import org.fulmargap.membership.Incarnation;
@@ -29,6 +31,9 @@
 
 	private static final int HANDLER_THREADS = 2;
 
+	// About 100 KB of a heartbeat.
+	private static final int MAX_ORDERS = 1_000;
+
 	private static final int MAX_WAITING_TASKS = 1_024;
 
 	// Bounds the wait that a peer can ask for; requests have deadlines of seconds.
@@ -58,6 +63,8 @@
 
 	private long nextHeartbeatMs;
 
+	private int nextOrder;
+
 	PeerDispatcher(PeerSettings settings, MembershipView membership, PeerHandler handler, PeerEvents events,
 			LongSupplier clock, FrameCodec codec, PendingQueries queries, RecentStrikes strikes,
 			Set<String> connected) {
@@ -132,7 +139,9 @@
 	}
 
 	void sendWaiting(long nowMs) {
-		this.queries.sendWaiting(List.copyOf(this.loop.links()), this.loop::send, nowMs);
+		if (!this.queries.isEmpty()) {
+			this.queries.sendWaiting(List.copyOf(this.loop.links()), this.loop::send, nowMs);
+		}
 	}
 
 	void spreadStrikes(Map<String, List<String>> fingerprints) {
@@ -141,7 +150,7 @@
 		PeerHandler.LocalStatus status = this.handler.status();
 		for (PeerLink link : List.copyOf(this.loop.links())) {
 			if (link.isEstablished()) {
-				this.loop.send(link, heartbeat(status, link, fingerprints, List.of()));
+				this.loop.send(link, heartbeat(status, fingerprints, List.of(), List.of()));
 			}
 		}
 	}
@@ -151,24 +160,51 @@
 		PeerHandler.LocalStatus status = this.handler.status();
 		this.membership.selfStatus(status.leaving(), status.configVersion(), status.inFlight());
 		List<String> silent = this.membership.silentMembers(nowMs);
+		long checksum = status.orders().checksum();
+		// Encoded once for all links: with 320 peers, encoding per link would cost as
+		// much
+		// as all other work of the heartbeats.
+		Optional<ByteBuffer> plain = encode(heartbeat(status, Map.of(), List.of(), silent));
+		Optional<ByteBuffer> withOrders = Optional.empty();
 		for (PeerLink link : List.copyOf(this.loop.links())) {
 			if (link.isEstablished()) {
 				if (this.loop.isDuplicate(link) && link.isIdle() && !this.queries.isUsed(link)) {
 					this.loop.close(link, PeerEventType.DUPLICATE_LINK, "the peer keeps its own link");
 				}
 				else {
-					this.loop.send(link, heartbeat(status, link, Map.of(), silent));
+					if (link.lacksOrders(checksum) && withOrders.isEmpty()) {
+						withOrders = encode(heartbeat(status, Map.of(), nextOrders(status), silent));
+					}
+					(link.lacksOrders(checksum) ? withOrders : plain).ifPresent((frame) -> this.loop.send(link, frame));
 				}
 			}
 		}
 	}
 
-	private Heartbeat heartbeat(PeerHandler.LocalStatus status, PeerLink link, Map<String, List<String>> newStrikes,
-			List<String> silent) {
-		long checksum = status.orders().checksum();
+	private Heartbeat heartbeat(PeerHandler.LocalStatus status, Map<String, List<String>> newStrikes,
+			List<AdminOrder> orders, List<String> silent) {
 		return new Heartbeat(this.membership.self().incarnation(), status.leaving(), status.configVersion(),
-				status.inFlight(), status.warmUpStarts(), newStrikes, checksum,
-				link.lacksOrders(checksum) ? status.orders().list() : List.of(), silent);
+				status.inFlight(), status.warmUpStarts(), newStrikes, status.orders().checksum(), orders, silent);
+	}
+
+	// Successive heartbeats carry successive parts of a long list, so that any number of
+	// orders fits the frame bound.
+	private List<AdminOrder> nextOrders(PeerHandler.LocalStatus status) {
+		List<AdminOrder> orders = status.orders().list();
+		int from = (this.nextOrder < orders.size()) ? this.nextOrder : 0;
+		int to = Math.min(orders.size(), from + MAX_ORDERS);
+		this.nextOrder = to;
+		return orders.subList(from, to);
+	}
+
+	private Optional<ByteBuffer> encode(Heartbeat heartbeat) {
+		try {
+			return Optional.of(this.codec.encode(heartbeat));
+		}
+		catch (FrameException ex) {
+			this.events.record(ex.type(), this.membership.self().vm(), ex.getMessage());
+			return Optional.empty();
+		}
 	}
 
 	private void hello(PeerLink link, Hello hello) throws FrameException {
@@ -193,7 +229,8 @@
 		this.events.record(PeerEventType.LINK_UP, hello.vm(),
 				"incarnation " + hello.incarnation() + (link.isDialed() ? ", dialed" : ", accepted"));
 		updateConnected();
-		this.loop.send(link, heartbeat(this.handler.status(), link, this.strikes.current(nowMs), List.of()));
+		PeerHandler.LocalStatus status = this.handler.status();
+		this.loop.send(link, heartbeat(status, this.strikes.current(nowMs), nextOrders(status), List.of()));
 		sendWaiting(nowMs);
 	}
 
--- a/server/src/main/java/org/fulmargap/peer/PeerEventType.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerEventType.java
@@ -29,8 +29,8 @@
 	/** More queries arrived than the handler threads can answer. */
 	HANDLER_OVERLOADED(false),
 
-	/** A message of this entry VM exceeds the frame bound and was not sent. */
-	MESSAGE_TOO_LARGE(false),
+	/** A message of this entry VM cannot be encoded within the frame bound. */
+	MESSAGE_NOT_ENCODED(false),
 
 	/** A frame cannot be decoded. */
 	BROKEN_FRAME(true),
--- a/server/src/main/java/org/fulmargap/peer/PeerLoop.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerLoop.java
@@ -65,6 +65,8 @@
 
 	private volatile boolean closed;
 
+	private volatile boolean stopped;
+
 	PeerLoop(PeerSettings settings, Hello self, FrameCodec codec, Listener listener, PeerEvents events,
 			LongSupplier clock) throws IOException {
 		this.settings = settings;
@@ -109,7 +111,12 @@
 	 */
 	void execute(Runnable task) {
 		this.tasks.add(task);
-		this.selector.wakeup();
+		if (this.stopped) {
+			endTasks();
+		}
+		else {
+			this.selector.wakeup();
+		}
 	}
 
 	Collection<PeerLink> links() {
@@ -322,8 +329,13 @@
 			}
 		}
 		for (Dialer dialer : this.dialers) {
-			if (dialer.isDue(nowMs) && !isServedByPeer(dialer)) {
-				dial(dialer);
+			if (dialer.isDue(nowMs)) {
+				if (isServedByPeer(dialer)) {
+					dialer.postpone(nowMs);
+				}
+				else {
+					dial(dialer);
+				}
 			}
 		}
 		this.listener.tick(nowMs);
@@ -333,9 +345,8 @@
 	// other
 	// one needs none. This halves the heartbeats.
 	private boolean isServedByPeer(Dialer dialer) {
-		String address = PeerAddresses.format(dialer.address());
 		return this.links.stream()
-			.anyMatch((link) -> isKeptByPeer(link) && address.equals(link.remote().peerAddress()));
+			.anyMatch((link) -> isKeptByPeer(link) && dialer.text().equals(link.remote().peerAddress()));
 	}
 
 	private boolean isKeptByPeer(PeerLink link) {
@@ -364,6 +375,16 @@
 		catch (IOException ex) {
 			logger.warn("event=PEER_CLOSE_FAILED message=\"{}\"", ex.getMessage());
 		}
+		this.stopped = true;
+		endTasks();
+	}
+
+	// A task that came too late still runs, and its query ends at once: otherwise its
+	// future would never complete.
+	private synchronized void endTasks() {
+		for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
+			guarded(task);
+		}
 		this.listener.stopped();
 	}
 
--- a/server/src/main/java/org/fulmargap/peer/PendingQueries.java
+++ b/server/src/main/java/org/fulmargap/peer/PendingQueries.java
@@ -1,7 +1,6 @@
 package org.fulmargap.peer;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,6 +49,10 @@
 		this.pending.values().stream().filter((query) -> query.link == link).forEach((query) -> query.link = null);
 	}
 
+	boolean isEmpty() {
+		return this.pending.isEmpty();
+	}
+
 	boolean isUsed(PeerLink link) {
 		return this.pending.values().stream().anyMatch((query) -> query.link == link);
 	}
@@ -61,7 +64,7 @@
 	 * @param sender sends a message on a link
 	 * @param nowMs the present time in milliseconds since the epoch
 	 */
-	void sendWaiting(Collection<PeerLink> links, Sender sender, long nowMs) {
+	void sendWaiting(List<PeerLink> links, Sender sender, long nowMs) {
 		for (Pending query : List.copyOf(this.pending.values())) {
 			if (query.link == null) {
 				query.link = links.stream()
--- a/server/src/main/java/org/fulmargap/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/fulmargap/peer/TcpPeerNetwork.java
@@ -162,11 +162,10 @@
 			List<CompletableFuture<Optional<PeerMessage.Reply>>> replies = new ArrayList<>();
 			for (Dialer dialer : this.loop.dialers()) {
 				long failures = dialer.failures();
-				String address = PeerAddresses.format(dialer.address());
 				replies.add(add(new PendingQueries.Pending(new PeerMessage.ConfigFetch(this.queryIds.incrementAndGet()),
 						PeerMessage.ConfigReply.class,
 						(link) -> dialer.address().equals(link.dialedAddress())
-								|| address.equals(link.remote().peerAddress()),
+								|| dialer.text().equals(link.remote().peerAddress()),
 						() -> dialer.failures() > failures, this.clock.getAsLong() + waitMs)));
 			}
 			CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new))
