--- a/server/src/main/java/org/fulmargap/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/fulmargap/peer/TcpPeerNetwork.java
@@ -101,11 +101,8 @@
 
 	@Override
 	public CompletableFuture<Optional<RecordedOutcome>> queryOutcome(String incarnation, ClaimKey key, long waitMs) {
-		Incarnation owner;
-		try {
-			owner = Incarnation.parse(incarnation);
-		}
-		catch (IllegalArgumentException ex) {
+		Incarnation owner = Incarnation.find(incarnation).orElse(null);
+		if (owner == null) {
 			return CompletableFuture.completedFuture(Optional.empty());
 		}
 		if (owner.equals(this.membership.self().incarnation())) {
@@ -113,7 +110,6 @@
 		}
 		PeerMessage.Query query = new PeerMessage.OutcomeQuery(this.queryIds.incrementAndGet(), key.account(),
 				key.key(), waitMs);
-		// The owner answers at the end of the wait, so the reply needs a little longer.
 		return askIncarnation(owner, query, PeerMessage.OutcomeReply.class, waitMs)
 			.thenApply((reply) -> reply.flatMap(PeerMessage.OutcomeReply::result));
 	}
@@ -166,11 +162,10 @@
 			List<CompletableFuture<Optional<PeerMessage.Reply>>> replies = new ArrayList<>();
 			for (Dialer dialer : this.loop.dialers()) {
 				long failures = dialer.failures();
-				String address = PeerAddresses.format(dialer.address());
 				replies.add(add(new PendingQueries.Pending(new PeerMessage.ConfigFetch(this.queryIds.incrementAndGet()),
 						PeerMessage.ConfigReply.class,
 						(link) -> dialer.address().equals(link.dialedAddress())
-								|| address.equals(link.remote().peerAddress()),
+								|| dialer.text().equals(link.remote().peerAddress()),
 						() -> dialer.failures() > failures, this.clock.getAsLong() + waitMs)));
 			}
 			CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new))
