--- a/core/src/main/java/org/fulmargap/admission/StageBudgets.java
+++ b/core/src/main/java/org/fulmargap/admission/StageBudgets.java
@@ -72,7 +72,8 @@
 		if (slots == Long.MAX_VALUE) {
 			slots = pipeline.stages().stream().mapToInt((stage) -> share.applyAsInt(stage.service())).min().orElse(1);
 		}
-		return (int) Math.max(1, Math.min(slots, Integer.MAX_VALUE));
+		// One more keeps the lowest stage busy while a request passes through the others.
+		return (int) Math.max(1, Math.min(slots + 1, Integer.MAX_VALUE));
 	}
 
 }
--- a/core/src/test/java/org/fulmargap/admission/RetryBudgetTests.java
+++ b/core/src/test/java/org/fulmargap/admission/RetryBudgetTests.java
@@ -75,7 +75,7 @@
 		@Test
 		void derivesSlotsFromTheStageThatIsOccupiedLongest() {
 			int slots = this.budgets.slots(this.pipeline, Map.of("encode", 2, "generate", 10)::get);
-			assertThat(slots).isEqualTo(10 * 1_000 / 980);
+			assertThat(slots).isEqualTo(10 * 1_000 / 980 + 1);
 		}
 
 	}
