--- a/core/src/main/java/org/fulmargap/admission/FairAdmission.java
+++ b/core/src/main/java/org/fulmargap/admission/FairAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -26,6 +27,17 @@
 	 */
 	static final long QUANTUM_MS = 1_000;
 
+	private static final int HOLD_RATIOS = 256;
+
+	/**
+	 * Under contention each request starts late, so one that takes longer than expected
+	 * would miss its deadline and waste its work. This part of the requests must fit.
+	 */
+	private static final double FITTING_PART = 0.9;
+
+	/** Keeps a few very slow endpoints from causing the refusal of everything. */
+	private static final double MAX_RATIO = 1.6;
+
 	private final int maxQueuedPerAccount;
 
 	private final int maxQueued;
@@ -38,7 +50,13 @@
 
 	private int queued;
 
-	private double holdFactor = 1;
+	private final double[] holdRatios = new double[HOLD_RATIOS];
+
+	private int holds;
+
+	private double meanRatio = 1;
+
+	private double highRatio = 1;
 
 	/**
 	 * Creates a controller without requests.
@@ -65,10 +83,10 @@
 		synchronized (this) {
 			Waiting waiting = new Waiting(request, listener);
 			long waitMs = (this.running < this.slots) ? 0 : expectedWaitMs(request);
-			if (this.running < this.slots && !waiting.isUnreachable(nowMs, 0)) {
+			if (this.running < this.slots && !waiting.isUnreachable(nowMs, 0, 1)) {
 				start(waiting, nowMs, decisions);
 			}
-			else if (waiting.isUnreachable(nowMs, waitMs)) {
+			else if (waiting.isUnreachable(nowMs, waitMs, this.highRatio)) {
 				refuseUnreachable(waiting, waitMs, decisions);
 			}
 			else if (this.queued >= this.maxQueued
@@ -89,7 +107,7 @@
 		List<Runnable> decisions = new ArrayList<>();
 		synchronized (this) {
 			for (Level level : this.levels.values()) {
-				for (Waiting waiting : level.removeUnreachable(nowMs)) {
+				for (Waiting waiting : level.removeUnreachable(nowMs, this.highRatio)) {
 					this.queued--;
 					refuseUnreachable(waiting, 0, decisions);
 				}
@@ -132,19 +150,29 @@
 		synchronized (this) {
 			this.running--;
 			if (request.expectedMs() > 0) {
-				double ratio = Math.min(4, (double) (nowMs - startedMs) / request.expectedMs());
-				this.holdFactor += (ratio - this.holdFactor) / 32;
+				learn(Math.min(MAX_RATIO, (double) (nowMs - startedMs) / request.expectedMs()));
 			}
 			dispatch(nowMs, decisions);
 		}
 		decisions.forEach(Runnable::run);
 	}
 
+	private void learn(double ratio) {
+		this.meanRatio += (ratio - this.meanRatio) / 32;
+		this.holdRatios[this.holds++ % HOLD_RATIOS] = ratio;
+		// Sorting on every release would cost more than the estimate is worth.
+		if (this.holds % (HOLD_RATIOS / 8) == 0) {
+			double[] sorted = Arrays.copyOf(this.holdRatios, Math.min(this.holds, HOLD_RATIOS));
+			Arrays.sort(sorted);
+			this.highRatio = Math.max(1, sorted[(int) (FITTING_PART * sorted.length)]);
+		}
+	}
+
 	private void dispatch(long nowMs, List<Runnable> decisions) {
 		while (this.running < this.slots && this.queued > 0) {
 			Waiting waiting = next();
 			this.queued--;
-			if (waiting.isUnreachable(nowMs, 0)) {
+			if (waiting.isUnreachable(nowMs, 0, this.highRatio)) {
 				refuseUnreachable(waiting, 0, decisions);
 			}
 			else {
@@ -195,7 +223,7 @@
 		long ownWeight = (own != null) ? own.weight : 0;
 		double othersMs = (double) (level.weight - ownWeight) / request.weight() * (ownMs + cost(request));
 		aheadMs += ownMs + Math.min(level.costMs - ownMs, othersMs);
-		return (long) (this.holdFactor * aheadMs / this.slots);
+		return (long) (this.meanRatio * aheadMs / this.slots);
 	}
 
 	private static long cost(AdmissionRequest request) {
@@ -252,12 +280,12 @@
 			}
 		}
 
-		private List<Waiting> removeUnreachable(long nowMs) {
+		private List<Waiting> removeUnreachable(long nowMs, double ratio) {
 			List<Waiting> removed = new ArrayList<>();
 			for (AccountQueue queue : List.copyOf(this.ring)) {
 				for (Iterator<Waiting> i = queue.requests.iterator(); i.hasNext();) {
 					Waiting waiting = i.next();
-					if (waiting.isUnreachable(nowMs, 0)) {
+					if (waiting.isUnreachable(nowMs, 0, ratio)) {
 						i.remove();
 						removed(queue, waiting);
 						removed.add(waiting);
@@ -305,9 +333,9 @@
 
 	private record Waiting(AdmissionRequest request, AdmissionListener listener) {
 
-		private boolean isUnreachable(long nowMs, long waitMs) {
+		private boolean isUnreachable(long nowMs, long waitMs, double ratio) {
 			return this.request.deadline().isPassed(nowMs)
-					|| this.request.deadline().remainingMs(nowMs) < waitMs + this.request.expectedMs();
+					|| this.request.deadline().remainingMs(nowMs) < waitMs + ratio * this.request.expectedMs();
 		}
 
 	}
