Send a prompt prefix to the same two endpoints from all domains

Cause: each failure domain kept its own copies of the prefixes, which do not fit into the caches of its two or three model servers; more than half of the prompts found nothing cached.

--- a/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
+++ b/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import org.fulmargap.config.Configuration;
 import org.fulmargap.routing.EndpointState.MemberView;
@@ -28,6 +29,11 @@
 
 	private static final int SAMPLE = 3;
 
+	/**
+	 * The advantage of the owners of a prefix over endpoints that are equal otherwise.
+	 */
+	private static final double OWNER_MS = 20;
+
 	private static final long MIN_PROGRESS_LIMIT_MS = 200;
 
 	private final RouterSettings settings;
@@ -88,6 +94,17 @@
 		Candidate own = best(service.own(), request, serviceStats, nowMs);
 		Candidate other = best(others, request, serviceStats, nowMs);
 		Candidate chosen = choose(own, other, serviceStats);
+		if (!request.prefixKey().isEmpty()) {
+			List<String> owners = owners(request.prefixKey(),
+					(request.ownDomainOnly()) ? service.own() : service.all());
+			Candidate owner = scan(owners, 0, request, serviceStats, nowMs);
+			// Every entry VM must send a new prefix to the same endpoints, or each
+			// failure
+			// domain computes and stores it.
+			if (owner != null && (chosen == null || owner.cost <= chosen.cost + OWNER_MS)) {
+				chosen = owner;
+			}
+		}
 		if (chosen != null) {
 			Optional<Reservation> reservation = reserve(chosen.endpoint, request, serviceStats, nowMs);
 			if (reservation.isPresent()) {
@@ -179,12 +196,10 @@
 		if (group.isEmpty()) {
 			return null;
 		}
-		// The first of two equal endpoints wins, so a new prefix goes to its owner.
-		int first = (request.prefixKey().isEmpty()) ? random(group.size()) : owner(request.prefixKey(), group);
+		int first = random(group.size());
 		Candidate best = null;
 		if (group.size() > SAMPLE) {
-			best = scan(List.of(group.get(first), group.get(random(group.size())), group.get(random(group.size()))), 0,
-					request, serviceStats, nowMs);
+			best = scan(List.of(group.get(first), group.get(random(group.size()))), 0, request, serviceStats, nowMs);
 		}
 		return (best != null) ? best : scan(group, first, request, serviceStats, nowMs);
 	}
@@ -205,17 +220,25 @@
 		return best;
 	}
 
-	private static int owner(String prefixKey, List<String> group) {
-		int owner = 0;
-		long highest = Long.MIN_VALUE;
-		for (int i = 0; i < group.size(); i++) {
-			long score = Rendezvous.score(prefixKey, group.get(i));
-			if (score > highest) {
-				highest = score;
-				owner = i;
+	private static List<String> owners(String prefixKey, List<String> group) {
+		String first = null;
+		String second = null;
+		long firstScore = Long.MIN_VALUE;
+		long secondScore = Long.MIN_VALUE;
+		for (String endpoint : group) {
+			long score = Rendezvous.score(prefixKey, endpoint);
+			if (score > firstScore) {
+				second = first;
+				secondScore = firstScore;
+				first = endpoint;
+				firstScore = score;
+			}
+			else if (score > secondScore) {
+				second = endpoint;
+				secondScore = score;
 			}
 		}
-		return owner;
+		return Stream.of(first, second).filter(Objects::nonNull).toList();
 	}
 
 	private int random(int bound) {
--- a/core/src/main/java/org/fulmargap/routing/Topology.java
+++ b/core/src/main/java/org/fulmargap/routing/Topology.java
@@ -15,14 +15,15 @@
  */
 record Topology(Map<String, Service> services) {
 
-	private static final Service NONE = new Service(List.of(), List.of());
+	private static final Service NONE = new Service(List.of(), List.of(), List.of());
 
 	static Topology of(Configuration configuration, Set<String> unavailable, String ownDomain) {
 		Map<String, Service> services = new HashMap<>();
 		configuration.endpoints().forEach((name, spec) -> {
 			if (!unavailable.contains(name)) {
 				Service service = services.computeIfAbsent(spec.service(),
-						(key) -> new Service(new ArrayList<>(), new ArrayList<>()));
+						(key) -> new Service(new ArrayList<>(), new ArrayList<>(), new ArrayList<>()));
+				service.all.add(name);
 				boolean isOwn = spec.failureDomain().equals(ownDomain);
 				((isOwn) ? service.own : service.others).add(name);
 			}
@@ -39,8 +40,9 @@
 	 *
 	 * @param own the endpoints of the own failure domain
 	 * @param others the endpoints of other failure domains
+	 * @param all the endpoints of all failure domains
 	 */
-	record Service(List<String> own, List<String> others) {
+	record Service(List<String> own, List<String> others, List<String> all) {
 	}
 
 }
