--- a/bench/src/main/java/org/fulmargap/bench/PolicyVm.java
+++ b/bench/src/main/java/org/fulmargap/bench/PolicyVm.java
@@ -183,6 +183,10 @@
 	boolean retries(Flow flow, String endpoint, CallFailure failure) {
 		if (failure == CallFailure.CONNECTION_LOST) {
 			this.quarantine.connectionLost(endpoint, flow.request.fingerprint(), this.clock.nowMs());
+			// A new connection shows at once whether the endpoint is gone.
+			if (this.world.endpoint(endpoint).report() == null) {
+				crashSeen(endpoint);
+			}
 		}
 		else if (failure == CallFailure.CONNECT_FAILED) {
 			crashSeen(endpoint);
--- a/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
+++ b/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
@@ -175,7 +175,7 @@
 				share += query(endpoint, (shard, state) -> {
 					state.advance(this.slowStart, nowMs);
 					boolean usable = state.takesNewWork(nowMs) && !state.isBackingOff();
-					return (usable) ? state.share(this.slowStart, nowMs) : 0;
+					return (usable) ? state.usable(this.slowStart, nowMs) : 0;
 				}, 0);
 			}
 		}
--- a/core/src/main/java/org/fulmargap/routing/EndpointState.java
+++ b/core/src/main/java/org/fulmargap/routing/EndpointState.java
@@ -123,6 +123,22 @@
 		this.warmUp.advance(share(slowStart, nowMs) > 0, slowStart.doublingMs(), nowMs);
 	}
 
+	/**
+	 * Returns the number of requests that this entry VM can usefully have in flight: its
+	 * share, or more while a warm endpoint reports free capacity.
+	 * @param slowStart the settings
+	 * @param nowMs the present time in milliseconds since the epoch
+	 * @return the number of requests
+	 */
+	int usable(SlowStart slowStart, long nowMs) {
+		int share = share(slowStart, nowMs);
+		if (!isWarm(slowStart) || !hasReport(nowMs)) {
+			return share;
+		}
+		int free = Math.max(0, this.report.capacity() - this.report.inFlight() - this.report.queued());
+		return Math.max(share, this.inFlightAtReport + SlowStart.share(free, this.rank, this.members.size()));
+	}
+
 	boolean isWarm(SlowStart slowStart) {
 		return slowStart.allowance(this.warmUp.workMs(), this.spec.maxConcurrency()) >= this.spec.maxConcurrency();
 	}
