Add the latency measurement

The cost of an entry VM in latency needs a figure from one run: the same one-stage request through the entry VM and straight to the endpoint, at 1, 32 and 256 concurrent requests, as key=value lines.

--- a/standin/src/main/java/org/fulmargap/standin/Cluster.java
+++ b/standin/src/main/java/org/fulmargap/standin/Cluster.java
@@ -60,7 +60,7 @@
 		for (String domain : options.failureDomains()) {
 			for (String service : options.services()) {
 				String name = service + "-" + domain;
-				this.endpoints.put(name, new EndpointStandIn(EndpointOptions.warm(name, ports.next())));
+				this.endpoints.put(name, new EndpointStandIn(options.endpoint().at(name, ports.next())));
 			}
 		}
 		for (String domain : options.failureDomains()) {
@@ -150,7 +150,8 @@
 			int split = name.indexOf('-');
 			entries.add("\n    \"" + name + "\": {\"service\": \"" + name.substring(0, split)
 					+ "\", \"failure_domain\": \"" + name.substring(split + 1) + "\", \"url\": \"" + endpointUrl(name)
-					+ "\", \"max_concurrency\": 32, \"fencing\": \"IGNORED\"}");
+					+ "\", \"max_concurrency\": " + this.options.endpoint().maxConcurrency()
+					+ ", \"fencing\": \"IGNORED\"}");
 		});
 		return fill(template("first-patch.json"),
 				Map.of("api_key_sha256", sha256(API_KEY), "endpoints", entries.toString()));
--- a/standin/src/main/java/org/fulmargap/standin/ClusterOptions.java
+++ b/standin/src/main/java/org/fulmargap/standin/ClusterOptions.java
@@ -13,9 +13,11 @@
  * @param templates the folder with the templates of settings and patches
  * @param workFolder the folder for settings files and logs
  * @param platform the options of the platform; its ports are chosen by the cluster
+ * @param endpoint the options of each endpoint; name and port are chosen by the cluster
  */
 public record ClusterOptions(List<String> failureDomains, int vmsPerDomain, List<String> services,
-		List<String> serverCommand, Path templates, Path workFolder, PlatformStandIn.Options platform) {
+		List<String> serverCommand, Path templates, Path workFolder, PlatformStandIn.Options platform,
+		EndpointOptions endpoint) {
 
 	/** The services that the templates of this project's pipelines name. */
 	public static final List<String> SERVICES = List.of("encoder", "retriever", "reranker", "generator", "labels");
@@ -41,7 +43,7 @@
 	 */
 	public static ClusterOptions threeDomains(List<String> serverCommand, Path templates, Path workFolder) {
 		return new ClusterOptions(List.of("bog-norte", "bog-centro", "bog-sur"), 2, SERVICES, serverCommand, templates,
-				workFolder, PlatformStandIn.Options.defaults());
+				workFolder, PlatformStandIn.Options.defaults(), EndpointOptions.warm("", 0));
 	}
 
 }
--- a/standin/src/main/java/org/fulmargap/standin/EndpointOptions.java
+++ b/standin/src/main/java/org/fulmargap/standin/EndpointOptions.java
@@ -59,6 +59,12 @@
 				overload, this.baseMs, this.promptUsPerToken, this.tokenMs, this.cacheBlocks, this.loadLagMs);
 	}
 
+	EndpointOptions at(String newName, int newPort) {
+		return new EndpointOptions(newName, newPort, this.maxConcurrency, this.maxQueue, this.initialCapacity,
+				this.doublingMs, this.whenColdOverloaded, this.baseMs, this.promptUsPerToken, this.tokenMs,
+				this.cacheBlocks, this.loadLagMs);
+	}
+
 	/**
 	 * What happens when a cold endpoint gets more requests than its capacity.
 	 */
--- a/standin/src/main/java/org/fulmargap/standin/StandIn.java
+++ b/standin/src/main/java/org/fulmargap/standin/StandIn.java
@@ -7,7 +7,8 @@
  * Command line of the stand-ins and of the tools that use them.
  */
 @Command(name = "standin", mixinStandardHelpOptions = true, description = "Stand-ins of the platform and of endpoints.",
-		subcommands = { PlatformCommand.class, EndpointCommand.class, LoadCommand.class, DemoCommand.class })
+		subcommands = { PlatformCommand.class, EndpointCommand.class, LoadCommand.class, DemoCommand.class,
+				LatencyCommand.class })
 public final class StandIn {
 
 	private StandIn() {
@@ -21,7 +22,12 @@
 		// Not named logback.xml, because test processes also have the server's on their
 		// class path.
 		System.setProperty("logback.configurationFile", "standin-logback.xml");
-		System.exit(new CommandLine(new StandIn()).execute(args));
+		CommandLine commandLine = new CommandLine(new StandIn());
+		commandLine.setExecutionExceptionHandler((failure, command, parsed) -> {
+			command.getErr().println("failed=" + failure);
+			return 1;
+		});
+		System.exit(commandLine.execute(args));
 	}
 
 }
