--- a/server/src/main/java/org/fulmargap/endpoint/EndpointException.java
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointException.java
@@ -1,5 +1,6 @@
 package org.fulmargap.endpoint;
 
+import java.net.ConnectException;
 import java.util.Objects;
 
 import org.fulmargap.request.DispatchState;
@@ -52,6 +53,15 @@
 		return this.failure.dispatchState();
 	}
 
+	/**
+	 * Tells whether the endpoint refused the connection, as a host does whose endpoint
+	 * process is gone.
+	 * @return {@code true} unless the connection timed out or was established
+	 */
+	public boolean isRefusedConnection() {
+		return getCause() instanceof ConnectException;
+	}
+
 	/**
 	 * Tells whether the call ended because nobody receives its tokens any more.
 	 * @return {@code true} if the token sink failed
--- a/server/src/main/java/org/fulmargap/endpoint/LoadPoller.java
+++ b/server/src/main/java/org/fulmargap/endpoint/LoadPoller.java
@@ -1,6 +1,7 @@
 package org.fulmargap.endpoint;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
@@ -40,6 +41,8 @@
 
 	private final Router router;
 
+	private final EndpointObserver observer;
+
 	private final OkHttpClient client;
 
 	private final LongSupplier clock;
@@ -58,13 +61,15 @@
 	 * Creates a poller.
 	 * @param endpoints the endpoints of the configuration in force, by name
 	 * @param router receives the reports
+	 * @param observer learns about restarts and endpoints that are leaving
 	 * @param client the client whose connections are used
 	 * @param clock the source of the present time in milliseconds since the epoch
 	 */
-	public LoadPoller(Supplier<Map<String, EndpointSpec>> endpoints, Router router, EndpointClient client,
-			LongSupplier clock) {
+	public LoadPoller(Supplier<Map<String, EndpointSpec>> endpoints, Router router, EndpointObserver observer,
+			EndpointClient client, LongSupplier clock) {
 		this.endpoints = endpoints;
 		this.router = router;
+		this.observer = observer;
 		this.clock = clock;
 		this.client = client.http().newBuilder().callTimeout(Duration.ofMillis(INTERVAL_MS)).build();
 	}
@@ -104,6 +109,9 @@
 
 			@Override
 			public void onFailure(Call call, IOException ex) {
+				if (ex instanceof ConnectException) {
+					LoadPoller.this.observer.refused(name);
+				}
 				LoadPoller.this.running.remove(name);
 			}
 
@@ -114,6 +122,8 @@
 						LoadReport report = Json.mapper()
 							.readValue(response.peekBody(1 << 20).string(), LoadReport.class);
 						LoadPoller.this.router.observeLoad(name, report, LoadPoller.this.clock.getAsLong());
+						LoadPoller.this.observer.seen(name, report.incarnation(),
+								Boolean.parseBoolean(response.header(EndpointHeaders.LEAVING)));
 					}
 				}
 				catch (IOException ex) {
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/pipeline/EndpointWatch.java
@@ -0,0 +1,128 @@
+package org.fulmargap.pipeline;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.fulmargap.endpoint.EndpointException;
+import org.fulmargap.endpoint.EndpointObserver;
+import org.fulmargap.routing.CallFailure;
+import org.fulmargap.routing.CrashQuarantine;
+import org.fulmargap.timeline.EventType;
+import org.fulmargap.timeline.Timeline;
+
+/**
+ * Finds endpoints that are leaving and requests that crash endpoints. Broken connections
+ * count as a crash only if the endpoint then refuses connections or returns as a new
+ * incarnation.
+ */
+public final class EndpointWatch implements EndpointObserver {
+
+	private final CrashQuarantine quarantine;
+
+	private final Consumer<Map<String, List<String>>> spreadStrikes;
+
+	private final Timeline timeline;
+
+	private final LongSupplier clock;
+
+	private final Map<String, String> incarnations = new ConcurrentHashMap<>();
+
+	private final Set<String> leaving = ConcurrentHashMap.newKeySet();
+
+	/**
+	 * Creates the watch.
+	 * @param quarantine keeps the strikes
+	 * @param spreadStrikes sends new strikes to all peers
+	 * @param timeline receives new strikes
+	 * @param clock the source of the present time in milliseconds since the epoch
+	 */
+	public EndpointWatch(CrashQuarantine quarantine, Consumer<Map<String, List<String>>> spreadStrikes,
+			Timeline timeline, LongSupplier clock) {
+		this.quarantine = quarantine;
+		this.spreadStrikes = spreadStrikes;
+		this.timeline = timeline;
+		this.clock = clock;
+	}
+
+	@Override
+	public void seen(String endpoint, String incarnation, boolean isLeaving) {
+		if (isLeaving) {
+			if (this.leaving.add(endpoint)) {
+				this.timeline.record(EventType.ENDPOINT_LEAVING, "", 0, "endpoint", endpoint);
+			}
+		}
+		else {
+			this.leaving.remove(endpoint);
+		}
+		if (!incarnation.isEmpty()) {
+			String previous = this.incarnations.put(endpoint, incarnation);
+			if (previous != null && !previous.equals(incarnation)) {
+				confirm(endpoint);
+			}
+		}
+	}
+
+	@Override
+	public void refused(String endpoint) {
+		confirm(endpoint);
+	}
+
+	private void confirm(String endpoint) {
+		Map<String, List<String>> strikes = this.quarantine.confirmCrash(endpoint, this.clock.getAsLong());
+		if (!strikes.isEmpty()) {
+			this.timeline.record(EventType.CRASH_STRIKE, "", 0, "endpoint", endpoint, "fingerprints", strikes.keySet());
+			this.spreadStrikes.accept(strikes);
+		}
+	}
+
+	/**
+	 * Returns the endpoints that said that they are leaving.
+	 * @return the names of the endpoints
+	 */
+	public Set<String> leaving() {
+		return Set.copyOf(this.leaving);
+	}
+
+	/**
+	 * Records a call that failed.
+	 * @param endpoint the name of the endpoint
+	 * @param fingerprint the fingerprint of the request
+	 * @param ex the failure
+	 */
+	void failed(String endpoint, String fingerprint, EndpointException ex) {
+		if (ex.failure() == CallFailure.CONNECTION_LOST) {
+			this.quarantine.connectionLost(endpoint, fingerprint, this.clock.getAsLong());
+		}
+		else if (ex.isRefusedConnection()) {
+			refused(endpoint);
+		}
+		else if (ex.failure() == CallFailure.LEAVING) {
+			seen(endpoint, "", true);
+		}
+	}
+
+	/**
+	 * Records a call that was answered.
+	 * @param endpoint the name of the endpoint
+	 * @param fingerprint the fingerprint of the request
+	 * @param incarnation the incarnation that the endpoint reported, or empty
+	 * @param isLeaving whether the endpoint reported that it is leaving
+	 */
+	void answered(String endpoint, String fingerprint, String incarnation, boolean isLeaving) {
+		this.quarantine.completed(fingerprint);
+		seen(endpoint, incarnation, isLeaving);
+	}
+
+	CrashQuarantine.Verdict verdict(String fingerprint) {
+		return this.quarantine.verdict(fingerprint, this.clock.getAsLong());
+	}
+
+	Set<String> struckEndpoints(String fingerprint) {
+		return this.quarantine.struckEndpoints(fingerprint, this.clock.getAsLong());
+	}
+
+}
--- a/server/src/main/java/org/fulmargap/pipeline/PipelineExecutor.java
+++ b/server/src/main/java/org/fulmargap/pipeline/PipelineExecutor.java
@@ -28,13 +28,14 @@
 	 * @param router chooses endpoints
 	 * @param client calls endpoints
 	 * @param retries limits the load that retries add
+	 * @param watch learns from answers and failures of endpoints
 	 * @param invariants checks conditions that must always hold
 	 * @param log receives events of stages
 	 * @param clock the source of the present time in milliseconds since the epoch
 	 */
-	public PipelineExecutor(Router router, EndpointClient client, RetryBudget retries, Invariants invariants,
-			StageLog log, LongSupplier clock) {
-		this.stages = new StageRunner(router, client, retries, log, clock);
+	public PipelineExecutor(Router router, EndpointClient client, RetryBudget retries, EndpointWatch watch,
+			Invariants invariants, StageLog log, LongSupplier clock) {
+		this.stages = new StageRunner(router, client, retries, watch, log, clock);
 		this.invariants = invariants;
 		this.clock = clock;
 	}
--- a/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
+++ b/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
@@ -19,6 +19,7 @@
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
+import org.fulmargap.routing.CrashQuarantine;
 import org.fulmargap.routing.Reservation;
 import org.fulmargap.routing.RouteRequest;
 import org.fulmargap.routing.Router;
@@ -39,6 +40,8 @@
 
 	private final RetryBudget retries;
 
+	private final EndpointWatch watch;
+
 	private final StageLog log;
 
 	private final LongSupplier clock;
@@ -47,11 +50,13 @@
 
 	private final CapacityWait capacity = new CapacityWait();
 
-	StageRunner(Router router, EndpointClient client, RetryBudget retries, StageLog log, LongSupplier clock) {
+	StageRunner(Router router, EndpointClient client, RetryBudget retries, EndpointWatch watch, StageLog log,
+			LongSupplier clock) {
 		this.router = router;
 		this.client = client;
 		this.budgets = new StageBudgets(router::expectedStageMs);
 		this.retries = retries;
+		this.watch = watch;
 		this.log = log;
 		this.clock = clock;
 	}
@@ -126,8 +131,16 @@
 		}
 
 		private Deadline stageDeadline(long nowMs) {
-			return new Deadline(nowMs + StageRunner.this.budgets.limitMs(this.request.pipeline(), this.index,
-					this.request.deadline(), nowMs));
+			long remainingMs = this.request.deadline().remainingMs(nowMs);
+			int stagesLeft = this.request.pipeline().stages().size() - this.index;
+			// The expected times come from past answers. If they are too high, for
+			// example
+			// after an incident, a stage still gets a part of the time, so that new
+			// answers
+			// can correct them.
+			long leastMs = remainingMs / (2L * stagesLeft);
+			return new Deadline(nowMs + Math.max(leastMs, StageRunner.this.budgets.limitMs(this.request.pipeline(),
+					this.index, this.request.deadline(), nowMs)));
 		}
 
 		private Reservation reserve(Deadline deadline) throws FulmargapException {
@@ -138,14 +151,22 @@
 							+ " had capacity for stage " + this.stage.name() + " in time");
 				}
 				long seen = StageRunner.this.capacity.version();
-				Optional<Reservation> reservation = StageRunner.this.router.select(route(), nowMs);
+				CrashQuarantine.Verdict verdict = StageRunner.this.watch.verdict(this.request.fingerprint());
+				if (!verdict.mayRun()) {
+					throw new FulmargapException(FailureType.REQUEST_QUARANTINED, "REQUEST_QUARANTINED",
+							"this request crashed several endpoints and is refused for a while");
+				}
+				boolean isolated = verdict == CrashQuarantine.Verdict.ISOLATED;
+				Set<String> struck = isolated ? StageRunner.this.watch.struckEndpoints(this.request.fingerprint())
+						: Set.of();
+				Optional<Reservation> reservation = StageRunner.this.router.select(route(struck, isolated), nowMs);
 				if (reservation.isPresent()) {
 					return reservation.get();
 				}
-				if (allExcluded()) {
-					if (this.action) {
-						throw unanswered("NO_ENDPOINT",
-								"every endpoint of service " + this.stage.service() + " refused the request");
+				if (allExcluded(struck)) {
+					if (this.action || allExcluded(struck, Set.of())) {
+						throw failed("NO_ENDPOINT",
+								"no endpoint of service " + this.stage.service() + " is left to try");
 					}
 					this.excluded.clear();
 				}
@@ -155,21 +176,28 @@
 			}
 		}
 
-		private boolean allExcluded() {
+		private boolean allExcluded(Set<String> struck) {
+			return !this.excluded.isEmpty() && allExcluded(struck, this.excluded);
+		}
+
+		private boolean allExcluded(Set<String> struck, Set<String> failed) {
 			for (var entry : this.request.configuration().endpoints().entrySet()) {
 				EndpointSpec spec = entry.getValue();
-				if (spec.service().equals(this.stage.service()) && !this.excluded.contains(entry.getKey())) {
+				if (spec.service().equals(this.stage.service()) && !struck.contains(entry.getKey())
+						&& !failed.contains(entry.getKey())) {
 					return false;
 				}
 			}
-			return !this.excluded.isEmpty();
+			return true;
 		}
 
-		private RouteRequest route() {
+		private RouteRequest route(Set<String> struck, boolean isolated) {
 			boolean generate = this.stage.kind().isStreamed();
 			String prefix = generate ? this.input.substring(0, Math.min(PREFIX_CHARS, this.input.length())) : "";
 			int tokens = generate ? this.input.length() / CHARS_PER_TOKEN : 0;
-			return new RouteRequest(this.stage.service(), prefix, tokens, this.excluded, false,
+			Set<String> avoided = new HashSet<>(this.excluded);
+			avoided.addAll(struck);
+			return new RouteRequest(this.stage.service(), prefix, tokens, avoided, isolated,
 					this.request.ownDomainOnly());
 		}
 
@@ -204,6 +232,7 @@
 					this.state.reached(this.action ? RunState.ACTED : RunState.COMPUTED);
 				}
 				StageRunner.this.log.failed(this.request, this.stage, id, reservation.endpoint(), ex);
+				StageRunner.this.watch.failed(reservation.endpoint(), this.request.fingerprint(), ex);
 				this.excluded.add(reservation.endpoint());
 				throw ex;
 			}
@@ -214,6 +243,8 @@
 			long nowMs = StageRunner.this.clock.getAsLong();
 			this.state.reached(this.action ? RunState.ACTED : RunState.COMPUTED);
 			reservation.succeeded(answer.durationMs(), answer.cachedTokens(), answer.incarnation(), nowMs);
+			StageRunner.this.watch.answered(reservation.endpoint(), this.request.fingerprint(), answer.incarnation(),
+					answer.leaving());
 			StageRunner.this.log.answered(this.request, this.stage, id, reservation.endpoint(), answer);
 			if (!this.state.accept(id)) {
 				throw new FulmargapException(FailureType.STAGE_FAILED, "SECOND_RESULT",
--- a/server/src/main/java/org/fulmargap/server/Operations.java
+++ b/server/src/main/java/org/fulmargap/server/Operations.java
@@ -10,6 +10,7 @@
 import org.fulmargap.config.Configuration;
 import org.fulmargap.config.Json;
 import org.fulmargap.http.OperatorActions;
+import org.fulmargap.pipeline.EndpointWatch;
 import org.fulmargap.platform.ConfigService;
 
 /**
@@ -23,12 +24,15 @@
 
 	private final Lifecycle lifecycle;
 
+	private final EndpointWatch watch;
+
 	private final Set<String> out = ConcurrentHashMap.newKeySet();
 
-	Operations(Settings settings, ConfigService config, Lifecycle lifecycle) {
+	Operations(Settings settings, ConfigService config, Lifecycle lifecycle, EndpointWatch watch) {
 		this.settings = settings;
 		this.config = config;
 		this.lifecycle = lifecycle;
+		this.watch = watch;
 	}
 
 	@Override
@@ -61,6 +65,7 @@
 				names.add(name);
 			}
 		});
+		names.addAll(this.watch.leaving());
 		return names;
 	}
 
--- a/server/src/main/java/org/fulmargap/server/ServerModule.java
+++ b/server/src/main/java/org/fulmargap/server/ServerModule.java
@@ -14,6 +14,7 @@
 import org.fulmargap.http.CallerApi;
 import org.fulmargap.http.CallerServices;
 import org.fulmargap.http.OperatorApi;
+import org.fulmargap.pipeline.EndpointWatch;
 import org.fulmargap.pipeline.PipelineExecutor;
 import org.fulmargap.pipeline.StageLog;
 import org.fulmargap.platform.ClaimService;
@@ -125,16 +126,23 @@
 
 	@Provides
 	@Singleton
-	static PipelineExecutor executor(Router router, EndpointClient client, Invariants invariants, Timeline timeline,
-			MetricRegistry metrics, LongSupplier clock) {
-		return new PipelineExecutor(router, client, new RetryBudget(), invariants, new StageLog(timeline, metrics),
-				clock);
+	static EndpointWatch endpointWatch(CrashQuarantine quarantine, Timeline timeline, LongSupplier clock) {
+		return new EndpointWatch(quarantine, (strikes) -> {
+		}, timeline, clock);
+	}
+
+	@Provides
+	@Singleton
+	static PipelineExecutor executor(Router router, EndpointClient client, EndpointWatch watch, Invariants invariants,
+			Timeline timeline, MetricRegistry metrics, LongSupplier clock) {
+		return new PipelineExecutor(router, client, new RetryBudget(), watch, invariants,
+				new StageLog(timeline, metrics), clock);
 	}
 
 	@Provides
 	@Singleton
-	static Operations operations(Settings settings, ConfigService config, Lifecycle lifecycle) {
-		return new Operations(settings, config, lifecycle);
+	static Operations operations(Settings settings, ConfigService config, Lifecycle lifecycle, EndpointWatch watch) {
+		return new Operations(settings, config, lifecycle, watch);
 	}
 
 	@Provides
@@ -146,8 +154,9 @@
 
 	@Provides
 	@Singleton
-	static LoadPoller loadPoller(ConfigService config, Router router, EndpointClient client, LongSupplier clock) {
-		return new LoadPoller(() -> config.current().configuration().endpoints(), router, client, clock);
+	static LoadPoller loadPoller(ConfigService config, Router router, EndpointWatch watch, EndpointClient client,
+			LongSupplier clock) {
+		return new LoadPoller(() -> config.current().configuration().endpoints(), router, watch, client, clock);
 	}
 
 	@Provides
--- a/server/src/test/java/org/fulmargap/endpoint/EndpointClientTests.java
+++ b/server/src/test/java/org/fulmargap/endpoint/EndpointClientTests.java
@@ -223,7 +223,7 @@
 
 		@Test
 		void streamWithAMissingTokenIsIncomplete() throws IOException {
-			assertThat(failureOf(TWO.replace("\"index\":1", "\"index\":2") + "event: done\ndata: {\"count\":3}\n\n"))
+			assertThat(failureOf(TWO.replace("\"index\":1", "\"index\":2") + "event: done\ndata: {\"count\":2}\n\n"))
 				.isEqualTo(CallFailure.INCOMPLETE_ANSWER);
 		}
 
--- a/server/src/test/java/org/fulmargap/endpoint/FakeEndpoint.java
+++ b/server/src/test/java/org/fulmargap/endpoint/FakeEndpoint.java
@@ -124,7 +124,7 @@
 		return this.others;
 	}
 
-	void list(String... attempts) {
+	public void list(String... attempts) {
 		this.listed = List.of(attempts);
 	}
 
--- /dev/null
+++ b/server/src/test/java/org/fulmargap/http/MemoryClaims.java
@@ -0,0 +1,87 @@
+package org.fulmargap.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.fulmargap.claim.ClaimKey;
+import org.fulmargap.claim.RecordedOutcome;
+import org.fulmargap.platform.ClaimService;
+import org.fulmargap.request.Deadline;
+import org.fulmargap.request.FailureType;
+import org.fulmargap.request.FulmargapException;
+
+/**
+ * Claims in memory, with a record of what happened to them.
+ */
+final class MemoryClaims implements ClaimService {
+
+	private final Map<ClaimKey, Entry> entries = new ConcurrentHashMap<>();
+
+	private final List<String> steps = new CopyOnWriteArrayList<>();
+
+	private volatile boolean abandonsAll;
+
+	@Override
+	public CompletableFuture<Result> claim(ClaimKey key, String digest, String attemptId, Deadline deadline) {
+		Entry own = new Entry(key, digest);
+		Entry present = this.entries.putIfAbsent(key, own);
+		if (present == null) {
+			this.steps.add("claim");
+			return CompletableFuture.completedFuture(new Result.Owned(own));
+		}
+		if (!present.digest.equals(digest)) {
+			return CompletableFuture.completedFuture(new Result.Refused(new FulmargapException(FailureType.KEY_CONFLICT,
+					"KEY_CONFLICT", "the idempotency key was used with another pipeline or body")));
+		}
+		return present.end.thenApply((outcome) -> outcome.<Result>map(Result.Finished::new)
+			.orElseGet(() -> new Result.Refused(
+					new FulmargapException(FailureType.NOT_RUN, "RELEASED", "the request with this key did not run"))));
+	}
+
+	List<String> steps() {
+		return this.steps;
+	}
+
+	void abandonAll() {
+		this.abandonsAll = true;
+	}
+
+	private final class Entry implements Handle {
+
+		private final ClaimKey key;
+
+		private final String digest;
+
+		private final CompletableFuture<Optional<RecordedOutcome>> end = new CompletableFuture<>();
+
+		private Entry(ClaimKey key, String digest) {
+			this.key = key;
+			this.digest = digest;
+		}
+
+		@Override
+		public boolean markDispatched(long nowMs) {
+			MemoryClaims.this.steps.add("dispatch");
+			return !MemoryClaims.this.abandonsAll;
+		}
+
+		@Override
+		public void complete(RecordedOutcome outcome) {
+			MemoryClaims.this.steps.add(outcome.unknown() ? "unknown" : "complete");
+			this.end.complete(Optional.of(outcome));
+		}
+
+		@Override
+		public void release() {
+			MemoryClaims.this.steps.add("release");
+			MemoryClaims.this.entries.remove(this.key, this);
+			this.end.complete(Optional.empty());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/server/src/test/java/org/fulmargap/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the HTTP interfaces.
+ */
+package org.fulmargap.http;
--- /dev/null
+++ b/server/src/test/java/org/fulmargap/server/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of settings, start and shutdown.
+ */
+package org.fulmargap.server;
