--- a/server/src/main/java/org/fulmargap/http/ClaimFilter.java
+++ b/server/src/main/java/org/fulmargap/http/ClaimFilter.java
@@ -64,11 +64,10 @@
 			handle.release();
 		}
 		else {
-			String body = (reply.body().length() <= RecordedOutcome.MAX_BODY_CHARS) ? reply.body() : "";
 			boolean unknown = reply.failure()
 				.map((failure) -> failure.type() == FailureType.OUTCOME_UNKNOWN)
 				.orElse(false);
-			handle.complete(new RecordedOutcome(reply.status(), body, unknown));
+			handle.complete(new RecordedOutcome(reply.status(), reply.body(), unknown));
 		}
 		return reply;
 	}
--- a/server/src/main/java/org/fulmargap/http/MetricsReport.java
+++ b/server/src/main/java/org/fulmargap/http/MetricsReport.java
@@ -1,5 +1,6 @@
 package org.fulmargap.http;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -10,6 +11,8 @@
  */
 final class MetricsReport {
 
+	private static final String VIOLATIONS = "invariant_violations";
+
 	private static final double NANOS_PER_MS = 1_000_000;
 
 	private MetricsReport() {
@@ -19,6 +22,13 @@
 		ObjectNode root = Json.mapper().createObjectNode();
 		ObjectNode counters = root.putObject("counters");
 		metrics.getCounters().forEach((name, counter) -> counters.put(name, counter.getCount()));
+		// Parts with checks of their own count under their own prefix.
+		counters.put(VIOLATIONS,
+				metrics.getCounters((name, metric) -> name.endsWith(VIOLATIONS))
+					.values()
+					.stream()
+					.mapToLong(Counter::getCount)
+					.sum());
 		metrics.getMeters().forEach((name, meter) -> counters.put(name, meter.getCount()));
 		ObjectNode gauges = root.putObject("gauges");
 		metrics.getGauges()
--- a/server/src/main/java/org/fulmargap/http/OperatorActions.java
+++ b/server/src/main/java/org/fulmargap/http/OperatorActions.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.fulmargap.platform.ConfigService;
 
 /**
  * What operators can do besides changing the configuration.
@@ -25,10 +26,17 @@
 	 */
 	JsonNode members();
 
+	/**
+	 * Finds the decision about a patch that any entry VM proposed.
+	 * @param patchId the identity of the patch
+	 * @return the decision, or empty if the patch is pending, unknown or too old
+	 */
+	Optional<ConfigService.Decision> patchDecision(String patchId);
+
 	/**
 	 * Removes a member that is gone.
 	 * @param vm the name of the member
-	 * @return a future that says whether the removal was recorded
+	 * @return a future that says whether the entry VM is no member any more
 	 */
 	CompletableFuture<Boolean> evict(String vm);
 
--- a/server/src/main/java/org/fulmargap/http/OperatorApi.java
+++ b/server/src/main/java/org/fulmargap/http/OperatorApi.java
@@ -118,12 +118,16 @@
 	private void readPatch(Context ctx) {
 		String id = ctx.pathParam("id");
 		Optional<ConfigService.Decision> found = this.patches.find(id);
+		if (found == null || found.isEmpty()) {
+			Optional<ConfigService.Decision> recorded = this.actions.patchDecision(id);
+			found = recorded.isPresent() ? recorded : found;
+		}
 		if (found == null) {
 			ObjectNode error = Json.mapper().createObjectNode();
 			error.putObject("error")
 				.put("type", "MALFORMED_REQUEST")
 				.put("reason", "UNKNOWN_PATCH")
-				.put("message", "this entry VM received no patch " + id)
+				.put("message", "this entry VM knows no patch " + id)
 				.put("request_id", "");
 			json(ctx, 404, error);
 			return;
--- a/server/src/main/java/org/fulmargap/platform/ClaimTable.java
+++ b/server/src/main/java/org/fulmargap/platform/ClaimTable.java
@@ -50,7 +50,8 @@
 
 	private final AppendQueue queue;
 
-	ClaimTable(ServiceIdentity identity, long keyLifetimeMs, ClaimOutside outside, AppendQueue queue, PlatformEvents events) {
+	ClaimTable(ServiceIdentity identity, long keyLifetimeMs, ClaimOutside outside, AppendQueue queue,
+			PlatformEvents events) {
 		this.identity = identity;
 		this.keyLifetimeMs = keyLifetimeMs;
 		this.outside = outside;
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/server/Availability.java
@@ -0,0 +1,40 @@
+package org.fulmargap.server;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.fulmargap.config.Configuration;
+import org.fulmargap.peer.OrderService;
+import org.fulmargap.pipeline.EndpointWatch;
+import org.fulmargap.platform.ConfigService;
+
+/**
+ * Collects the reasons for which endpoints get no new work.
+ *
+ * @param orders the administrative orders
+ * @param watch knows the endpoints that said they are leaving
+ * @param vmList knows the VMs that the platform lists as leaving
+ */
+record Availability(OrderService orders, EndpointWatch watch, VmListWatch vmList) {
+
+	/**
+	 * Returns the endpoints that get no new work: those taken out, those leaving, and
+	 * while a configuration change is in doubt those that it would remove.
+	 * @param view the configuration in force
+	 * @return the names of the endpoints
+	 */
+	Set<String> unavailable(ConfigService.View view) {
+		Configuration configuration = view.configuration();
+		Set<String> names = new HashSet<>(this.orders.current().unavailableEndpoints(configuration));
+		names.addAll(this.watch.leaving());
+		names.addAll(this.vmList.last().leaving());
+		view.pending()
+			.ifPresent((pending) -> configuration.endpoints()
+				.keySet()
+				.stream()
+				.filter((name) -> !pending.endpoints().containsKey(name))
+				.forEach(names::add));
+		return names;
+	}
+
+}
--- a/server/src/main/java/org/fulmargap/server/EntryVm.java
+++ b/server/src/main/java/org/fulmargap/server/EntryVm.java
@@ -1,6 +1,7 @@
 package org.fulmargap.server;
 
-import java.net.BindException;
+import java.io.IOException;
+import java.net.SocketException;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 
@@ -8,6 +9,7 @@
 import org.fulmargap.endpoint.LoadPoller;
 import org.fulmargap.http.CallerApi;
 import org.fulmargap.http.OperatorApi;
+import org.fulmargap.membership.Incarnation;
 import org.fulmargap.timeline.EventType;
 import org.fulmargap.timeline.Timeline;
 
@@ -26,6 +28,8 @@
 
 	private final Threads threads;
 
+	private final Membership membership;
+
 	private final EndpointClient client;
 
 	private final RouterFeed routerFeed;
@@ -40,13 +44,14 @@
 
 	private final LongSupplier clock;
 
-	EntryVm(Settings settings, Incarnation incarnation, Lifecycle lifecycle, Threads threads, EndpointClient client,
-			RouterFeed routerFeed, LoadPoller loadPoller, CallerApi callerApi, OperatorApi operatorApi,
-			Timeline timeline, LongSupplier clock) {
+	EntryVm(Settings settings, Incarnation incarnation, Lifecycle lifecycle, Threads threads, Membership membership,
+			EndpointClient client, RouterFeed routerFeed, LoadPoller loadPoller, CallerApi callerApi,
+			OperatorApi operatorApi, Timeline timeline, LongSupplier clock) {
 		this.settings = settings;
 		this.incarnation = incarnation;
 		this.lifecycle = lifecycle;
 		this.threads = threads;
+		this.membership = membership;
 		this.client = client;
 		this.routerFeed = routerFeed;
 		this.loadPoller = loadPoller;
@@ -62,10 +67,16 @@
 	 */
 	void start() throws SettingsException {
 		listen("admin_address", this.settings.adminAddress(), this.operatorApi::start);
+		try {
+			this.membership.start();
+		}
+		catch (IOException ex) {
+			throw unusable("peer_address", this.settings.peerAddress(), ex);
+		}
 		this.routerFeed.start();
 		this.loadPoller.start();
 		listen("caller_address", this.settings.callerAddress(), this.callerApi::start);
-		this.timeline.record(EventType.STARTED, "", 0, "incarnation", this.incarnation.text(), "caller_port",
+		this.timeline.record(EventType.STARTED, "", 0, "incarnation", this.incarnation, "caller_port",
 				this.callerApi.port(), "admin_port", this.operatorApi.port());
 	}
 
@@ -75,16 +86,19 @@
 		}
 		catch (RuntimeException ex) {
 			for (Throwable cause = ex; cause != null; cause = cause.getCause()) {
-				if (cause instanceof BindException || cause instanceof java.net.SocketException) {
-					throw new SettingsException(
-							"settings: field '" + field + "': " + address + " cannot be used: " + cause.getMessage(),
-							ex);
+				if (cause instanceof SocketException) {
+					throw unusable(field, address, cause);
 				}
 			}
 			throw ex;
 		}
 	}
 
+	private static SettingsException unusable(String field, Address address, Throwable cause) {
+		return new SettingsException(
+				"settings: field '" + field + "': " + address + " cannot be used: " + cause.getMessage(), cause);
+	}
+
 	int callerPort() {
 		return this.callerApi.port();
 	}
@@ -100,6 +114,7 @@
 	void drain() {
 		long startMs = this.clock.getAsLong();
 		this.lifecycle.drain(startMs);
+		this.membership.announceLeave();
 		this.timeline.record(EventType.DRAINING, "", 0, "in_flight", this.callerApi.inFlight());
 		long noticeEndMs = startMs + this.settings.drainNoticeMs();
 		long limitMs = noticeEndMs + this.settings.drainLimitMs();
@@ -107,6 +122,7 @@
 				|| (this.callerApi.inFlight() > 0 && this.clock.getAsLong() < limitMs)) {
 			LockSupport.parkNanos(POLL_NANOS);
 		}
+		this.membership.leave();
 		close();
 	}
 
@@ -116,6 +132,7 @@
 		this.callerApi.close();
 		this.loadPoller.close();
 		this.routerFeed.close();
+		this.membership.close();
 		this.threads.stop();
 		this.client.close();
 		this.operatorApi.close();
--- a/server/src/main/java/org/fulmargap/server/Operations.java
+++ b/server/src/main/java/org/fulmargap/server/Operations.java
@@ -1,84 +1,135 @@
 package org.fulmargap.server;
 
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.fulmargap.config.Configuration;
 import org.fulmargap.config.Json;
+import org.fulmargap.config.PatchDecision;
 import org.fulmargap.http.OperatorActions;
-import org.fulmargap.pipeline.EndpointWatch;
+import org.fulmargap.membership.AdminOrder;
+import org.fulmargap.membership.Member;
+import org.fulmargap.membership.MembershipView;
+import org.fulmargap.peer.OrderService;
 import org.fulmargap.platform.ConfigService;
+import org.fulmargap.platform.LogClaimService;
+import org.fulmargap.platform.LogConfigService;
+import org.fulmargap.platform.TimerQueue;
 
 /**
  * Carries out what operators order.
  */
 final class Operations implements OperatorActions {
 
-	private final Settings settings;
+	private static final long CONFIRM_WAIT_MS = 2_000;
 
-	private final ConfigService config;
+	private static final long EVICT_WAIT_MS = 3_000;
+
+	private static final long EVICT_POLL_MS = 50;
+
+	private final LogConfigService config;
+
+	private final LogClaimService claims;
+
+	private final MembershipView membership;
+
+	private final OrderService orders;
 
 	private final Lifecycle lifecycle;
 
-	private final EndpointWatch watch;
+	private final TimerQueue timers;
 
-	private final Set<String> out = ConcurrentHashMap.newKeySet();
+	private final LongSupplier clock;
 
-	Operations(Settings settings, ConfigService config, Lifecycle lifecycle, EndpointWatch watch) {
-		this.settings = settings;
+	Operations(LogConfigService config, LogClaimService claims, MembershipView membership, OrderService orders,
+			Lifecycle lifecycle, TimerQueue timers, LongSupplier clock) {
 		this.config = config;
+		this.claims = claims;
+		this.membership = membership;
+		this.orders = orders;
 		this.lifecycle = lifecycle;
-		this.watch = watch;
+		this.timers = timers;
+		this.clock = clock;
 	}
 
 	@Override
 	public CompletableFuture<JsonNode> order(Target target, String name, boolean out) {
-		String entry = target + "/" + name;
-		if (out) {
-			this.out.add(entry);
-		}
-		else {
-			this.out.remove(entry);
-		}
-		ObjectNode result = Json.mapper().createObjectNode();
-		result.put("in_force", true);
-		result.putArray("confirmed").add(this.settings.vm());
-		result.putArray("not_confirmed");
-		return CompletableFuture.completedFuture(result);
-	}
-
-	/**
-	 * Returns the endpoints that get no new work.
-	 * @param configuration the configuration in force
-	 * @return the names of the endpoints that are taken out or lie in a failure domain
-	 * that is taken out
-	 */
-	Set<String> unavailable(Configuration configuration) {
-		Set<String> names = ConcurrentHashMap.newKeySet();
-		configuration.endpoints().forEach((name, spec) -> {
-			if (this.out.contains(Target.ENDPOINT + "/" + name)
-					|| this.out.contains(Target.FAILURE_DOMAIN + "/" + spec.failureDomain())) {
-				names.add(name);
-			}
+		AdminOrder.Target addressed = (target == Target.ENDPOINT) ? AdminOrder.Target.endpoint(name)
+				: AdminOrder.Target.failureDomain(name);
+		AdminOrder.State state = out ? AdminOrder.State.OUT : AdminOrder.State.IN;
+		return this.orders.issue(addressed, state, CONFIRM_WAIT_MS, this.clock.getAsLong()).thenApply((result) -> {
+			ObjectNode node = Json.mapper().createObjectNode();
+			node.put("target", name);
+			node.put("state", state.name());
+			node.put("in_force", result.isInForce());
+			result.confirmed().forEach(node.putArray("confirmed")::add);
+			result.notConfirmed().forEach(node.putArray("not_confirmed")::add);
+			return node;
 		});
-		names.addAll(this.watch.leaving());
-		return names;
 	}
 
 	@Override
 	public JsonNode members() {
 		ObjectNode node = Json.mapper().createObjectNode();
-		node.putArray("members").addObject().put("vm", this.settings.vm());
+		ArrayNode list = node.putArray("members");
+		for (Member member : this.membership.members(this.clock.getAsLong())) {
+			list.addObject()
+				.put("vm", member.vm())
+				.put("incarnation", member.incarnation().toString())
+				.put("failure_domain", member.failureDomain())
+				.put("joined", member.joined())
+				.put("alive", member.alive())
+				.put("leaving", member.leaving())
+				.put("last_heard_at_ms", member.lastHeardMs())
+				.put("config_version", member.configVersion())
+				.put("in_flight", member.inFlight());
+		}
+		ArrayNode orderList = node.putArray("orders");
+		this.orders.current()
+			.list()
+			.forEach((order) -> orderList.addObject()
+				.put("kind", order.target().kind().label())
+				.put("target", order.target().name())
+				.put("state", order.state().name()));
 		return node;
 	}
 
+	@Override
+	public Optional<ConfigService.Decision> patchDecision(String patchId) {
+		return this.config.decision(patchId).map(Operations::decision);
+	}
+
+	private static ConfigService.Decision decision(PatchDecision recorded) {
+		return new ConfigService.Decision(recorded.accepted(), recorded.version(),
+				Optional.ofNullable(recorded.rejection())
+					.map((rejection) -> ConfigService.PatchRefusal.valueOf(rejection.name())),
+				recorded.message());
+	}
+
 	@Override
 	public CompletableFuture<Boolean> evict(String vm) {
-		return CompletableFuture.completedFuture(false);
+		CompletableFuture<Boolean> evicted = new CompletableFuture<>();
+		var member = this.config.state().members().get(vm);
+		if (member != null) {
+			this.config.evict(vm, member.incarnation(), "ordered by an operator");
+		}
+		awaitEvicted(vm, (member != null) ? member.incarnation() : "", this.clock.getAsLong() + EVICT_WAIT_MS, evicted);
+		return evicted;
+	}
+
+	private void awaitEvicted(String vm, String incarnation, long endMs, CompletableFuture<Boolean> evicted) {
+		if (!this.config.state().isMember(vm, incarnation)) {
+			evicted.complete(true);
+		}
+		else if (this.clock.getAsLong() >= endMs) {
+			evicted.complete(false);
+		}
+		else {
+			this.timers.schedule(EVICT_POLL_MS, () -> awaitEvicted(vm, incarnation, endMs, evicted));
+		}
 	}
 
 	@Override
@@ -89,7 +140,10 @@
 		if (!this.config.current().known()) {
 			return new Readiness(Optional.of("CONFIG_UNKNOWN"), false);
 		}
-		return new Readiness(Optional.empty(), true);
+		if (!this.config.isMember() && !this.config.isLogSilent()) {
+			return new Readiness(Optional.of("NOT_JOINED"), false);
+		}
+		return new Readiness(Optional.empty(), this.config.isMember() && this.claims.isComplete());
 	}
 
 }
--- /dev/null
+++ b/server/src/main/java/org/fulmargap/server/PeerAnswers.java
@@ -0,0 +1,75 @@
+package org.fulmargap.server;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+
+import org.fulmargap.claim.ClaimKey;
+import org.fulmargap.claim.RecordedOutcome;
+import org.fulmargap.membership.AdminOrder;
+import org.fulmargap.membership.AdminOrders;
+import org.fulmargap.peer.OrderService;
+import org.fulmargap.peer.PeerHandler;
+import org.fulmargap.peer.PeerNetwork;
+import org.fulmargap.platform.LogClaimService;
+import org.fulmargap.platform.LogConfigService;
+import org.fulmargap.routing.CrashQuarantine;
+import org.fulmargap.routing.Router;
+
+/**
+ * Answers peers from the services of this entry VM.
+ *
+ * @param lifecycle says whether this entry VM is leaving
+ * @param configService the configuration
+ * @param claims the claims
+ * @param orders the administrative orders
+ * @param router holds the warm-up starts
+ * @param quarantine holds the crash strikes
+ * @param inFlight returns the number of running requests
+ * @param clock the source of the present time in milliseconds since the epoch
+ */
+record PeerAnswers(Lifecycle lifecycle, LogConfigService configService, LogClaimService claims, OrderService orders,
+		Router router, CrashQuarantine quarantine, IntSupplier inFlight, LongSupplier clock) implements PeerHandler {
+
+	@Override
+	public LocalStatus status() {
+		return new LocalStatus(this.lifecycle.isDraining(), this.configService.state().version(),
+				this.inFlight.getAsInt(), this.router.warmUpStarts(), this.orders.current());
+	}
+
+	@Override
+	public AdminOrders mergeOrders(Collection<AdminOrder> received) {
+		return this.orders.merge(received, this.clock.getAsLong());
+	}
+
+	@Override
+	public void mergeStrikes(Map<String, List<String>> strikes) {
+		this.quarantine.mergeStrikes(strikes, this.clock.getAsLong());
+	}
+
+	@Override
+	public void mergeWarmUpStarts(Map<String, Long> starts) {
+		this.router.mergeWarmUpStarts(starts, this.clock.getAsLong());
+	}
+
+	@Override
+	public PeerNetwork.KeyState abandonUndispatched(ClaimKey key) {
+		return this.claims.answerKeyQuery(key);
+	}
+
+	@Override
+	public CompletableFuture<Optional<RecordedOutcome>> outcome(ClaimKey key, long waitMs) {
+		return this.claims.answerOutcomeQuery(key, waitMs);
+	}
+
+	@Override
+	public Optional<ConfigCopy> config() {
+		return this.configService.exportCopy()
+			.map((copy) -> new ConfigCopy(this.configService.state().version(), copy));
+	}
+
+}
--- a/server/src/main/java/org/fulmargap/server/RequestGate.java
+++ b/server/src/main/java/org/fulmargap/server/RequestGate.java
@@ -1,6 +1,7 @@
 package org.fulmargap.server;
 
 import org.fulmargap.http.ServiceGate;
+import org.fulmargap.membership.MembershipView;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
 import org.fulmargap.routing.CrashQuarantine;
@@ -15,9 +16,16 @@
 
 	private final CrashQuarantine quarantine;
 
-	RequestGate(Lifecycle lifecycle, CrashQuarantine quarantine) {
+	private final MembershipView membership;
+
+	private final IsolatedPolicy isolatedPolicy;
+
+	RequestGate(Lifecycle lifecycle, CrashQuarantine quarantine, MembershipView membership,
+			IsolatedPolicy isolatedPolicy) {
 		this.lifecycle = lifecycle;
 		this.quarantine = quarantine;
+		this.membership = membership;
+		this.isolatedPolicy = isolatedPolicy;
 	}
 
 	@Override
@@ -25,6 +33,10 @@
 		if (this.lifecycle.refusesRequests(nowMs)) {
 			throw new FulmargapException(FailureType.NOT_RUN, "DRAINING", "the entry VM is shutting down");
 		}
+		if (this.isolatedPolicy.refusesRequests() && this.membership.isIsolated(nowMs)) {
+			throw new FulmargapException(FailureType.NOT_RUN, "ISOLATED",
+					"the entry VM is cut off from all other failure domains and the log");
+		}
 		if (!this.quarantine.verdict(fingerprint, nowMs).mayRun()) {
 			throw new FulmargapException(FailureType.REQUEST_QUARANTINED, "REQUEST_QUARANTINED",
 					"this request crashed several endpoints and is refused for a while");
@@ -33,7 +45,7 @@
 
 	@Override
 	public boolean ownDomainOnly(long nowMs) {
-		return false;
+		return this.membership.isIsolated(nowMs);
 	}
 
 }
--- a/server/src/main/java/org/fulmargap/server/RouterFeed.java
+++ b/server/src/main/java/org/fulmargap/server/RouterFeed.java
@@ -1,12 +1,14 @@
 package org.fulmargap.server;
 
-import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.fulmargap.platform.ConfigService;
+import org.fulmargap.platform.LogConfigService;
 import org.fulmargap.routing.Router;
 import org.fulmargap.timeline.EventType;
 import org.fulmargap.timeline.Invariants;
@@ -25,9 +27,9 @@
 
 	private final Settings settings;
 
-	private final ConfigService config;
+	private final LogConfigService config;
 
-	private final Operations operations;
+	private final Availability availability;
 
 	private final Router router;
 
@@ -47,11 +49,11 @@
 
 	private long version = -1;
 
-	RouterFeed(Settings settings, ConfigService config, Operations operations, Router router, AdmissionPools admission,
-			Timeline timeline, Invariants invariants, LongSupplier clock) {
+	RouterFeed(Settings settings, LogConfigService config, Availability availability, Router router,
+			AdmissionPools admission, Timeline timeline, Invariants invariants, LongSupplier clock) {
 		this.settings = settings;
 		this.config = config;
-		this.operations = operations;
+		this.availability = availability;
 		this.router = router;
 		this.admission = admission;
 		this.timeline = timeline;
@@ -72,8 +74,8 @@
 				this.timeline.record(EventType.CONFIG_IN_FORCE, "", view.version());
 				this.version = view.version();
 			}
-			this.router.update(view.configuration(), this.operations.unavailable(view.configuration()),
-					List.of(this.settings.vm()), this.clock.getAsLong());
+			this.router.update(view.configuration(), this.availability.unavailable(view), members(),
+					this.clock.getAsLong());
 			this.admission.refresh();
 		}
 		catch (RuntimeException ex) {
@@ -82,6 +84,12 @@
 		}
 	}
 
+	private Set<String> members() {
+		Set<String> members = new TreeSet<>(this.config.vms());
+		members.add(this.settings.vm());
+		return members;
+	}
+
 	@Override
 	public void close() {
 		this.scheduler.shutdownNow();
--- a/server/src/main/java/org/fulmargap/server/ServerComponent.java
+++ b/server/src/main/java/org/fulmargap/server/ServerComponent.java
@@ -8,7 +8,7 @@
  * Makes an entry VM from its settings.
  */
 @Singleton
-@Component(modules = ServerModule.class)
+@Component(modules = { CoreModule.class, PlatformModule.class, ServerModule.class })
 interface ServerComponent {
 
 	/**
--- a/server/src/main/java/org/fulmargap/timeline/EventType.java
+++ b/server/src/main/java/org/fulmargap/timeline/EventType.java
@@ -53,6 +53,9 @@
 	/** An administrative order was received from an operator. */
 	ORDER_RECEIVED,
 
+	/** The orders in force changed. */
+	ORDER_IN_FORCE,
+
 	/** An endpoint was found to be leaving. */
 	ENDPOINT_LEAVING,
 
