--- a/server/src/main/java/org/fulmargap/server/ThinClaims.java
+++ b/server/src/test/java/org/fulmargap/http/MemoryClaims.java
@@ -1,9 +1,11 @@
-package org.fulmargap.server;
+package org.fulmargap.http;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.fulmargap.claim.ClaimKey;
 import org.fulmargap.claim.RecordedOutcome;
@@ -13,17 +15,22 @@
 import org.fulmargap.request.FulmargapException;
 
 /**
- * Claims within one process, without the log.
+ * Claims in memory, with a record of what happened to them.
  */
-final class ThinClaims implements ClaimService {
+final class MemoryClaims implements ClaimService {
 
 	private final Map<ClaimKey, Entry> entries = new ConcurrentHashMap<>();
 
+	private final List<String> steps = new CopyOnWriteArrayList<>();
+
+	private volatile boolean abandonsAll;
+
 	@Override
 	public CompletableFuture<Result> claim(ClaimKey key, String digest, String attemptId, Deadline deadline) {
 		Entry own = new Entry(key, digest);
 		Entry present = this.entries.putIfAbsent(key, own);
 		if (present == null) {
+			this.steps.add("claim");
 			return CompletableFuture.completedFuture(new Result.Owned(own));
 		}
 		if (!present.digest.equals(digest)) {
@@ -35,6 +42,14 @@
 					new FulmargapException(FailureType.NOT_RUN, "RELEASED", "the request with this key did not run"))));
 	}
 
+	List<String> steps() {
+		return this.steps;
+	}
+
+	void abandonAll() {
+		this.abandonsAll = true;
+	}
+
 	private final class Entry implements Handle {
 
 		private final ClaimKey key;
@@ -50,17 +65,20 @@
 
 		@Override
 		public boolean markDispatched(long nowMs) {
-			return true;
+			MemoryClaims.this.steps.add("dispatch");
+			return !MemoryClaims.this.abandonsAll;
 		}
 
 		@Override
 		public void complete(RecordedOutcome outcome) {
+			MemoryClaims.this.steps.add(outcome.unknown() ? "unknown" : "complete");
 			this.end.complete(Optional.of(outcome));
 		}
 
 		@Override
 		public void release() {
-			ThinClaims.this.entries.remove(this.key, this);
+			MemoryClaims.this.steps.add("release");
+			MemoryClaims.this.entries.remove(this.key, this);
 			this.end.complete(Optional.empty());
 		}
 
