Use more keys and a short key lifetime in the simulated run

Cause: with few appends, gaps of the claims stream were rare in the run. Change: more keys, tighter retention, 30 s key lifetime.

--- a/server/src/test/java/org/fulmargap/platform/PlatformServicesProperties.java
+++ b/server/src/test/java/org/fulmargap/platform/PlatformServicesProperties.java
@@ -82,9 +82,9 @@
 		private void nextRequest() {
 			SimulatedVms.Vm vm = anyVm();
 			if (vm.runs()) {
-				// Keys change every few seconds, so that both new and repeated keys
+				// Keys change every two seconds, so that both new and repeated keys
 				// occur.
-				ClaimKey key = new ClaimKey("account", "k" + this.sim.now() / 4_000 + "-" + this.random.nextInt(4));
+				ClaimKey key = new ClaimKey("account", "k" + this.sim.now() / 2_000 + "-" + this.random.nextInt(8));
 				Deadline deadline = Deadline.after(this.sim.now(), 300 + this.random.nextInt(2_500));
 				String digest = (this.random.nextInt(10) == 0) ? "other" : "digest";
 				CompletableFuture<Result> future = vm.claims.claim(key, digest, vm.incarnation + "/" + this.number++,
@@ -173,8 +173,8 @@
 				case 5 -> log.storeDelayed();
 				case 6 -> this.sim.vms.get(name).pauseFor(durationMs);
 				case 7 -> during(durationMs, this.sim.cutOff, name);
-				case 8 -> log.retainLast(LogClaimService.STREAM, 10 + this.random.nextInt(60));
-				case 9 -> log.retainLast(LogConfigService.STREAM, 10 + this.random.nextInt(60));
+				case 8 -> log.retainLast(LogClaimService.STREAM, 5 + this.random.nextInt(40));
+				case 9 -> log.retainLast(LogConfigService.STREAM, 5 + this.random.nextInt(40));
 				default -> restart(name);
 			}
 			this.sim.at(50 + this.random.nextInt(1_500), this::nextFault);
--- a/server/src/test/java/org/fulmargap/platform/SimulatedVms.java
+++ b/server/src/test/java/org/fulmargap/platform/SimulatedVms.java
@@ -22,7 +22,7 @@
  */
 final class SimulatedVms {
 
-	static final long LIFETIME_MS = 3_600_000;
+	static final long LIFETIME_MS = 30_000;
 
 	final FakeLog log = new FakeLog(this::now);
 
@@ -121,7 +121,8 @@
 		}
 
 		void pauseFor(long durationMs) {
-			this.pausedUntilMs = now() + durationMs;
+			// Events were put off to the end of a pause that still lasts.
+			this.pausedUntilMs = Math.max(this.pausedUntilMs, now() + durationMs);
 		}
 
 		boolean runs() {
