Judge contradictions in the claims stream only with a complete ledger

The trace shows an allowed case: a ledger that started at offset 57 saw the repeated append (62) of a claim first stored at 51, after another claim (57). Change: an incomplete ledger counts such records as NOT_JUDGED.

--- a/core/src/main/java/org/fulmargap/claim/ClaimEvent.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimEvent.java
@@ -36,6 +36,9 @@
 		/** An outcome belongs to a claim that the ledger does not hold. */
 		OUTCOME_WITHOUT_CLAIM(false),
 
+		/** A record contradicts the claims known to a ledger that is incomplete. */
+		NOT_JUDGED(false),
+
 		/** An outcome belongs to a claim that does not own its key. */
 		OUTCOME_OF_LOSER(true),
 
--- a/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
@@ -313,7 +313,7 @@
 		if (claim == null) {
 			boolean released = entry != null && entry.isReleased(outcome.attemptId());
 			events.add(new ClaimEvent(
-					released ? ClaimEvent.Type.OUTCOME_AFTER_RELEASE : ClaimEvent.Type.OUTCOME_WITHOUT_CLAIM,
+					released ? violation(ClaimEvent.Type.OUTCOME_AFTER_RELEASE) : ClaimEvent.Type.OUTCOME_WITHOUT_CLAIM,
 					position.offset(), "attempt " + outcome.attemptId()));
 			return;
 		}
@@ -321,7 +321,7 @@
 			return;
 		}
 		if (claim != entry.owner()) {
-			events.add(new ClaimEvent(ClaimEvent.Type.OUTCOME_OF_LOSER, position.offset(),
+			events.add(new ClaimEvent(violation(ClaimEvent.Type.OUTCOME_OF_LOSER), position.offset(),
 					"attempt " + outcome.attemptId() + ", the owner is " + entry.owner().attemptId));
 		}
 		entry.touch(position.appendedAtMs());
@@ -332,7 +332,7 @@
 		KeyEntry entry = this.entries.computeIfAbsent(release.key(), (key) -> new KeyEntry(position.appendedAtMs()));
 		HeldClaim claim = entry.find(release.attemptId());
 		if (claim != null && claim.outcome != null) {
-			events.add(new ClaimEvent(ClaimEvent.Type.RELEASE_AFTER_OUTCOME, position.offset(),
+			events.add(new ClaimEvent(violation(ClaimEvent.Type.RELEASE_AFTER_OUTCOME), position.offset(),
 					"attempt " + release.attemptId()));
 			return;
 		}
@@ -344,6 +344,12 @@
 		}
 	}
 
+	private ClaimEvent.Type violation(ClaimEvent.Type type) {
+		// A reader that began in the middle may know a repeated append as the first, and
+		// thus the wrong owner, until a checkpoint gives the rank.
+		return this.complete ? type : ClaimEvent.Type.NOT_JUDGED;
+	}
+
 	/**
 	 * Place of a record in the stream.
 	 *
