--- a/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
@@ -17,8 +17,16 @@
  */
 public final class ClaimLedger {
 
+	/**
+	 * The number of characters of recorded bodies in memory: a quarter of the 256 MB that
+	 * a node may use.
+	 */
+	private static final long MAX_BODY_CHARS = 64L * 1024 * 1024;
+
 	private final Map<ClaimKey, KeyEntry> entries = new HashMap<>();
 
+	private final OutcomeBodies bodies = new OutcomeBodies(MAX_BODY_CHARS);
+
 	private final long keyLifetimeMs;
 
 	private boolean boundsSeen;
@@ -237,6 +245,7 @@
 	 */
 	public void expire(long nowMs) {
 		this.entries.values().removeIf((entry) -> entry.expire(nowMs - this.keyLifetimeMs));
+		this.bodies.expire(nowMs - this.keyLifetimeMs);
 	}
 
 	private void noteGap(long offset, long nowMs) {
@@ -292,6 +301,7 @@
 			}
 			if (known.outcome == null && outcome != null) {
 				entry.finish(known, outcome);
+				this.bodies.add(known);
 			}
 			return;
 		}
@@ -304,6 +314,7 @@
 		entry.add(held);
 		if (outcome != null) {
 			entry.finish(held, outcome);
+			this.bodies.add(held);
 		}
 	}
 
@@ -326,6 +337,7 @@
 		}
 		entry.touch(position.appendedAtMs());
 		entry.finish(claim, outcome.outcome());
+		this.bodies.add(claim);
 	}
 
 	private void release(ClaimRecord.Release release, Position position, List<ClaimEvent> events) {
--- a/core/src/main/java/org/fulmargap/config/ConfigLedger.java
+++ b/core/src/main/java/org/fulmargap/config/ConfigLedger.java
@@ -34,6 +34,10 @@
 
 	private long configurationVersion;
 
+	private JsonNode pendingResult;
+
+	private Configuration pendingConfiguration;
+
 	private long nextOffset;
 
 	private long firstRetained;
@@ -154,13 +158,8 @@
 	public Configuration configuration() {
 		ConfigState current = state();
 		if (this.configurationVersion != current.version()) {
-			try {
-				this.configuration = ConfigRules.configuration(current.document());
-				this.configurationVersion = current.version();
-			}
-			catch (JsonProcessingException ex) {
-				throw new IllegalStateException("version " + current.version() + " was accepted but is not valid", ex);
-			}
+			this.configuration = parsed(current.document());
+			this.configurationVersion = current.version();
 		}
 		return this.configuration;
 	}
@@ -170,14 +169,15 @@
 	 * @return the configuration, or empty if no patch is pending
 	 */
 	public Optional<Configuration> pendingConfiguration() {
-		return state().pending().map((pending) -> {
-			try {
-				return ConfigRules.configuration(pending.result());
-			}
-			catch (JsonProcessingException ex) {
-				throw new IllegalStateException("patch " + pending.patchId() + " is pending but not valid", ex);
-			}
-		});
+		Optional<PendingPatch> pending = state().pending();
+		if (pending.isEmpty()) {
+			return Optional.empty();
+		}
+		if (!pending.get().result().equals(this.pendingResult)) {
+			this.pendingResult = pending.get().result();
+			this.pendingConfiguration = parsed(this.pendingResult);
+		}
+		return Optional.of(this.pendingConfiguration);
 	}
 
 	/**
@@ -229,6 +229,15 @@
 		return ageMs > everyMs && (this.recordsSinceSnapshot > 0 || ageMs > 10 * everyMs);
 	}
 
+	private static Configuration parsed(JsonNode document) {
+		try {
+			return ConfigRules.configuration(document);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("a document that was accepted is not valid", ex);
+		}
+	}
+
 	private void startFrom(long offset) {
 		if (this.following && this.held == null) {
 			this.held = this.state;
--- a/server/src/main/java/org/fulmargap/platform/ClaimTable.java
+++ b/server/src/main/java/org/fulmargap/platform/ClaimTable.java
@@ -337,7 +337,7 @@
 				&& !owner.attemptId().equals(attempt.askedAttemptId)) {
 			attempt.askedAttemptId = owner.attemptId();
 			long waitMs = Math.max(0, attempt.deadline.remainingMs(nowMs) - 2 * RESOLVE_MS);
-			effects.run(() -> this.outside.askOwner(attempt, owner, waitMs));
+			effects.add(() -> this.outside.askOwner(attempt, owner, waitMs));
 		}
 	}
 
@@ -357,7 +357,7 @@
 		withdraw(attempt);
 		long waitMs = Math.min(RESOLVE_MS, attempt.deadline.remainingMs(nowMs)) * 3 / 4;
 		effects.after(attempt.deadline.remainingMs(nowMs) - 10, () -> this.outside.membersSilent(attempt));
-		effects.run(() -> this.outside.askMembers(attempt, waitMs));
+		effects.add(() -> this.outside.askMembers(attempt, waitMs));
 	}
 
 	private void refuse(ClaimAttempt attempt, FulmargapException failure, Effects effects) {
@@ -377,7 +377,7 @@
 		attempt.outcomeWaiters.forEach((waiter) -> effects.complete(waiter, Optional.empty()));
 		List<ClaimAttempt.Joiner> joiners = new ArrayList<>(attempt.joiners);
 		attempt.joiners.clear();
-		joiners.forEach((joiner) -> effects.run(() -> this.outside.resubmit(attempt.claim, joiner)));
+		joiners.forEach((joiner) -> effects.add(() -> this.outside.resubmit(attempt.claim, joiner)));
 	}
 
 	private void withdraw(ClaimAttempt attempt) {
--- a/server/src/main/java/org/fulmargap/platform/Effects.java
+++ b/server/src/main/java/org/fulmargap/platform/Effects.java
@@ -4,11 +4,16 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 /**
  * Effects that a decision under a lock has outside of it.
  */
 final class Effects {
 
+	private static final Logger logger = LoggerFactory.getLogger(Effects.class);
+
 	private final List<Runnable> tasks = new ArrayList<>();
 
 	private final List<Delayed> delayed = new ArrayList<>();
@@ -17,7 +22,7 @@
 		this.tasks.add(() -> future.complete(value));
 	}
 
-	void run(Runnable task) {
+	void add(Runnable task) {
 		this.tasks.add(task);
 	}
 
@@ -27,7 +32,17 @@
 
 	void apply(TimerQueue timers) {
 		this.delayed.forEach((entry) -> timers.schedule(entry.delayMs(), entry.task()));
-		this.tasks.forEach(Runnable::run);
+		this.tasks.forEach(Effects::run);
+	}
+
+	// A task that fails, for example a peer query, must not keep the others from running.
+	private static void run(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			logger.error("event=effect_failed", ex);
+		}
 	}
 
 	/**
