Harden peer copies, repeated patches and the wait for a live owner

Cause: an invalid copy from a peer would have thrown later; a patch repeated at a second entry VM could be reported as not proposed; the wait for a live owner ended 0.8 s before the deadline. Change: copies are validated and can end a gap; a pending patch counts as sent; the wait ends 0.1 s before the deadline. Frequent events are counted and not logged.

--- a/core/src/main/java/org/fulmargap/claim/ClaimEvent.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimEvent.java
@@ -62,6 +62,14 @@
 			return this.violation;
 		}
 
+		/**
+		 * Tells whether the event is frequent in normal service and only counted.
+		 * @return {@code true} if the event is not logged
+		 */
+		public boolean isRoutine() {
+			return this == OUTCOME_WITHOUT_CLAIM || this == NOT_JUDGED;
+		}
+
 	}
 
 }
--- a/core/src/main/java/org/fulmargap/config/ConfigEvent.java
+++ b/core/src/main/java/org/fulmargap/config/ConfigEvent.java
@@ -80,6 +80,14 @@
 			return this.violation;
 		}
 
+		/**
+		 * Tells whether the event is frequent in normal service and only counted.
+		 * @return {@code true} if the event is not logged
+		 */
+		public boolean isRoutine() {
+			return this == IGNORED;
+		}
+
 	}
 
 }
--- a/core/src/main/java/org/fulmargap/config/ConfigLedger.java
+++ b/core/src/main/java/org/fulmargap/config/ConfigLedger.java
@@ -121,14 +121,13 @@
 	 */
 	public boolean install(ConfigRecord.Snapshot copy) {
 		Objects.requireNonNull(copy, "copy");
-		if (copy.state().version() < state().version()
-				|| (isKnown() && this.following && copy.through() <= this.nextOffset)) {
-			return false;
-		}
-		if (copy.state().version() == state().version() && isKnown() && this.following
-				&& !copy.state().document().equals(state().document())) {
+		long version = state().version();
+		boolean newer = copy.state().version() > version
+				|| (copy.state().version() == version && (!this.following || copy.through() > this.nextOffset));
+		if (!isValid(copy) || (isKnown() && !newer)) {
 			return false;
 		}
+		this.buffer.clear();
 		adopt(copy);
 		this.nextOffset = copy.through();
 		return true;
@@ -229,6 +228,16 @@
 		return ageMs > everyMs && (this.recordsSinceSnapshot > 0 || ageMs > 10 * everyMs);
 	}
 
+	private static boolean isValid(ConfigRecord.Snapshot copy) {
+		try {
+			ConfigRules.configuration(copy.state().document());
+			return true;
+		}
+		catch (JsonProcessingException ex) {
+			return false;
+		}
+	}
+
 	private static Configuration parsed(JsonNode document) {
 		try {
 			return ConfigRules.configuration(document);
--- a/server/src/main/java/org/fulmargap/platform/ClaimTable.java
+++ b/server/src/main/java/org/fulmargap/platform/ClaimTable.java
@@ -157,9 +157,8 @@
 	// brought news in the meantime.
 	synchronized Effects ownerSilent(ClaimAttempt attempt, String ownerAttemptId) {
 		Effects effects = new Effects();
-		boolean unchanged = this.ledger.owner(attempt.key())
-			.filter((owner) -> owner.attemptId().equals(ownerAttemptId))
-			.isPresent();
+		Optional<ClaimView> owner = this.ledger.owner(attempt.key());
+		boolean unchanged = owner.isPresent() && owner.get().attemptId().equals(ownerAttemptId);
 		if (attempt.state == State.WAITING && unchanged) {
 			refuse(attempt, ClaimRefusals.outcomeUnknown("OWNER_UNREACHABLE", "the owner of the key does not answer"),
 					effects);
@@ -336,7 +335,7 @@
 		else if (!owner.incarnation().equals(this.identity.incarnation())
 				&& !owner.attemptId().equals(attempt.askedAttemptId)) {
 			attempt.askedAttemptId = owner.attemptId();
-			long waitMs = Math.max(0, attempt.deadline.remainingMs(nowMs) - 2 * RESOLVE_MS);
+			long waitMs = Math.max(0, attempt.deadline.remainingMs(nowMs) - 100);
 			effects.add(() -> this.outside.askOwner(attempt, owner, waitMs));
 		}
 	}
@@ -394,7 +393,8 @@
 	}
 
 	private void note(ClaimEvent event) {
-		this.events.note("claims", event.type(), event.type().isViolation(), event.offset(), event.detail());
+		this.events.note("claims", event.type(), event.type().isViolation(), event.type().isRoutine(),
+				"offset " + event.offset() + ": " + event.detail());
 	}
 
 }
--- a/server/src/main/java/org/fulmargap/platform/ConfigTable.java
+++ b/server/src/main/java/org/fulmargap/platform/ConfigTable.java
@@ -97,6 +97,8 @@
 		}
 		for (PatchProposal proposal : List.copyOf(this.proposals.values())) {
 			Optional<PatchDecision> decided = state.decision(proposal.record.patchId());
+			// The same patch may have been proposed through another entry VM.
+			proposal.sent |= isPending(proposal);
 			long ageMs = nowMs - proposal.record.proposedAtMs();
 			if (decided.isPresent()) {
 				finish(proposal, decision(decided.get()), effects);
@@ -308,7 +310,8 @@
 				|| event.type() == ConfigEvent.Type.SNAPSHOT_INSTALLED) {
 			this.lastRemovalAtMs = nowMs;
 		}
-		this.events.note("config", event.type(), event.type().isViolation(), event.offset(), event.detail());
+		this.events.note("config", event.type(), event.type().isViolation(), event.type().isRoutine(),
+				"offset " + event.offset() + ": " + event.detail());
 	}
 
 	synchronized boolean isMember() {
--- a/server/src/main/java/org/fulmargap/platform/PlatformEvents.java
+++ b/server/src/main/java/org/fulmargap/platform/PlatformEvents.java
@@ -1,5 +1,7 @@
 package org.fulmargap.platform;
 
+import java.util.Locale;
+
 import com.codahale.metrics.MetricRegistry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,13 +23,13 @@
 		this.metrics.counter(name).inc();
 	}
 
-	void note(String stream, Enum<?> type, boolean violation, long offset, String detail) {
-		this.metrics.counter(stream + "." + type.name().toLowerCase(java.util.Locale.ROOT)).inc();
+	void note(String stream, Enum<?> type, boolean violation, boolean routine, String detail) {
+		this.metrics.counter(stream + "." + type.name().toLowerCase(Locale.ROOT)).inc();
 		if (violation) {
-			violation(stream, type.name(), "offset " + offset + ": " + detail);
+			violation(stream, type.name(), detail);
 		}
-		else {
-			logger.debug("event=stream_record stream={} type={} offset={} detail=\"{}\"", stream, type, offset, detail);
+		else if (!routine) {
+			logger.info("event=stream_record stream={} type={} detail=\"{}\"", stream, type, detail);
 		}
 	}
 
