--- a/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
@@ -17,8 +17,16 @@
  */
 public final class ClaimLedger {
 
+	/**
+	 * The number of characters of recorded bodies in memory: a quarter of the 256 MB that
+	 * a node may use.
+	 */
+	private static final long MAX_BODY_CHARS = 64L * 1024 * 1024;
+
 	private final Map<ClaimKey, KeyEntry> entries = new HashMap<>();
 
+	private final OutcomeBodies bodies = new OutcomeBodies(MAX_BODY_CHARS);
+
 	private final long keyLifetimeMs;
 
 	private boolean boundsSeen;
@@ -237,6 +245,7 @@
 	 */
 	public void expire(long nowMs) {
 		this.entries.values().removeIf((entry) -> entry.expire(nowMs - this.keyLifetimeMs));
+		this.bodies.expire(nowMs - this.keyLifetimeMs);
 	}
 
 	private void noteGap(long offset, long nowMs) {
@@ -292,6 +301,7 @@
 			}
 			if (known.outcome == null && outcome != null) {
 				entry.finish(known, outcome);
+				this.bodies.add(known);
 			}
 			return;
 		}
@@ -304,6 +314,7 @@
 		entry.add(held);
 		if (outcome != null) {
 			entry.finish(held, outcome);
+			this.bodies.add(held);
 		}
 	}
 
@@ -313,7 +324,7 @@
 		if (claim == null) {
 			boolean released = entry != null && entry.isReleased(outcome.attemptId());
 			events.add(new ClaimEvent(
-					released ? ClaimEvent.Type.OUTCOME_AFTER_RELEASE : ClaimEvent.Type.OUTCOME_WITHOUT_CLAIM,
+					released ? violation(ClaimEvent.Type.OUTCOME_AFTER_RELEASE) : ClaimEvent.Type.OUTCOME_WITHOUT_CLAIM,
 					position.offset(), "attempt " + outcome.attemptId()));
 			return;
 		}
@@ -321,18 +332,19 @@
 			return;
 		}
 		if (claim != entry.owner()) {
-			events.add(new ClaimEvent(ClaimEvent.Type.OUTCOME_OF_LOSER, position.offset(),
+			events.add(new ClaimEvent(violation(ClaimEvent.Type.OUTCOME_OF_LOSER), position.offset(),
 					"attempt " + outcome.attemptId() + ", the owner is " + entry.owner().attemptId));
 		}
 		entry.touch(position.appendedAtMs());
 		entry.finish(claim, outcome.outcome());
+		this.bodies.add(claim);
 	}
 
 	private void release(ClaimRecord.Release release, Position position, List<ClaimEvent> events) {
 		KeyEntry entry = this.entries.computeIfAbsent(release.key(), (key) -> new KeyEntry(position.appendedAtMs()));
 		HeldClaim claim = entry.find(release.attemptId());
 		if (claim != null && claim.outcome != null) {
-			events.add(new ClaimEvent(ClaimEvent.Type.RELEASE_AFTER_OUTCOME, position.offset(),
+			events.add(new ClaimEvent(violation(ClaimEvent.Type.RELEASE_AFTER_OUTCOME), position.offset(),
 					"attempt " + release.attemptId()));
 			return;
 		}
@@ -344,6 +356,12 @@
 		}
 	}
 
+	private ClaimEvent.Type violation(ClaimEvent.Type type) {
+		// A reader that began in the middle may know a repeated append as the first, and
+		// thus the wrong owner, until a checkpoint gives the rank.
+		return this.complete ? type : ClaimEvent.Type.NOT_JUDGED;
+	}
+
 	/**
 	 * Place of a record in the stream.
 	 *
--- a/server/src/main/java/org/fulmargap/platform/ClaimTable.java
+++ b/server/src/main/java/org/fulmargap/platform/ClaimTable.java
@@ -157,9 +157,8 @@
 	// brought news in the meantime.
 	synchronized Effects ownerSilent(ClaimAttempt attempt, String ownerAttemptId) {
 		Effects effects = new Effects();
-		boolean unchanged = this.ledger.owner(attempt.key())
-			.filter((owner) -> owner.attemptId().equals(ownerAttemptId))
-			.isPresent();
+		Optional<ClaimView> owner = this.ledger.owner(attempt.key());
+		boolean unchanged = owner.isPresent() && owner.get().attemptId().equals(ownerAttemptId);
 		if (attempt.state == State.WAITING && unchanged) {
 			refuse(attempt, ClaimRefusals.outcomeUnknown("OWNER_UNREACHABLE", "the owner of the key does not answer"),
 					effects);
@@ -336,8 +335,8 @@
 		else if (!owner.incarnation().equals(this.identity.incarnation())
 				&& !owner.attemptId().equals(attempt.askedAttemptId)) {
 			attempt.askedAttemptId = owner.attemptId();
-			long waitMs = Math.max(0, attempt.deadline.remainingMs(nowMs) - 2 * RESOLVE_MS);
-			effects.run(() -> this.outside.askOwner(attempt, owner, waitMs));
+			long waitMs = Math.max(0, attempt.deadline.remainingMs(nowMs) - 100);
+			effects.add(() -> this.outside.askOwner(attempt, owner, waitMs));
 		}
 	}
 
@@ -357,7 +356,7 @@
 		withdraw(attempt);
 		long waitMs = Math.min(RESOLVE_MS, attempt.deadline.remainingMs(nowMs)) * 3 / 4;
 		effects.after(attempt.deadline.remainingMs(nowMs) - 10, () -> this.outside.membersSilent(attempt));
-		effects.run(() -> this.outside.askMembers(attempt, waitMs));
+		effects.add(() -> this.outside.askMembers(attempt, waitMs));
 	}
 
 	private void refuse(ClaimAttempt attempt, FulmargapException failure, Effects effects) {
@@ -377,7 +376,7 @@
 		attempt.outcomeWaiters.forEach((waiter) -> effects.complete(waiter, Optional.empty()));
 		List<ClaimAttempt.Joiner> joiners = new ArrayList<>(attempt.joiners);
 		attempt.joiners.clear();
-		joiners.forEach((joiner) -> effects.run(() -> this.outside.resubmit(attempt.claim, joiner)));
+		joiners.forEach((joiner) -> effects.add(() -> this.outside.resubmit(attempt.claim, joiner)));
 	}
 
 	private void withdraw(ClaimAttempt attempt) {
@@ -394,7 +393,8 @@
 	}
 
 	private void note(ClaimEvent event) {
-		this.events.note("claims", event.type(), event.type().isViolation(), event.offset(), event.detail());
+		this.events.note("claims", event.type(), event.type().isViolation(), event.type().isRoutine(),
+				"offset " + event.offset() + ": " + event.detail());
 	}
 
 }
