--- a/server/src/test/java/org/fulmargap/peer/TcpPeerNetworkTests.java
+++ b/server/src/test/java/org/fulmargap/peer/TcpPeerNetworkTests.java
@@ -9,6 +9,7 @@
 
 import org.fulmargap.claim.ClaimKey;
 import org.fulmargap.claim.RecordedOutcome;
+import org.fulmargap.membership.AdminOrder;
 import org.fulmargap.membership.AdminOrder.State;
 import org.fulmargap.membership.AdminOrder.Target;
 import org.junit.jupiter.api.AfterEach;
@@ -98,6 +99,37 @@
 			assertThat(this.third.warmUps.poll(PeerNode.WAIT_MS, TimeUnit.MILLISECONDS)).isEqualTo(Map.of("e1", 7L));
 		}
 
+		@Test
+		void keepsOneLinkPerPair() throws Exception {
+			// Either side may see the second connection close first.
+			for (PeerNode node : List.of(this.second, this.third)) {
+				node.awaitEvent(PeerEventType.DUPLICATE_LINK, "vm-a");
+			}
+			this.third.awaitEvent(PeerEventType.DUPLICATE_LINK, "vm-b");
+			assertThat(this.first.network.connectedVms()).containsExactlyInAnyOrder("vm-b", "vm-c");
+			assertThat(this.third.network.queryKey(List.of("vm-a", "vm-b"), KEY, PeerNode.WAIT_MS).join()).hasSize(2);
+		}
+
+		@Test
+		void repeatsOrdersInHeartbeatsToPeersThatLackThem() throws Exception {
+			// Merged without a push, as if the issuer had died after it reached this VM.
+			this.first.orders.merge(List.of(new AdminOrder(Target.endpoint("e1"), State.OUT, 9, "vm-z-1")),
+					System.currentTimeMillis());
+			for (PeerNode node : List.of(this.second, this.third)) {
+				assertThat(node.orderChanges.poll(PeerNode.WAIT_MS, TimeUnit.MILLISECONDS)).isNotNull();
+				assertThat(node.orders.current()).isEqualTo(this.first.orders.current());
+			}
+		}
+
+		@Test
+		void endsOpenQueriesWhenItIsClosed() {
+			this.second.outcomes.put(KEY, new CompletableFuture<>());
+			CompletableFuture<Optional<RecordedOutcome>> open = this.first.network.queryOutcome("vm-b-1", KEY, 60_000);
+			this.first.network.close();
+			assertThat(open.orTimeout(PeerNode.WAIT_MS, TimeUnit.MILLISECONDS).join()).isEmpty();
+			assertThat(this.first.network.fetchConfigs(60_000).join()).isEmpty();
+		}
+
 		@Test
 		void fetchesTheHighestConfigurationFirst() {
 			this.second.configVersion = 4;
