Split the table of links from the I/O thread

The test of newer incarnations now asserts that the links of the older one end at once: without that mechanism the old test still passed, because the next heartbeat closes them as well.

--- a/server/src/main/java/org/fulmargap/peer/PeerDispatcher.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerDispatcher.java
@@ -140,7 +140,7 @@
 
 	void sendWaiting(long nowMs) {
 		if (!this.queries.isEmpty()) {
-			this.queries.sendWaiting(List.copyOf(this.loop.links()), this.loop::send, nowMs);
+			this.queries.sendWaiting(this.loop.links().established(), this.loop::send, nowMs);
 		}
 	}
 
@@ -148,10 +148,8 @@
 		long nowMs = this.clock.getAsLong();
 		this.strikes.add(fingerprints, nowMs);
 		PeerHandler.LocalStatus status = this.handler.status();
-		for (PeerLink link : List.copyOf(this.loop.links())) {
-			if (link.isEstablished()) {
-				this.loop.send(link, heartbeat(status, fingerprints, List.of(), List.of()));
-			}
+		for (PeerLink link : this.loop.links().established()) {
+			this.loop.send(link, heartbeat(status, fingerprints, List.of(), List.of()));
 		}
 	}
 
@@ -161,22 +159,18 @@
 		this.membership.selfStatus(status.leaving(), status.configVersion(), status.inFlight());
 		List<String> silent = this.membership.silentMembers(nowMs);
 		long checksum = status.orders().checksum();
-		// Encoded once for all links: with 320 peers, encoding per link would cost as
-		// much
-		// as all other work of the heartbeats.
+		// Encoded once, because all links carry the same bytes.
 		Optional<ByteBuffer> plain = encode(heartbeat(status, Map.of(), List.of(), silent));
 		Optional<ByteBuffer> withOrders = Optional.empty();
-		for (PeerLink link : List.copyOf(this.loop.links())) {
-			if (link.isEstablished()) {
-				if (this.loop.isDuplicate(link) && link.isIdle() && !this.queries.isUsed(link)) {
-					this.loop.close(link, PeerEventType.DUPLICATE_LINK, "the peer keeps its own link");
-				}
-				else {
-					if (link.lacksOrders(checksum) && withOrders.isEmpty()) {
-						withOrders = encode(heartbeat(status, Map.of(), nextOrders(status), silent));
-					}
-					(link.lacksOrders(checksum) ? withOrders : plain).ifPresent((frame) -> this.loop.send(link, frame));
+		for (PeerLink link : this.loop.links().established()) {
+			if (this.loop.links().isDuplicate(link) && link.isIdle() && !this.queries.isUsed(link)) {
+				this.loop.close(link, PeerEventType.DUPLICATE_LINK, "the peer keeps its own link");
+			}
+			else {
+				if (link.lacksOrders(checksum) && withOrders.isEmpty()) {
+					withOrders = encode(heartbeat(status, Map.of(), nextOrders(status), silent));
 				}
+				(link.lacksOrders(checksum) ? withOrders : plain).ifPresent((frame) -> this.loop.send(link, frame));
 			}
 		}
 	}
@@ -219,13 +213,13 @@
 			throw new FrameException(PeerEventType.STALE_INCARNATION, "incarnation " + hello.incarnation());
 		}
 		link.establish(hello);
-		for (PeerLink other : List.copyOf(this.loop.links())) {
-			if (other.isEstablished() && other.remote().incarnation().isOlderThan(hello.incarnation())) {
+		for (PeerLink other : this.loop.links().established()) {
+			if (other.remote().incarnation().isOlderThan(hello.incarnation())) {
 				this.loop.close(other, PeerEventType.STALE_INCARNATION,
 						"replaced by incarnation " + hello.incarnation());
 			}
 		}
-		this.loop.dialers().stream().filter((dialer) -> dialer.link() == link).forEach(Dialer::established);
+		this.loop.links().dialers().stream().filter((dialer) -> dialer.link() == link).forEach(Dialer::established);
 		this.events.record(PeerEventType.LINK_UP, hello.vm(),
 				"incarnation " + hello.incarnation() + (link.isDialed() ? ", dialed" : ", accepted"));
 		updateConnected();
@@ -299,8 +293,8 @@
 
 	private void updateConnected() {
 		Set<String> names = this.loop.links()
+			.established()
 			.stream()
-			.filter(PeerLink::isEstablished)
 			.map((link) -> link.remote().vm())
 			.collect(java.util.stream.Collectors.toSet());
 		this.connected.retainAll(names);
--- a/server/src/main/java/org/fulmargap/peer/PeerLoop.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerLoop.java
@@ -8,9 +8,6 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.LongSupplier;
@@ -57,9 +54,7 @@
 
 	private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
 
-	private final List<PeerLink> links = new ArrayList<>();
-
-	private final List<Dialer> dialers = new ArrayList<>();
+	private final LinkTable links;
 
 	private final Thread thread;
 
@@ -75,6 +70,7 @@
 		this.listener = listener;
 		this.events = events;
 		this.clock = clock;
+		this.links = new LinkTable(settings, self);
 		this.selector = Selector.open();
 		this.server = ServerSocketChannel.open();
 		try {
@@ -88,11 +84,6 @@
 			this.selector.close();
 			throw ex;
 		}
-		settings.peers()
-			.stream()
-			.distinct()
-			.filter((peer) -> !peer.equals(settings.listenAddress()))
-			.forEach((peer) -> this.dialers.add(new Dialer(peer)));
 		this.thread = new Thread(this::run, "peer-io");
 		this.thread.setDaemon(true);
 	}
@@ -119,14 +110,10 @@
 		}
 	}
 
-	Collection<PeerLink> links() {
+	LinkTable links() {
 		return this.links;
 	}
 
-	List<Dialer> dialers() {
-		return this.dialers;
-	}
-
 	void send(PeerLink link, PeerMessage message) {
 		try {
 			send(link, this.codec.encode(message));
@@ -156,23 +143,18 @@
 		link.close();
 		this.links.remove(link);
 		boolean report = true;
-		for (Dialer dialer : this.dialers) {
+		for (Dialer dialer : this.links.dialers()) {
 			if (dialer.link() == link) {
 				report = dialer.ended(wasEstablished, this.clock.getAsLong()) || type.isProtocolFault();
 			}
 		}
 		if (report) {
-			boolean replaced = type == PeerEventType.LINK_LOST && wasEstablished && hasLink(link.remote());
+			boolean replaced = type == PeerEventType.LINK_LOST && wasEstablished && this.links.hasLink(link.remote());
 			this.events.record(replaced ? PeerEventType.DUPLICATE_LINK : type, name, detail);
 		}
 		this.listener.linkClosed(link);
 	}
 
-	private boolean hasLink(Hello remote) {
-		return this.links.stream()
-			.anyMatch((link) -> link.isEstablished() && link.remote().incarnation().equals(remote.incarnation()));
-	}
-
 	@Override
 	public void close() {
 		this.closed = true;
@@ -321,16 +303,16 @@
 
 	private void tick() {
 		long nowMs = this.clock.getAsLong();
-		for (PeerLink link : List.copyOf(this.links)) {
+		for (PeerLink link : this.links.all()) {
 			if (nowMs - link.lastReceivedMs() >= this.settings.silenceLimitMs()) {
 				boolean connecting = !link.channel().isConnected();
 				close(link, connecting ? PeerEventType.CONNECT_FAILED : PeerEventType.LINK_SILENT,
 						"nothing received for " + (nowMs - link.lastReceivedMs()) + " ms");
 			}
 		}
-		for (Dialer dialer : this.dialers) {
+		for (Dialer dialer : this.links.dialers()) {
 			if (dialer.isDue(nowMs)) {
-				if (isServedByPeer(dialer)) {
+				if (this.links.isServedByPeer(dialer)) {
 					dialer.postpone(nowMs);
 				}
 				else {
@@ -341,33 +323,12 @@
 		this.listener.tick(nowMs);
 	}
 
-	// Of two VMs, the one with the lower name keeps the link that it dialed, and the
-	// other
-	// one needs none. This halves the heartbeats.
-	private boolean isServedByPeer(Dialer dialer) {
-		return this.links.stream()
-			.anyMatch((link) -> isKeptByPeer(link) && dialer.text().equals(link.remote().peerAddress()));
-	}
-
-	private boolean isKeptByPeer(PeerLink link) {
-		return link.isEstablished() && !link.isDialed() && link.remote().vm().compareTo(this.self.vm()) < 0;
-	}
-
-	/**
-	 * Tells whether a dialed link is not needed because its peer keeps one as well.
-	 * @param dialed the link
-	 * @return {@code true} if the link may be closed
-	 */
-	boolean isDuplicate(PeerLink dialed) {
-		return dialed.isEstablished() && dialed.isDialed() && this.links.stream()
-			.anyMatch(
-					(link) -> isKeptByPeer(link) && link.remote().incarnation().equals(dialed.remote().incarnation()));
-	}
-
 	private void shutDown() {
 		this.closed = true;
-		List.copyOf(this.links).forEach(PeerLink::close);
-		this.links.clear();
+		this.links.all().forEach((link) -> {
+			link.close();
+			this.links.remove(link);
+		});
 		try {
 			this.server.close();
 			this.selector.close();
--- a/server/src/main/java/org/fulmargap/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/fulmargap/peer/TcpPeerNetwork.java
@@ -160,7 +160,7 @@
 		CompletableFuture<List<PeerHandler.ConfigCopy>> result = new CompletableFuture<>();
 		boolean started = submit(() -> {
 			List<CompletableFuture<Optional<PeerMessage.Reply>>> replies = new ArrayList<>();
-			for (Dialer dialer : this.loop.dialers()) {
+			for (Dialer dialer : this.loop.links().dialers()) {
 				long failures = dialer.failures();
 				replies.add(add(new PendingQueries.Pending(new PeerMessage.ConfigFetch(this.queryIds.incrementAndGet()),
 						PeerMessage.ConfigReply.class,
--- a/server/src/test/java/org/fulmargap/peer/PeerFaultTests.java
+++ b/server/src/test/java/org/fulmargap/peer/PeerFaultTests.java
@@ -193,7 +193,8 @@
 		void newerOnesEndTheLinksOfOlderOnes() throws Exception {
 			try (Socket newer = dial()) {
 				newer.getOutputStream().write(hello("vm-b", 6, Hello.PROTOCOL_VERSION));
-				PeerFaultTests.this.node.awaitEvent(PeerEventType.STALE_INCARNATION, "vm-b");
+				assertThat(PeerFaultTests.this.node.awaitEvent(PeerEventType.STALE_INCARNATION, "vm-b").detail())
+					.isEqualTo("replaced by incarnation vm-b-6");
 				assertThat(PeerFaultTests.this.node.network.queryOutcome("vm-b-5", KEY, 60_000).join()).isEmpty();
 			}
 		}
