Read versions from members and refuse the eviction of a non-member

GET /v1/members carries the version of every entry VM, the answering one included, and the operator interface confirms evictions of unknown names.

--- a/cli/src/main/java/org/fulmargap/cli/EvictCommand.java
+++ b/cli/src/main/java/org/fulmargap/cli/EvictCommand.java
@@ -15,6 +15,14 @@
 
 	@Override
 	ExitCode run(AdminClient client) throws CommandException {
+		// The operator interface confirms the eviction of a name that is no member.
+		boolean joined = false;
+		for (JsonNode member : client.read("v1", "members").accepted().path("members")) {
+			joined |= member.path("vm").asText().equals(this.vm) && member.path("joined").asBoolean(true);
+		}
+		if (!joined) {
+			throw new CommandException(ExitCode.REFUSED, "refused: " + this.vm + " is not a member");
+		}
 		AdminReply reply = client.send("POST", AdminClient.MAPPER.createObjectNode(), "v1", "members", this.vm,
 				"evict");
 		JsonNode evicted = reply.body().path("evicted");
--- a/cli/src/main/java/org/fulmargap/cli/VersionsCommand.java
+++ b/cli/src/main/java/org/fulmargap/cli/VersionsCommand.java
@@ -1,5 +1,6 @@
 package org.fulmargap.cli;
 
+import java.time.Instant;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -10,26 +11,21 @@
  * Prints the configuration version in force at each entry VM.
  */
 @Command(name = "versions", description = { "Prints the configuration version in force at each entry VM.",
-		"Versions with source=heartbeat were reported to another entry VM and may be a second old." })
+		"An entry VM that is not at a given address is reported by a peer; its version may be a second old." })
 final class VersionsCommand extends AdminCommand {
 
 	@Override
 	ExitCode run(AdminClient client) throws CommandException {
-		Map<String, String> lines = new TreeMap<>();
-		Map<String, String> reported = new TreeMap<>();
+		Map<String, JsonNode> latest = new TreeMap<>();
 		CommandException failure = null;
 		for (AdminAddress admin : client.admins()) {
 			try {
-				JsonNode config = client.get(admin.url("v1", "config").build(), admin).accepted();
-				JsonNode members = client.get(admin.url("v1", "members").build(), admin).accepted();
-				lines.put(members.path("vm").asText(admin.toString()),
-						"version=" + config.path("version").asLong() + " known=" + config.path("known").asBoolean()
-								+ " in_doubt=" + config.path("in_doubt").asBoolean() + " source=" + admin);
-				for (JsonNode member : members.path("members")) {
-					if (member.hasNonNull("config_version") && member.path("alive").asBoolean(true)) {
-						reported.putIfAbsent(member.path("vm").asText(),
-								"version=" + member.path("config_version").asLong() + " source=heartbeat");
-					}
+				for (JsonNode member : client.get(admin.url("v1", "members").build(), admin)
+					.accepted()
+					.path("members")) {
+					// An entry VM reports itself as heard at the time of its answer.
+					latest.merge(member.path("vm").asText(), member,
+							(left, right) -> (heardAtMs(right) > heardAtMs(left)) ? right : left);
 				}
 			}
 			catch (CommandException ex) {
@@ -37,12 +33,17 @@
 				warn(ex.getMessage());
 			}
 		}
-		if (lines.isEmpty() && failure != null) {
+		if (latest.isEmpty() && failure != null) {
 			throw failure;
 		}
-		reported.forEach(lines::putIfAbsent);
-		lines.forEach((vm, line) -> out().println("vm=" + vm + " " + line));
+		latest.forEach((vm, member) -> out().println("vm=" + KeyValueLine.quote(vm) + " version="
+				+ member.path("config_version").asLong() + " alive=" + member.path("alive").asBoolean() + " joined="
+				+ member.path("joined").asBoolean() + " last_heard_at=" + Instant.ofEpochMilli(heardAtMs(member))));
 		return ExitCode.DONE;
 	}
 
+	private static long heardAtMs(JsonNode member) {
+		return member.path("last_heard_at_ms").asLong();
+	}
+
 }
--- a/cli/src/test/java/org/fulmargap/cli/FulmargapCtlTests.java
+++ b/cli/src/test/java/org/fulmargap/cli/FulmargapCtlTests.java
@@ -183,6 +183,10 @@
 
 		@Test
 		void exitWithOneWhenTheEvictionWasNotRecorded() {
+			FulmargapCtlTests.this.answers.put("GET /v1/members",
+					new Answer(200, "{'members':[{'vm':'b','joined':true},{'vm':'c','joined':false}]}"));
+			assertThat(run("evict", "c")).isEqualTo(1);
+			assertThat(run("evict", "d")).isEqualTo(1);
 			FulmargapCtlTests.this.answers.put("POST /v1/members/b/evict", new Answer(503, "{'evicted':false}"));
 			assertThat(run("evict", "b")).isEqualTo(1);
 			FulmargapCtlTests.this.answers.put("POST /v1/members/b/evict", new Answer(200, "{'evicted':true}"));
@@ -224,6 +228,16 @@
 			assertThat(FulmargapCtlTests.this.out.toString()).containsPattern("rank +e1 +0 +12  answered");
 		}
 
+		@Test
+		void printTheVersionThatWasHeardLast() throws IOException {
+			FulmargapCtlTests.this.answers.put("GET /v1/members", new Answer(200,
+					"{'members':[{'vm':'a','config_version':7,'alive':true,'joined':true,'last_heard_at_ms':0}]}"));
+			assertThat(run("--admin", unusedAddress(), "versions")).isZero();
+			assertThat(FulmargapCtlTests.this.out.toString().lines())
+				.containsExactly("vm=a version=7 alive=true joined=true last_heard_at=1970-01-01T00:00:00Z");
+			assertThat(FulmargapCtlTests.this.err.toString().lines()).hasSize(1);
+		}
+
 		@Test
 		void explainNothingForAnUnknownRequest() {
 			FulmargapCtlTests.this.answers.put("GET /v1/timeline", new Answer(200, "{'events':[]}"));
