Show attempt numbers, and list VMs that left for a minute only

Found on a running system: explain-request printed the attempt id as a JSON object, because the operator interface writes it as one, and an evicted VM stayed in the list of members for ever.

--- a/cli/src/main/java/org/fulmargap/cli/ExplainRequestCommand.java
+++ b/cli/src/main/java/org/fulmargap/cli/ExplainRequestCommand.java
@@ -65,8 +65,10 @@
 			}
 			String stage = line.fields().getOrDefault("stage", "?");
 			String number = line.fields().getOrDefault("attempt", "?");
+			// Attempt ids end with the number of the attempt at the stage.
+			String shown = number.substring(number.lastIndexOf('/') + 1);
 			Attempt attempt = attempts.computeIfAbsent(line.vm() + "/" + stage + "/" + number,
-					(key) -> new Attempt(stage, line.fields().getOrDefault("endpoint", "?"), number, line.atMs()));
+					(key) -> new Attempt(stage, line.fields().getOrDefault("endpoint", "?"), shown, line.atMs()));
 			if (line.event().equals("STAGE_ANSWERED")) {
 				attempt.end(line, "answered");
 			}
--- a/cli/src/main/java/org/fulmargap/cli/TimelineLine.java
+++ b/cli/src/main/java/org/fulmargap/cli/TimelineLine.java
@@ -29,14 +29,20 @@
 	 */
 	static TimelineLine of(JsonNode node) {
 		Map<String, String> fields = new LinkedHashMap<>();
-		node.path("fields")
-			.fields()
-			.forEachRemaining((field) -> fields.put(field.getKey(),
-					field.getValue().isContainerNode() ? field.getValue().toString() : field.getValue().asText()));
+		node.path("fields").fields().forEachRemaining((field) -> fields.put(field.getKey(), text(field.getValue())));
 		return new TimelineLine(node.path("at_ms").asLong(), node.path("vm").asText(), node.path("type").asText(),
 				node.path("request_id").asText(""), node.path("config_version").asText(""), fields);
 	}
 
+	// The operator interface writes an attempt id as an object, log lines as a text.
+	private static String text(JsonNode value) {
+		if (value.hasNonNull("requestNumber") && value.hasNonNull("attempt")) {
+			return value.path("incarnation").asText() + "/" + value.path("requestNumber").asLong() + "/"
+					+ value.path("stageIndex").asInt() + "/" + value.path("attempt").asInt();
+		}
+		return value.isContainerNode() ? value.toString() : value.asText();
+	}
+
 	/**
 	 * Reads a log line.
 	 * @param line the line
--- a/core/src/main/java/org/fulmargap/membership/MembershipView.java
+++ b/core/src/main/java/org/fulmargap/membership/MembershipView.java
@@ -16,6 +16,11 @@
  */
 public final class MembershipView {
 
+	// A VM that left is listed this long after it was last heard. Its incarnation is
+	// kept,
+	// so that an older one cannot return.
+	private static final long LIST_FOR_MS = 60_000;
+
 	private final Hello self;
 
 	private final MembershipLimits limits;
@@ -218,7 +223,8 @@
 	}
 
 	/**
-	 * Returns this VM and all peers that joined or were heard, sorted by name.
+	 * Returns this VM and all peers that joined or were heard in the last minute, sorted
+	 * by name.
 	 * @param nowMs the present time in milliseconds since the epoch
 	 * @return an immutable list
 	 */
@@ -228,9 +234,14 @@
 				new Member(this.self.incarnation(), this.self.failureDomain(), this.self.peerAddress(),
 						this.joined.contains(this.self.vm()), true, this.selfLeaving, nowMs, this.selfConfigVersion,
 						this.selfInFlight));
-		this.peers.forEach((vm, peer) -> members.put(vm,
-				new Member(peer.incarnation, peer.failureDomain, peer.peerAddress, this.joined.contains(vm),
-						isAlive(peer, nowMs), peer.leaving, peer.lastHeardMs, peer.configVersion, peer.inFlight)));
+		this.peers.forEach((vm, peer) -> {
+			if (this.joined.contains(vm) || nowMs - peer.lastHeardMs < LIST_FOR_MS) {
+				members.put(vm,
+						new Member(peer.incarnation, peer.failureDomain, peer.peerAddress, this.joined.contains(vm),
+								isAlive(peer, nowMs), peer.leaving, peer.lastHeardMs, peer.configVersion,
+								peer.inFlight));
+			}
+		});
 		return List.copyOf(members.values());
 	}
 
--- a/core/src/test/java/org/fulmargap/membership/MembershipViewTests.java
+++ b/core/src/test/java/org/fulmargap/membership/MembershipViewTests.java
@@ -153,6 +153,16 @@
 			assertThat(view.highestPeerVersion(4_000)).isZero();
 		}
 
+		@Test
+		void ofVmsThatLeftAreNotListedForEverButStillRefuseOlderOnes() {
+			MembershipView view = MembershipViewTests.this.view;
+			view.hello(hello("b1", 5), 2_000);
+			view.setJoined(Map.of("a1", new Incarnation("a1", 1)), 2_000);
+			assertThat(view.members(60_000)).extracting(Member::vm).contains("b1");
+			assertThat(view.members(62_000)).extracting(Member::vm).containsExactly("a1");
+			assertThat(view.hello(hello("b1", 4), 62_000)).isFalse();
+		}
+
 		@Test
 		void refusesTheNameOfThisVm() {
 			assertThat(MembershipViewTests.this.view.hello(hello("a1", 7), 2_000)).isFalse();
