Notice slow endpoints by hanging calls and ignore small differences

Cause: a slow endpoint was noticed only by answers, which come after the deadline, and calls cut off at the deadline left no trace; on the other hand differences that come from the lengths of answers moved requests away from the endpoints that hold their prefix. The new test failed before: the endpoint was chosen again after the call was cut off, and later never.

--- a/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
+++ b/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
@@ -265,7 +265,9 @@
 				return Optional.empty();
 			}
 			boolean probe = state.reserve(request.isolated());
-			return Optional.of(new Lease(shard, state, request, serviceStats, probe, this.slowStart, nowMs));
+			Lease lease = new Lease(shard, state, request, serviceStats, probe, this.slowStart, nowMs);
+			state.started(lease);
+			return Optional.of(lease);
 		}, Optional.empty());
 	}
 
--- a/core/src/main/java/org/fulmargap/routing/EndpointState.java
+++ b/core/src/main/java/org/fulmargap/routing/EndpointState.java
@@ -1,6 +1,8 @@
 package org.fulmargap.routing;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.fulmargap.config.EndpointSpec;
 
@@ -18,6 +20,15 @@
 	/** A leaving endpoint that stays in the configuration is tried again after this. */
 	private static final long LEAVING_MS = 10_000;
 
+	/** A call that takes longer than this multiple of the median shows slowness. */
+	private static final int SLOW_CALL_FACTOR = 2;
+
+	/** A slow endpoint is tried again, because it may have recovered. */
+	private static final long SLOWNESS_HALVED_MS = 10_000;
+
+	/** Smaller differences, in medians, come from the lengths of the answers. */
+	private static final double SLOWNESS_IGNORED = 0.5;
+
 	private static final int MAX_PREFIXES = 512;
 
 	/** Prefers the less loaded of two endpoints that are equal otherwise. */
@@ -33,6 +44,10 @@
 
 	private final DurationWindow recent = new DurationWindow(8);
 
+	private long recentMs;
+
+	private double hungMs;
+
 	private EndpointSpec spec;
 
 	private MemberView members;
@@ -43,6 +58,8 @@
 
 	private int isolatedInFlight;
 
+	private final Set<Lease> leases = new LinkedHashSet<>();
+
 	private boolean available = true;
 
 	private long unavailableSinceMs;
@@ -177,7 +194,17 @@
 		if (this.inFlight >= share && !mayExceedShare(share, cached, waitMs, stats, slowStart, nowMs)) {
 			return -1;
 		}
-		double slownessMs = Math.max(0, this.recent.baseMedian(stats.msPerToken()) - stats.baseMedianMs());
+		double recentMs = this.recent.baseMedian(stats.msPerToken()) - stats.baseMedianMs();
+		double slownessMs = Math.max(this.hungMs, Math.max(0, recentMs))
+				* Math.pow(0.5, (nowMs - this.recentMs) / (double) SLOWNESS_HALVED_MS);
+		if (slownessMs < SLOWNESS_IGNORED * stats.medianMs()) {
+			slownessMs = 0;
+		}
+		if (!this.leases.isEmpty()) {
+			// A call that runs for too long shows slowness before it ends.
+			long oldestMs = nowMs - this.leases.iterator().next().sentAtMs();
+			slownessMs = Math.max(slownessMs, oldestMs - SLOW_CALL_FACTOR * stats.medianMs());
+		}
 		double uncachedMs = (request.promptTokens() - cached) * stats.msPerToken();
 		return slownessMs + waitMs + uncachedMs + LOAD_WEIGHT * typicalMs * load / Math.max(1, allowance);
 	}
@@ -208,6 +235,10 @@
 		return this.report != null && nowMs - this.reportReceivedMs <= REPORT_VALID_MS;
 	}
 
+	void started(Lease lease) {
+		this.leases.add(lease);
+	}
+
 	boolean reserve(boolean isolated) {
 		this.inFlight++;
 		if (isolated) {
@@ -216,7 +247,8 @@
 		return this.health.sent();
 	}
 
-	void free(boolean isolated, boolean probe) {
+	void free(Lease lease, boolean isolated, boolean probe) {
+		this.leases.remove(lease);
 		this.inFlight--;
 		if (isolated) {
 			this.isolatedInFlight--;
@@ -238,10 +270,13 @@
 		}
 		this.connectFailed = false;
 		this.recent.add(durationMs, uncachedTokens);
+		this.hungMs = 0;
+		this.recentMs = nowMs;
 		this.warmUp.answered(stats.baseMs(durationMs, uncachedTokens), stats.baseMedianMs(), sentAtMs, nowMs);
 	}
 
-	void failed(CallFailure failure, boolean probe, long sentAtMs, SlowStart slowStart, long nowMs) {
+	void failed(CallFailure failure, boolean probe, ServiceStats stats, long sentAtMs, SlowStart slowStart,
+			long nowMs) {
 		advance(slowStart, nowMs);
 		if (failure == CallFailure.LEAVING) {
 			this.leavingUntilMs = nowMs + LEAVING_MS;
@@ -250,6 +285,15 @@
 		if (!failure.blamesEndpoint()) {
 			return;
 		}
+		if (failure == CallFailure.TIMED_OUT) {
+			long elapsedMs = nowMs - sentAtMs;
+			if (elapsedMs < SLOW_CALL_FACTOR * stats.medianMs()) {
+				// The call was sent too late for its deadline.
+				return;
+			}
+			this.hungMs = elapsedMs - stats.medianMs();
+			this.recentMs = nowMs;
+		}
 		this.health.failed(failure, probe, nowMs);
 		this.connectFailed |= failure == CallFailure.CONNECT_FAILED;
 		boolean overloaded = failure == CallFailure.ERROR_STATUS || failure == CallFailure.TIMED_OUT;
--- a/core/src/main/java/org/fulmargap/routing/Lease.java
+++ b/core/src/main/java/org/fulmargap/routing/Lease.java
@@ -39,6 +39,10 @@
 		this.spec = state.spec();
 	}
 
+	long sentAtMs() {
+		return this.sentAtMs;
+	}
+
 	@Override
 	public String endpoint() {
 		return this.state.name();
@@ -72,7 +76,7 @@
 		synchronized (this.lock) {
 			if (!this.recorded) {
 				this.recorded = true;
-				this.state.failed(failure, this.probe, this.sentAtMs, this.slowStart, nowMs);
+				this.state.failed(failure, this.probe, this.stats, this.sentAtMs, this.slowStart, nowMs);
 			}
 		}
 	}
@@ -82,7 +86,7 @@
 		synchronized (this.lock) {
 			if (!this.closed) {
 				this.closed = true;
-				this.state.free(this.request.isolated(), this.probe);
+				this.state.free(this, this.request.isolated(), this.probe);
 			}
 		}
 	}
--- a/core/src/test/java/org/fulmargap/routing/AdaptiveRouterTests.java
+++ b/core/src/test/java/org/fulmargap/routing/AdaptiveRouterTests.java
@@ -226,6 +226,31 @@
 			assertThat(calls.getOrDefault("a1", 0)).isLessThan(20);
 		}
 
+		@Test
+		void anEndpointWhoseCallHangsIsAvoidedBeforeTheCallEndsAndTriedAgainLater() {
+			endpoint("a1", "a", 4);
+			endpoint("a2", "a", 4);
+			update();
+			report("a1", "i1", 4);
+			report("a2", "i1", 4);
+			for (int i = 0; i < 20; i++) {
+				call(REQUEST, 100);
+			}
+			Reservation hanging = router().select(REQUEST, now()).orElseThrow();
+			advance(300);
+			for (int i = 0; i < 20; i++) {
+				assertThat(call(REQUEST, 100)).isNotEqualTo(hanging.endpoint());
+			}
+			hanging.failed(CallFailure.TIMED_OUT, now());
+			hanging.close();
+			for (int i = 0; i < 20; i++) {
+				assertThat(call(REQUEST, 100)).isNotEqualTo(hanging.endpoint());
+			}
+			advance(120_000);
+			assertThat(List.of(call(REQUEST, 100), call(REQUEST, 100), call(REQUEST, 100), call(REQUEST, 100)))
+				.contains(hanging.endpoint());
+		}
+
 		@Test
 		void onlyOneIsolatedRequestRunsOnAnEndpoint() {
 			endpoint("a1", "a", 4);
