--- a/core/src/main/java/org/fulmargap/admission/FairAdmission.java
+++ b/core/src/main/java/org/fulmargap/admission/FairAdmission.java
@@ -33,7 +33,7 @@
 	 * Under contention each request starts late, so one that takes longer than expected
 	 * would miss its deadline and waste its work. This part of the requests must fit.
 	 */
-	private static final double FITTING_PART = 0.9;
+	private static final double FITTING_PART = 0.95;
 
 	/** Keeps a few very slow endpoints from causing the refusal of everything. */
 	private static final double MAX_RATIO = 1.6;
--- a/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
+++ b/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
@@ -32,7 +32,7 @@
 	/**
 	 * The advantage of the owners of a prefix over endpoints that are equal otherwise.
 	 */
-	private static final double OWNER_MS = 20;
+	private static final double OWNER_MS = 50;
 
 	private static final long MIN_PROGRESS_LIMIT_MS = 200;
 
--- a/core/src/main/java/org/fulmargap/routing/EndpointState.java
+++ b/core/src/main/java/org/fulmargap/routing/EndpointState.java
@@ -32,7 +32,7 @@
 	private static final int MAX_PREFIXES = 512;
 
 	/** Prefers the less loaded of two endpoints that are equal otherwise. */
-	private static final double LOAD_WEIGHT = 0.05;
+	private static final double LOAD_WEIGHT = 0.02;
 
 	private final String name;
 
