Write the proofs with real entry VM processes

The promises under kill, pause, shutdown, log failures and endpoint faults must be shown with processes, not with parts of one.

--- /dev/null
+++ b/proofs/src/test/java/org/fulmargap/proofs/LogFailureTests.java
@@ -0,0 +1,109 @@
+package org.fulmargap.proofs;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.fulmargap.standin.Cluster;
+import org.fulmargap.standin.LoopbackClient.Answer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The platform's log fails.
+ */
+class LogFailureTests {
+
+	@Nested
+	class AnswerLost extends Proof {
+
+		/**
+		 * Guards against a claim that counts twice, or never, when its append is
+		 * repeated.
+		 */
+		@Test
+		void runsTheActionOnceAndAnswersResends() throws Exception {
+			this.cluster.platformFaults(Map.of("lose_append_answers", -1));
+			CompletableFuture<Answer> request = action(this.first, "answer-lost");
+			awaitExecution("answer-lost");
+			Answer answer = answer(request);
+			this.cluster.platformFaults(Map.of("reset", true));
+			assertThat(answer.status()).isEqualTo(200);
+			Answer resent = answer(action(this.second, "answer-lost"));
+			assertThat(resent.status()).isEqualTo(200);
+			assertAtMostOnce("answer-lost", answer, resent);
+		}
+
+	}
+
+	@Nested
+	class Down extends Proof {
+
+		/**
+		 * Guards against actions without a claim, and against an outage that stops reads.
+		 */
+		@Test
+		void refusesActionsAsNotRunAndServesReads() throws Exception {
+			this.cluster.platformFaults(Map.of("down", true));
+			Answer refused = answer(action(this.first, "log-down"));
+			assertThat(refused.errorType()).isEqualTo("NOT_RUN");
+			assertAtMostOnce("log-down", refused);
+			assertReadsAreAnswered(this.first, this.second, this.third);
+			this.cluster.platformFaults(Map.of("down", false));
+			Cluster.await("the action to run after the outage",
+					() -> answer(action(this.second, "log-down")).status() == 200);
+			assertThat(this.cluster.executionsOfKey("log-down")).isEqualTo(1);
+		}
+
+		/** Guards against P3 depending on the log. */
+		@Test
+		void failureDomainThatIsOutGetsNoNewWorkAfterThreeSeconds() throws Exception {
+			this.cluster.platformFaults(Map.of("down", true));
+			long startNs = System.nanoTime();
+			assertThat(this.cluster.order(this.first, "bog-sur", "OUT").status()).isEqualTo(200);
+			Cluster.await("3 s after the order", () -> {
+				assertReadsAreAnswered(this.first, this.second, this.third);
+				return System.nanoTime() - startNs > TimeUnit.SECONDS.toNanos(3);
+			});
+			int before = this.cluster.executionsIn("bog-sur");
+			for (int round = 0; round < 10; round++) {
+				assertReadsAreAnswered(this.first, this.second, this.third);
+			}
+			assertThat(this.cluster.executionsIn("bog-sur")).isEqualTo(before);
+			this.cluster.order(this.second, "bog-sur", "IN");
+			Cluster.await("work in the domain that is back", () -> {
+				assertReadsAreAnswered(this.first, this.second, this.third);
+				return this.cluster.executionsIn("bog-sur") > before;
+			});
+		}
+
+		/** Guards against a VM that cannot restart, or restarts with an old version. */
+		@Test
+		void restartedVmServesTheVersionOfItsPeers() throws Exception {
+			this.cluster.patch(this.second, "{\"accounts\":{\"andinas\":{\"weight\":3}}}");
+			long version = version();
+			this.cluster.platformFaults(Map.of("down", true));
+			this.first.kill();
+			this.first.start();
+			Cluster.await("readiness from peers",
+					() -> this.cluster.get(this.first.adminUrl() + "/health/ready").path("ready").asBoolean());
+			assertThat(version()).isEqualTo(version);
+			assertReadsAreAnswered(this.first);
+			Answer refused = answer(action(this.first, "restarted"));
+			assertAtMostOnce("restarted", refused);
+			this.cluster.platformFaults(Map.of("down", false));
+			this.cluster.awaitReady(this.first);
+			Cluster.await("the action to run after the outage",
+					() -> answer(action(this.first, "restarted")).status() == 200);
+			assertThat(this.cluster.executionsOfKey("restarted")).isEqualTo(1);
+		}
+
+		private long version() throws Exception {
+			return this.cluster.get(this.first.adminUrl() + "/v1/config").path("version").asLong();
+		}
+
+	}
+
+}
