Measure what idle entry VMs spend on control

Cause: the planned size gives control 2.1% of a core, 256 MB and 25 KB/s per node. Change: bin/control-cost starts entry VMs at several sizes and reads processor time, memory and loopback traffic. Cause to be found next.

--- a/standin/src/main/java/org/fulmargap/standin/StandIn.java
+++ b/standin/src/main/java/org/fulmargap/standin/StandIn.java
@@ -8,7 +8,7 @@
  */
 @Command(name = "standin", mixinStandardHelpOptions = true, description = "Stand-ins of the platform and of endpoints.",
 		subcommands = { PlatformCommand.class, EndpointCommand.class, LoadCommand.class, DemoCommand.class,
-				LatencyCommand.class })
+				LatencyCommand.class, ControlCostCommand.class })
 public final class StandIn {
 
 	private StandIn() {
