--- a/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
@@ -28,8 +28,8 @@
 	private final OutcomeBodies bodies = new OutcomeBodies(MAX_BODY_CHARS);
 
 	/**
-	 * One instance of each account and incarnation. Parsing makes a string for every
-	 * record, which would take a fifth of the memory of a key.
+	 * One instance of each account and incarnation, because parsing makes a new string
+	 * for every record.
 	 */
 	private final Map<String, String> sharedNames = new HashMap<>();
 
