--- a/server/src/main/java/org/fulmargap/http/BodyFilter.java
+++ b/server/src/main/java/org/fulmargap/http/BodyFilter.java
@@ -1,9 +1,12 @@
 package org.fulmargap.http;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 
+import org.eclipse.jetty.http.BadMessageException;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
 
@@ -18,16 +21,26 @@
 	 */
 	private static final long DISCARD_BYTES = 1 << 20;
 
+	/**
+	 * Time for the whole body, so that slow senders cannot hold the threads of the server
+	 * for long. Jetty's own bound on the data rate also refuses small bodies that arrive
+	 * a few milliseconds after their headers.
+	 */
+	private static final long READ_LIMIT_MS = 10_000;
+
 	private final int maxBodyBytes;
 
-	BodyFilter(int maxBodyBytes) {
+	private final LongSupplier clock;
+
+	BodyFilter(int maxBodyBytes, LongSupplier clock) {
 		this.maxBodyBytes = maxBodyBytes;
+		this.clock = clock;
 	}
 
 	@Override
 	public CompletableFuture<Reply> apply(Exchange exchange, Next next) throws FulmargapException {
 		try (InputStream stream = exchange.caller.body()) {
-			byte[] body = stream.readNBytes(this.maxBodyBytes);
+			byte[] body = read(stream, exchange.arrivedAtMs + READ_LIMIT_MS);
 			if (exchange.caller.contentLength() > this.maxBodyBytes || stream.read() >= 0) {
 				discard(stream);
 				throw new FulmargapException(FailureType.BODY_TOO_LARGE, "BODY_TOO_LARGE",
@@ -35,13 +48,29 @@
 			}
 			exchange.body = body;
 		}
-		catch (IOException ex) {
+		catch (IOException | BadMessageException ex) {
 			throw new FulmargapException(FailureType.MALFORMED_REQUEST, "BODY_INCOMPLETE",
 					"the body could not be read to its end", ex);
 		}
 		return next.proceed();
 	}
 
+	private byte[] read(InputStream stream, long endMs) throws IOException {
+		ByteArrayOutputStream body = new ByteArrayOutputStream();
+		byte[] buffer = new byte[8192];
+		while (body.size() < this.maxBodyBytes) {
+			int n = stream.read(buffer, 0, Math.min(buffer.length, this.maxBodyBytes - body.size()));
+			if (n < 0) {
+				break;
+			}
+			body.write(buffer, 0, n);
+			if (this.clock.getAsLong() > endMs) {
+				throw new IOException("the body did not arrive within " + READ_LIMIT_MS + " ms");
+			}
+		}
+		return body.toByteArray();
+	}
+
 	private static void discard(InputStream stream) throws IOException {
 		byte[] buffer = new byte[8192];
 		long discarded = 0;
--- a/server/src/main/java/org/fulmargap/http/CallerApi.java
+++ b/server/src/main/java/org/fulmargap/http/CallerApi.java
@@ -16,12 +16,16 @@
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
 import org.fulmargap.timeline.EventType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * HTTP interface for callers.
  */
 public final class CallerApi implements AutoCloseable {
 
+	private static final Logger LOG = LoggerFactory.getLogger(CallerApi.class);
+
 	/** Threads of the server; requests that wait hold none of them. */
 	private static final int MAX_THREADS = 32;
 
@@ -41,9 +45,9 @@
 	 */
 	public CallerApi(CallerServices services) {
 		this.services = services;
-		this.chain = new FilterChain(List.of(new BodyFilter(services.maxBodyBytes()), new AuthenticationFilter(),
-				new PipelineFilter(), new DeadlineFilter(), new KeyFilter(services.keyLifetimeMs()),
-				new AcceptedFilter(services.timeline()),
+		this.chain = new FilterChain(List.of(new BodyFilter(services.maxBodyBytes(), services.clock()),
+				new AuthenticationFilter(), new PipelineFilter(), new DeadlineFilter(),
+				new KeyFilter(services.keyLifetimeMs()), new AcceptedFilter(services.timeline()),
 				new ClaimFilter(services.claims(), services.callbacks(), services.timeline()),
 				new GateFilter(services.gate(), services.clock()),
 				new AdmissionFilter(services.admission(), services.expectedMs(), services.workers(),
@@ -106,11 +110,24 @@
 		ctx.future(() -> run(exchange).thenAccept((reply) -> {
 			count(exchange, reply);
 			write(ctx, exchange, events, reply);
-		}).whenComplete((done, ex) -> this.inFlight.decrementAndGet()));
+		}).whenComplete((done, ex) -> {
+			this.inFlight.decrementAndGet();
+			if (ex != null) {
+				LOG.error("reply to request {} could not be written", exchange.requestId(), ex);
+			}
+		}));
 	}
 
 	private CompletableFuture<Reply> run(Exchange exchange) {
-		return this.chain.run(exchange).exceptionally((ex) -> {
+		CompletableFuture<Reply> reply;
+		try {
+			reply = this.chain.run(exchange);
+		}
+		catch (RuntimeException ex) {
+			reply = CompletableFuture.failedFuture(ex);
+		}
+		return reply.exceptionally((ex) -> {
+			LOG.error("request {} failed unexpectedly", exchange.requestId(), ex);
 			this.services.invariants()
 				.check(false, "UNEXPECTED_EXCEPTION", exchange.requestId(), exchange.view.version(), ex.toString());
 			boolean idempotent = exchange.pipeline == null || exchange.pipeline.idempotent();
--- a/server/src/main/java/org/fulmargap/http/HttpServers.java
+++ b/server/src/main/java/org/fulmargap/http/HttpServers.java
@@ -18,9 +18,6 @@
 	/** Header with the identity of the request, set on every typed answer. */
 	static final String TYPED = "Fulmargap-Request";
 
-	/** A caller that sends its body more slowly than this is disconnected. */
-	private static final int MIN_BYTES_PER_SECOND = 1024;
-
 	private HttpServers() {
 	}
 
@@ -29,10 +26,7 @@
 			QueuedThreadPool threads = new QueuedThreadPool(maxThreads, 4);
 			threads.setName("http");
 			config.jetty.threadPool = threads;
-			config.jetty.modifyHttpConfiguration((http) -> {
-				http.setSendServerVersion(false);
-				http.setMinRequestDataRate(MIN_BYTES_PER_SECOND);
-			});
+			config.jetty.modifyHttpConfiguration((http) -> http.setSendServerVersion(false));
 			config.startup.showJavalinBanner = false;
 			routes.accept(config.routes);
 		});
--- a/server/src/main/java/org/fulmargap/http/OperatorApi.java
+++ b/server/src/main/java/org/fulmargap/http/OperatorApi.java
@@ -16,12 +16,16 @@
 import org.fulmargap.request.FulmargapException;
 import org.fulmargap.timeline.EventType;
 import org.fulmargap.timeline.Timeline;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * HTTP interface for operators, on the admin port.
  */
 public final class OperatorApi implements AutoCloseable {
 
+	private static final Logger LOG = LoggerFactory.getLogger(OperatorApi.class);
+
 	private static final int MAX_THREADS = 12;
 
 	private static final int MAX_BODY_BYTES = 1 << 20;
@@ -64,6 +68,11 @@
 			routes.get("/health/ready", this::ready);
 			routes.get("/metrics", (ctx) -> json(ctx, 200, MetricsReport.of(this.metrics)));
 			routes.exception(FulmargapException.class, (ex, ctx) -> refuse(ctx, ex));
+			routes.exception(Exception.class, (ex, ctx) -> {
+				LOG.error("operator request {} failed unexpectedly", ctx.path(), ex);
+				refuse(ctx, new FulmargapException(FailureType.STAGE_FAILED, "INTERNAL_ERROR",
+						"the request failed unexpectedly"));
+			});
 			routes.error(404, (ctx) -> {
 				if (!ctx.res().containsHeader(HttpServers.TYPED)) {
 					ctx.contentType("application/json").result(HttpServers.unknownPath(ctx.path()).body());
--- a/server/src/main/java/org/fulmargap/server/AdmissionPools.java
+++ b/server/src/main/java/org/fulmargap/server/AdmissionPools.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 
 import org.fulmargap.admission.AdmissionController;
@@ -13,6 +14,7 @@
 import org.fulmargap.config.PipelineSpec;
 import org.fulmargap.config.StageSpec;
 import org.fulmargap.http.Admission;
+import org.fulmargap.request.FulmargapException;
 import org.fulmargap.routing.Router;
 
 /**
@@ -43,7 +45,15 @@
 	@Override
 	public void admit(PipelineSpec pipeline, AdmissionRequest request, long nowMs, AdmissionListener listener) {
 		Pool pool = this.pools.computeIfAbsent(bottleneck(pipeline, nowMs), (service) -> newPool(pipeline, nowMs));
-		pool.controller().admit(request, nowMs, listener);
+		boolean hopeless = request.expectedMs() > request.deadline().remainingMs(nowMs);
+		if (hopeless && pool.trialRuns().compareAndSet(false, true)) {
+			AdmissionRequest trial = new AdmissionRequest(request.account(), request.weight(), request.priority(),
+					request.deadline(), 0);
+			pool.controller().admit(trial, nowMs, new TrialListener(listener, pool.trialRuns()));
+		}
+		else {
+			pool.controller().admit(request, nowMs, listener);
+		}
 	}
 
 	/**
@@ -60,7 +70,7 @@
 
 	private Pool newPool(PipelineSpec pipeline, long nowMs) {
 		int maxQueued = Math.max(1, QUEUED_PER_SLOT * this.maxInFlight);
-		return new Pool(pipeline, new FairAdmission(slots(pipeline, nowMs), maxQueued, maxQueued));
+		return new Pool(pipeline, new FairAdmission(slots(pipeline, nowMs), maxQueued, maxQueued), new AtomicBoolean());
 	}
 
 	private int slots(PipelineSpec pipeline, long nowMs) {
@@ -83,8 +93,36 @@
 	 *
 	 * @param pipeline the pipeline that determines the number of slots
 	 * @param controller admits the requests
+	 * @param trialRuns whether a trial is running
 	 */
-	private record Pool(PipelineSpec pipeline, AdmissionController controller) {
+	private record Pool(PipelineSpec pipeline, AdmissionController controller, AtomicBoolean trialRuns) {
+	}
+
+	/**
+	 * Passes on the decision about a trial and notes its end. A trial is a request that
+	 * is admitted although it is expected to miss its deadline. The expected times come
+	 * from answers, so after an incident that made them too long, only an answer can
+	 * correct them; without trials every request would be refused for ever.
+	 *
+	 * @param listener receives the decision
+	 * @param runs set to {@code false} when the trial has ended
+	 */
+	private record TrialListener(AdmissionListener listener, AtomicBoolean runs) implements AdmissionListener {
+
+		@Override
+		public void admitted(Permit permit) {
+			this.listener.admitted((nowMs) -> {
+				this.runs.set(false);
+				permit.release(nowMs);
+			});
+		}
+
+		@Override
+		public void refused(FulmargapException refusal) {
+			this.runs.set(false);
+			this.listener.refused(refusal);
+		}
+
 	}
 
 }
--- a/server/src/main/java/org/fulmargap/timeline/Timeline.java
+++ b/server/src/main/java/org/fulmargap/timeline/Timeline.java
@@ -57,7 +57,7 @@
 	public void record(EventType type, String requestId, long configVersion, Object... fields) {
 		Map<String, Object> map = new LinkedHashMap<>();
 		for (int i = 0; i + 1 < fields.length; i += 2) {
-			map.put(String.valueOf(fields[i]), fields[i + 1]);
+			map.put(String.valueOf(fields[i]), plain(fields[i + 1]));
 		}
 		TimelineEvent event = new TimelineEvent(this.clock.getAsLong(), this.vm, type, requestId, configVersion,
 				Collections.unmodifiableMap(map));
@@ -75,6 +75,10 @@
 		}
 	}
 
+	private static Object plain(Object value) {
+		return (value instanceof Number || value instanceof Boolean) ? value : String.valueOf(value);
+	}
+
 	/**
 	 * Finds events, oldest first.
 	 * @param requestId only events of this request, or empty for all
