--- a/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
+++ b/core/src/main/java/org/fulmargap/routing/AdaptiveRouter.java
@@ -32,7 +32,7 @@
 	/**
 	 * The advantage of the owners of a prefix over endpoints that are equal otherwise.
 	 */
-	private static final double OWNER_MS = 20;
+	private static final double OWNER_MS = 50;
 
 	private static final long MIN_PROGRESS_LIMIT_MS = 200;
 
@@ -175,7 +175,7 @@
 				share += query(endpoint, (shard, state) -> {
 					state.advance(this.slowStart, nowMs);
 					boolean usable = state.takesNewWork(nowMs) && !state.isBackingOff();
-					return (usable) ? state.share(this.slowStart, nowMs) : 0;
+					return (usable) ? state.usable(this.slowStart, nowMs) : 0;
 				}, 0);
 			}
 		}
@@ -265,7 +265,9 @@
 				return Optional.empty();
 			}
 			boolean probe = state.reserve(request.isolated());
-			return Optional.of(new Lease(shard, state, request, serviceStats, probe, this.slowStart, nowMs));
+			Lease lease = new Lease(shard, state, request, serviceStats, probe, this.slowStart, nowMs);
+			state.started(lease);
+			return Optional.of(lease);
 		}, Optional.empty());
 	}
 
