Keep peer links after a pause or a clock step of the own process

Seen on a running system: after the machine had been suspended for 22 s, each VM closed all its links as silent at once. Silence now restarts after a gap of half the limit or a step back of the clock, and heartbeats and connection attempts no longer wait for the old clock.

--- a/server/src/main/java/org/fulmargap/peer/Dialer.java
+++ b/server/src/main/java/org/fulmargap/peer/Dialer.java
@@ -47,7 +47,8 @@
 	}
 
 	boolean isDue(long nowMs) {
-		return this.link == null && nowMs >= this.nextAttemptMs;
+		boolean clockSetBack = this.nextAttemptMs - nowMs > LONGEST_DELAY_MS;
+		return this.link == null && (nowMs >= this.nextAttemptMs || clockSetBack);
 	}
 
 	void started(PeerLink newLink) {
--- a/server/src/main/java/org/fulmargap/peer/PeerDispatcher.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerDispatcher.java
@@ -121,7 +121,8 @@
 
 	@Override
 	public void tick(long nowMs) {
-		if (nowMs >= this.nextHeartbeatMs) {
+		// The second condition holds after the clock was set back.
+		if (nowMs >= this.nextHeartbeatMs || this.nextHeartbeatMs - nowMs > this.settings.heartbeatEveryMs()) {
 			sendHeartbeats(nowMs);
 		}
 		sendWaiting(nowMs);
--- a/server/src/main/java/org/fulmargap/peer/PeerLink.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerLink.java
@@ -97,6 +97,10 @@
 		return this.lastReceivedMs;
 	}
 
+	void restartSilence(long nowMs) {
+		this.lastReceivedMs = nowMs;
+	}
+
 	boolean isIdle() {
 		return this.queue.isEmpty();
 	}
--- a/server/src/main/java/org/fulmargap/peer/PeerLoop.java
+++ b/server/src/main/java/org/fulmargap/peer/PeerLoop.java
@@ -58,6 +58,8 @@
 
 	private final Thread thread;
 
+	private long lastTickMs;
+
 	private volatile boolean closed;
 
 	private volatile boolean stopped;
@@ -303,6 +305,12 @@
 
 	private void tick() {
 		long nowMs = this.clock.getAsLong();
+		// After a pause of this process or a step of its clock, the silence of all peers
+		// is unknown, not long: closing all links at once would end their open queries.
+		if (nowMs < this.lastTickMs || nowMs - this.lastTickMs >= this.settings.silenceLimitMs() / 2) {
+			this.links.all().forEach((link) -> link.restartSilence(nowMs));
+		}
+		this.lastTickMs = nowMs;
 		for (PeerLink link : this.links.all()) {
 			if (nowMs - link.lastReceivedMs() >= this.settings.silenceLimitMs()) {
 				boolean connecting = !link.channel().isConnected();
--- a/server/src/test/java/org/fulmargap/peer/PeerNode.java
+++ b/server/src/test/java/org/fulmargap/peer/PeerNode.java
@@ -55,13 +55,16 @@
 
 	volatile long configVersion;
 
+	volatile long clockOffsetMs;
+
 	PeerNode(String vm, long startedAtMs, String failureDomain, InetSocketAddress listen,
 			Collection<InetSocketAddress> peers) throws IOException {
 		Hello hello = new Hello(vm, new Incarnation(vm, startedAtMs), failureDomain, Hello.PROTOCOL_VERSION,
 				PeerAddresses.format(listen));
 		this.membership = new MembershipView(hello, MembershipLimits.DEFAULTS, System.currentTimeMillis());
 		this.network = new TcpPeerNetwork(PeerSettings.withDefaults(listen, List.copyOf(peers)), this.membership,
-				(type, peer, detail) -> this.events.add(new Event(type, peer, detail)), System::currentTimeMillis);
+				(type, peer, detail) -> this.events.add(new Event(type, peer, detail)),
+				() -> System.currentTimeMillis() + this.clockOffsetMs);
 		this.orders = new OrderService(vm, hello.incarnation().toString(),
 				() -> this.membership.members(System.currentTimeMillis())
 					.stream()
--- a/server/src/test/java/org/fulmargap/peer/TcpPeerNetworkTests.java
+++ b/server/src/test/java/org/fulmargap/peer/TcpPeerNetworkTests.java
@@ -121,6 +121,20 @@
 			}
 		}
 
+		@Test
+		void keepsLinksWhenItsOwnClockStepsOrItWasPaused() throws Exception {
+			for (long offsetMs : new long[] { 60_000, -60_000 }) {
+				this.first.clockOffsetMs = offsetMs;
+				this.first.ownWarmUps = Map.of("e1", offsetMs);
+				Map<String, Long> received = Map.of();
+				while (received != null && !received.equals(this.first.ownWarmUps)) {
+					received = this.second.warmUps.poll(PeerNode.WAIT_MS, TimeUnit.MILLISECONDS);
+				}
+				assertThat(received).as("heartbeat after a step of %s ms", offsetMs).isNotNull();
+				assertThat(this.first.events).noneMatch((event) -> event.type() == PeerEventType.LINK_SILENT);
+			}
+		}
+
 		@Test
 		void endsOpenQueriesWhenItIsClosed() {
 			this.second.outcomes.put(KEY, new CompletableFuture<>());
