Count a request as run once one of its stages ran; test the measurements

Cause: the bench counted idempotent requests as not run whose first stages had run. MeasureTests was seen to fail with the quarantine off (more than two crashes), with retries of sent actions (doubled above 0) and with an unseeded router (output differs).

--- a/bench/src/main/java/org/fulmargap/bench/EntryVm.java
+++ b/bench/src/main/java/org/fulmargap/bench/EntryVm.java
@@ -83,6 +83,7 @@
 	}
 
 	private void answered(Flow flow) {
+		flow.mayHaveRun |= flow.countsAsRun();
 		flow.stage++;
 		if (flow.stage < flow.pipeline.stages().size()) {
 			startStage(flow);
@@ -132,8 +133,11 @@
 			return this.pipeline.stages().get(this.stage).service();
 		}
 
-		boolean isLastStage() {
-			return this.stage == this.pipeline.stages().size() - 1;
+		// The stages before the action of a non-idempotent request have no effect
+		// outside,
+		// so only the action makes the statement "not run" untrue.
+		boolean countsAsRun() {
+			return this.request.idempotent() || this.stage == this.pipeline.stages().size() - 1;
 		}
 
 	}
@@ -182,10 +186,7 @@
 			this.done = true;
 			this.reservation.failed(failure, EntryVm.this.clock.nowMs());
 			this.reservation.close();
-			// A plain stage before the last one has no effect outside, so only a last
-			// stage
-			// makes the statement "not run" untrue.
-			this.flow.mayHaveRun |= this.flow.isLastStage() && failure.dispatchState().mayHaveRun();
+			this.flow.mayHaveRun |= failure.dispatchState().mayHaveRun() && this.flow.countsAsRun();
 			boolean unknown = !this.flow.request.idempotent() && this.flow.mayHaveRun;
 			if (retries(this.flow, this.reservation.endpoint(), failure)) {
 				this.flow.excluded.add(this.reservation.endpoint());
--- /dev/null
+++ b/bench/src/test/java/org/fulmargap/bench/MeasureTests.java
@@ -0,0 +1,49 @@
+package org.fulmargap.bench;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against measurements that cannot be repeated, and against a policy that loses or
+ * doubles requests or lets one request crash more endpoints than two.
+ */
+class MeasureTests {
+
+	private static String run(String scenario) {
+		StringWriter out = new StringWriter();
+		CommandLine commandLine = Measure.commandLine().setOut(new PrintWriter(out));
+		assertThat(commandLine.execute("--quick", "--scenario", scenario)).isZero();
+		return out.toString();
+	}
+
+	@Nested
+	class Runs {
+
+		@Test
+		void theSameSeedGivesTheSameOutput() {
+			assertThat(run("domain_out_and_back")).isEqualTo(run("domain_out_and_back"));
+		}
+
+		@Test
+		void thePolicyLetsACrashingRequestReachTwoEndpoints() {
+			assertThat(run("crashing_request").lines()
+				.filter((line) -> line.startsWith("scenario=") && line.contains("policy=fulmargap"))).hasSize(3)
+				.allSatisfy((line) -> assertThat(line).contains(" lost=0 doubled=0 ", " crashes=2 "));
+		}
+
+		@Test
+		void onlyTheBaselineRunsActionsTwiceWhenAnswersAreLost() {
+			assertThat(run("log_out").lines().filter((line) -> line.startsWith("summary=")))
+				.anySatisfy((line) -> assertThat(line).contains("policy=fulmargap").endsWith("lost=0 doubled=0"))
+				.anySatisfy((line) -> assertThat(line).contains("policy=baseline").doesNotContain("doubled=0"));
+		}
+
+	}
+
+}
