--- a/standin/src/main/java/org/fulmargap/standin/Exchange.java
+++ b/standin/src/main/java/org/fulmargap/standin/Exchange.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
 
 /**
  * One HTTP request and its answer. All methods return without waiting, so that many
@@ -83,7 +84,19 @@
 	}
 
 	CompletableFuture<byte[]> body() {
-		return Content.Source.asByteArrayAsync(this.request, MAX_BODY_BYTES);
+		CompletableFuture<byte[]> body = new CompletableFuture<>();
+		Content.Source.asByteArrayAsync(this.request, MAX_BODY_BYTES, new Promise.Invocable<>() {
+			@Override
+			public void succeeded(byte[] bytes) {
+				body.complete(bytes);
+			}
+
+			@Override
+			public void failed(Throwable failure) {
+				body.completeExceptionally(failure);
+			}
+		});
+		return body;
 	}
 
 	Exchange answerHeader(String name, String value) {
