--- a/cli/src/test/java/org/fulmargap/cli/FulmargapCtlTests.java
+++ b/cli/src/test/java/org/fulmargap/cli/FulmargapCtlTests.java
@@ -183,6 +183,10 @@
 
 		@Test
 		void exitWithOneWhenTheEvictionWasNotRecorded() {
+			FulmargapCtlTests.this.answers.put("GET /v1/members",
+					new Answer(200, "{'members':[{'vm':'b','joined':true},{'vm':'c','joined':false}]}"));
+			assertThat(run("evict", "c")).isEqualTo(1);
+			assertThat(run("evict", "d")).isEqualTo(1);
 			FulmargapCtlTests.this.answers.put("POST /v1/members/b/evict", new Answer(503, "{'evicted':false}"));
 			assertThat(run("evict", "b")).isEqualTo(1);
 			FulmargapCtlTests.this.answers.put("POST /v1/members/b/evict", new Answer(200, "{'evicted':true}"));
@@ -205,11 +209,12 @@
 		void mergeEventsOfVmsAndLogFilesByTimeWithoutCopies() throws IOException {
 			FulmargapCtlTests.this.answers.put("GET /v1/timeline", new Answer(200,
 					"{'events':[{'at_ms':2000,'vm':'a','type':'STAGE_ANSWERED','request_id':'a-1/7','config_version':3,"
-							+ "'fields':{'stage':'rank','attempt':0,'endpoint':'e1','duration_ms':12}}]}"));
+							+ "'fields':{'stage':'rank','attempt':{'incarnation':'a-1','requestNumber':7,'stageIndex':0,"
+							+ "'attempt':0},'endpoint':'e1','duration_ms':12}}]}"));
 			Path log = Files.writeString(FulmargapCtlTests.this.directory.resolve("vm.log"), """
 					not a line of events
 					at=1970-01-01T00:00:02.003Z level=INFO logger=Timeline event=STAGE_ANSWERED vm=a request_id=a-1/7 \
-					config_version=3 stage=rank attempt=0 endpoint=e1 duration_ms=12
+					config_version=3 stage=rank attempt=a-1/7/0/0 endpoint=e1 duration_ms=12
 					at=1970-01-01T00:00:01.000Z level=INFO logger=Timeline event=STAGE_FAILED vm=a request_id=a-1/7 \
 					config_version=3 stage=rank attempt=1 endpoint=e0 failure=TIMED_OUT detail="a \\"b\\" c"
 					at=1970-01-01T00:00:01.000Z level=INFO logger=Timeline event=STAGE_FAILED vm=a request_id=a-1/8 x=1
@@ -219,11 +224,21 @@
 					"at=1970-01-01T00:00:01Z vm=a event=STAGE_FAILED request_id=a-1/7 config_version=3 stage=rank "
 							+ "attempt=1 endpoint=e0 failure=TIMED_OUT detail=\"a \\\"b\\\" c\"",
 					"at=1970-01-01T00:00:02Z vm=a event=STAGE_ANSWERED request_id=a-1/7 config_version=3 stage=rank "
-							+ "attempt=0 endpoint=e1 duration_ms=12");
+							+ "attempt=a-1/7/0/0 endpoint=e1 duration_ms=12");
 			assertThat(run("explain-request", "a-1/7")).isZero();
 			assertThat(FulmargapCtlTests.this.out.toString()).containsPattern("rank +e1 +0 +12  answered");
 		}
 
+		@Test
+		void printTheVersionThatWasHeardLast() throws IOException {
+			FulmargapCtlTests.this.answers.put("GET /v1/members", new Answer(200,
+					"{'members':[{'vm':'a','config_version':7,'alive':true,'joined':true,'last_heard_at_ms':0}]}"));
+			assertThat(run("--admin", unusedAddress(), "versions")).isZero();
+			assertThat(FulmargapCtlTests.this.out.toString().lines())
+				.containsExactly("vm=a version=7 alive=true joined=true last_heard_at=1970-01-01T00:00:00Z");
+			assertThat(FulmargapCtlTests.this.err.toString().lines()).hasSize(1);
+		}
+
 		@Test
 		void explainNothingForAnUnknownRequest() {
 			FulmargapCtlTests.this.answers.put("GET /v1/timeline", new Answer(200, "{'events':[]}"));
