--- a/proofs/src/test/java/org/fulmargap/proofs/EndpointFailureTests.java
+++ b/proofs/src/test/java/org/fulmargap/proofs/EndpointFailureTests.java
@@ -42,7 +42,8 @@
 		/** Guards against the answer to another request (P1, P4). */
 		@Test
 		void answersAreDroppedAndReadsRepeated() throws Exception {
-			// One of three endpoints; if all cross their answers, three attempts are not enough.
+			// One of three endpoints; if all cross their answers, three attempts are not
+			// enough.
 			this.cluster.endpointFaults("retriever-bog-norte", Map.of("cross_answer", true));
 			assertReadsAreAnswered(this.first, this.second, this.third);
 			int dropped = 0;
