--- a/proofs/src/test/java/org/fulmargap/proofs/EndpointFailureTests.java
+++ b/proofs/src/test/java/org/fulmargap/proofs/EndpointFailureTests.java
@@ -53,6 +53,18 @@
 			assertThat(dropped).isPositive();
 		}
 
+		/**
+		 * Guards against delivering a crossed answer when no other endpoint is left (P1,
+		 * P4).
+		 */
+		@Test
+		void answersOfAllEndpointsFailTheReadWithType() throws Exception {
+			serviceFaults("retriever", Map.of("cross_answer", true));
+			for (EntryVm vm : this.cluster.vms()) {
+				assertThat(read(vm).errorType()).isEqualTo("STAGE_FAILED");
+			}
+		}
+
 		/**
 		 * Guards against taking a crossed answer for the action's, and against a retry.
 		 */
