Repeat a stage after a broken connection only when the endpoint's state is known

Ruled out: the quarantine itself, whose tests convict at two strikes. Change: after a lost connection the client asks the endpoint on a new connection, up to three times; a refused connection or another incarnation becomes a strike before the stage is repeated.

--- a/server/src/main/java/org/fulmargap/endpoint/EndpointClient.java
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointClient.java
@@ -147,6 +147,23 @@
 		}
 	}
 
+	/**
+	 * Reports to an observer whether an endpoint still runs after a connection to it
+	 * broke. Takes at most 600 ms.
+	 * @param endpoint the name of the endpoint
+	 * @param url the base URL of the endpoint
+	 * @param observer learns that the endpoint refuses connections, or its incarnation
+	 */
+	public void checkAfterLoss(String endpoint, String url, EndpointObserver observer) {
+		EndpointProbe.Standing standing = this.probe.standing(url);
+		if (standing.refused()) {
+			observer.refused(endpoint);
+		}
+		else if (!standing.incarnation().isEmpty()) {
+			observer.seen(endpoint, standing.incarnation(), standing.leaving());
+		}
+	}
+
 	private StageAnswer execute(StageCall stageCall, TokenSink sink, DispatchTracker tracker, Call call, long startMs)
 			throws EndpointException, IOException {
 		boolean complete = false;
--- a/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
@@ -1,6 +1,7 @@
 package org.fulmargap.endpoint;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,6 +25,10 @@
 	/** Time for one answer; endpoints answer these requests without queueing. */
 	static final long ANSWER_LIMIT_MS = 150;
 
+	private static final int STANDING_TRIES = 3;
+
+	private static final long STANDING_PAUSE_MS = 50;
+
 	private final OkHttpClient client;
 
 	private final Map<String, CompletableFuture<Finding>> running = new ConcurrentHashMap<>();
@@ -53,6 +58,40 @@
 		return own;
 	}
 
+	/**
+	 * Finds out whether an endpoint still runs after a connection to it broke. A crash
+	 * may close connections a moment before the endpoint stops listening, so an endpoint
+	 * that gives no answer is asked again.
+	 * @param url the base URL of the endpoint
+	 * @return what the endpoint answered, after at most 600 ms
+	 */
+	Standing standing(String url) {
+		Request request = new Request.Builder().url(url + "/v1/load").build();
+		for (int tries = 0; tries < STANDING_TRIES; tries++) {
+			try (Response response = this.client.newCall(request).execute()) {
+				LoadReport report = finding(response.peekBody(1 << 20).string()).load();
+				if (response.isSuccessful() && report != null) {
+					return new Standing(false, report.incarnation(),
+							Boolean.parseBoolean(response.header(EndpointHeaders.LEAVING)));
+				}
+			}
+			catch (ConnectException ex) {
+				return new Standing(true, "", false);
+			}
+			catch (IOException ex) {
+				// No answer yet; asked again below.
+			}
+			try {
+				TimeUnit.MILLISECONDS.sleep(STANDING_PAUSE_MS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				break;
+			}
+		}
+		return new Standing(false, "", false);
+	}
+
 	private static Finding finding(String body) {
 		if (body.isEmpty()) {
 			return new Finding(null);
@@ -89,6 +128,16 @@
 		return body;
 	}
 
+	/**
+	 * State of an endpoint after a connection to it broke.
+	 *
+	 * @param refused whether it refuses connections
+	 * @param incarnation the incarnation that it reported, or empty
+	 * @param leaving whether it reported that it is leaving
+	 */
+	record Standing(boolean refused, String incarnation, boolean leaving) {
+	}
+
 	/**
 	 * What a probe found.
 	 *
--- a/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
+++ b/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
@@ -19,6 +19,7 @@
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
+import org.fulmargap.routing.CallFailure;
 import org.fulmargap.routing.CrashQuarantine;
 import org.fulmargap.routing.Reservation;
 import org.fulmargap.routing.RouteRequest;
@@ -233,6 +234,12 @@
 				}
 				StageRunner.this.log.failed(this.request, this.stage, id, reservation.endpoint(), ex);
 				StageRunner.this.watch.failed(reservation.endpoint(), this.request.fingerprint(), ex);
+				if (ex.failure() == CallFailure.CONNECTION_LOST) {
+					// A repeat before the verdict would let one request crash a third
+					// endpoint.
+					StageRunner.this.client.checkAfterLoss(reservation.endpoint(), reservation.spec().url(),
+							StageRunner.this.watch);
+				}
 				this.excluded.add(reservation.endpoint());
 				throw ex;
 			}
