Probe an endpoint for a crash before repeating a request

Cause: the proof that a crashing request costs two endpoints at most failed with three crashes. After a broken connection the stage was repeated at once, before anything had confirmed the crash, so both strikes were recorded after the third attempt. Change: after a broken connection the stage runner asks the endpoint on a new connection, up to twice, and confirms the crash if the connection is refused or the incarnation is another one.

--- a/server/src/main/java/org/fulmargap/endpoint/EndpointClient.java
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -39,6 +40,14 @@
 	/** Endpoints are at most a few milliseconds away. */
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
+	/**
+	 * The connections of a dying process break one after the other, so a single probe can
+	 * come before its listener is closed.
+	 */
+	private static final int CRASH_PROBES = 2;
+
+	private static final long CRASH_PROBE_PAUSE_NANOS = 30_000_000;
+
 	private static final MediaType JSON = MediaType.get("application/json");
 
 	private final LongSupplier clock;
@@ -273,6 +282,26 @@
 				"attempt", stageCall.attempt(), "answered", answered, "attempt_gone", gone);
 	}
 
+	/**
+	 * Finds out whether an endpoint whose connection broke has crashed. Waits for one or
+	 * two answers of at most some 300 ms each.
+	 * @param url the base URL of the endpoint
+	 * @param previousIncarnation the incarnation that the endpoint had before
+	 * @return whether the endpoint refuses connections or is another incarnation
+	 */
+	public boolean hasCrashed(String url, String previousIncarnation) {
+		for (int i = 0; i < CRASH_PROBES; i++) {
+			EndpointProbe.Finding finding = this.probe.probe(url).join();
+			boolean restarted = finding.answered() && !previousIncarnation.isEmpty()
+					&& !previousIncarnation.equals(finding.load().incarnation());
+			if (finding.refused() || restarted) {
+				return true;
+			}
+			LockSupport.parkNanos(CRASH_PROBE_PAUSE_NANOS);
+		}
+		return false;
+	}
+
 	OkHttpClient http() {
 		return this.controlClient;
 	}
--- a/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
@@ -1,6 +1,7 @@
 package org.fulmargap.endpoint;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,6 +25,9 @@
 	/** Time for one answer; endpoints answer these requests without queueing. */
 	static final long ANSWER_LIMIT_MS = 150;
 
+	/** Stands for the answer of an endpoint that refused the connection. */
+	private static final String REFUSED = "refused";
+
 	private final OkHttpClient client;
 
 	private final Map<String, CompletableFuture<Finding>> running = new ConcurrentHashMap<>();
@@ -48,20 +52,21 @@
 		}
 		own.whenComplete((finding, ex) -> this.running.remove(url, own));
 		get(url + "/health")
-			.thenCompose((health) -> health.isEmpty() ? CompletableFuture.completedFuture("") : get(url + "/v1/load"))
+			.thenCompose((health) -> (health.isEmpty() || health.equals(REFUSED))
+					? CompletableFuture.completedFuture(health) : get(url + "/v1/load"))
 			.thenAccept((body) -> own.complete(finding(body)));
 		return own;
 	}
 
 	private static Finding finding(String body) {
-		if (body.isEmpty()) {
-			return new Finding(null);
+		if (body.isEmpty() || body.equals(REFUSED)) {
+			return new Finding(null, body.equals(REFUSED));
 		}
 		try {
-			return new Finding(Json.mapper().readValue(body, LoadReport.class));
+			return new Finding(Json.mapper().readValue(body, LoadReport.class), false);
 		}
 		catch (IOException ex) {
-			return new Finding(null);
+			return new Finding(null, false);
 		}
 	}
 
@@ -71,7 +76,7 @@
 
 			@Override
 			public void onFailure(Call call, IOException ex) {
-				body.complete("");
+				body.complete((ex instanceof ConnectException) ? REFUSED : "");
 			}
 
 			@Override
@@ -93,8 +98,9 @@
 	 * What a probe found.
 	 *
 	 * @param load the load report, or {@code null} if the endpoint did not answer
+	 * @param refused whether the endpoint refused the connection
 	 */
-	record Finding(LoadReport load) {
+	record Finding(LoadReport load, boolean refused) {
 
 		boolean answered() {
 			return this.load != null;
--- a/server/src/main/java/org/fulmargap/pipeline/EndpointWatch.java
+++ b/server/src/main/java/org/fulmargap/pipeline/EndpointWatch.java
@@ -71,6 +71,15 @@
 		confirm(endpoint);
 	}
 
+	/**
+	 * Returns the incarnation that an endpoint reported last.
+	 * @param endpoint the name of the endpoint
+	 * @return the incarnation, or empty
+	 */
+	String incarnation(String endpoint) {
+		return this.incarnations.getOrDefault(endpoint, "");
+	}
+
 	private void confirm(String endpoint) {
 		Map<String, List<String>> strikes = this.quarantine.confirmCrash(endpoint, this.clock.getAsLong());
 		if (!strikes.isEmpty()) {
--- a/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
+++ b/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
@@ -19,6 +19,7 @@
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
+import org.fulmargap.routing.CallFailure;
 import org.fulmargap.routing.CrashQuarantine;
 import org.fulmargap.routing.Reservation;
 import org.fulmargap.routing.RouteRequest;
@@ -232,7 +233,14 @@
 					this.state.reached(this.action ? RunState.ACTED : RunState.COMPUTED);
 				}
 				StageRunner.this.log.failed(this.request, this.stage, id, reservation.endpoint(), ex);
+				String incarnation = StageRunner.this.watch.incarnation(reservation.endpoint());
 				StageRunner.this.watch.failed(reservation.endpoint(), this.request.fingerprint(), ex);
+				// A request that crashed this endpoint must have its strike before it is
+				// repeated, or it could crash a third one.
+				if (ex.failure() == CallFailure.CONNECTION_LOST
+						&& StageRunner.this.client.hasCrashed(reservation.spec().url(), incarnation)) {
+					StageRunner.this.watch.refused(reservation.endpoint());
+				}
 				this.excluded.add(reservation.endpoint());
 				throw ex;
 			}
