--- a/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
+++ b/server/src/main/java/org/fulmargap/endpoint/EndpointProbe.java
@@ -25,9 +25,8 @@
 	/** Time for one answer; endpoints answer these requests without queueing. */
 	static final long ANSWER_LIMIT_MS = 150;
 
-	private static final int STANDING_TRIES = 3;
-
-	private static final long STANDING_PAUSE_MS = 50;
+	/** Stands for the answer of an endpoint that refused the connection. */
+	private static final String REFUSED = "refused";
 
 	private final OkHttpClient client;
 
@@ -53,54 +52,21 @@
 		}
 		own.whenComplete((finding, ex) -> this.running.remove(url, own));
 		get(url + "/health")
-			.thenCompose((health) -> health.isEmpty() ? CompletableFuture.completedFuture("") : get(url + "/v1/load"))
+			.thenCompose((health) -> (health.isEmpty() || health.equals(REFUSED))
+					? CompletableFuture.completedFuture(health) : get(url + "/v1/load"))
 			.thenAccept((body) -> own.complete(finding(body)));
 		return own;
 	}
 
-	/**
-	 * Finds out whether an endpoint still runs after a connection to it broke. A crash
-	 * may close connections a moment before the endpoint stops listening, so an endpoint
-	 * that gives no answer is asked again.
-	 * @param url the base URL of the endpoint
-	 * @return what the endpoint answered, after at most 600 ms
-	 */
-	Standing standing(String url) {
-		Request request = new Request.Builder().url(url + "/v1/load").build();
-		for (int tries = 0; tries < STANDING_TRIES; tries++) {
-			try (Response response = this.client.newCall(request).execute()) {
-				LoadReport report = finding(response.peekBody(1 << 20).string()).load();
-				if (response.isSuccessful() && report != null) {
-					return new Standing(false, report.incarnation(),
-							Boolean.parseBoolean(response.header(EndpointHeaders.LEAVING)));
-				}
-			}
-			catch (ConnectException ex) {
-				return new Standing(true, "", false);
-			}
-			catch (IOException ex) {
-				// No answer yet; asked again below.
-			}
-			try {
-				TimeUnit.MILLISECONDS.sleep(STANDING_PAUSE_MS);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-				break;
-			}
-		}
-		return new Standing(false, "", false);
-	}
-
 	private static Finding finding(String body) {
-		if (body.isEmpty()) {
-			return new Finding(null);
+		if (body.isEmpty() || body.equals(REFUSED)) {
+			return new Finding(null, body.equals(REFUSED));
 		}
 		try {
-			return new Finding(Json.mapper().readValue(body, LoadReport.class));
+			return new Finding(Json.mapper().readValue(body, LoadReport.class), false);
 		}
 		catch (IOException ex) {
-			return new Finding(null);
+			return new Finding(null, false);
 		}
 	}
 
@@ -110,7 +76,7 @@
 
 			@Override
 			public void onFailure(Call call, IOException ex) {
-				body.complete("");
+				body.complete((ex instanceof ConnectException) ? REFUSED : "");
 			}
 
 			@Override
@@ -128,22 +94,13 @@
 		return body;
 	}
 
-	/**
-	 * State of an endpoint after a connection to it broke.
-	 *
-	 * @param refused whether it refuses connections
-	 * @param incarnation the incarnation that it reported, or empty
-	 * @param leaving whether it reported that it is leaving
-	 */
-	record Standing(boolean refused, String incarnation, boolean leaving) {
-	}
-
 	/**
 	 * What a probe found.
 	 *
 	 * @param load the load report, or {@code null} if the endpoint did not answer
+	 * @param refused whether the endpoint refused the connection
 	 */
-	record Finding(LoadReport load) {
+	record Finding(LoadReport load, boolean refused) {
 
 		boolean answered() {
 			return this.load != null;
--- a/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
+++ b/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
@@ -233,12 +233,13 @@
 					this.state.reached(this.action ? RunState.ACTED : RunState.COMPUTED);
 				}
 				StageRunner.this.log.failed(this.request, this.stage, id, reservation.endpoint(), ex);
+				String incarnation = StageRunner.this.watch.incarnation(reservation.endpoint());
 				StageRunner.this.watch.failed(reservation.endpoint(), this.request.fingerprint(), ex);
-				if (ex.failure() == CallFailure.CONNECTION_LOST) {
-					// A repeat before the verdict would let one request crash a third
-					// endpoint.
-					StageRunner.this.client.checkAfterLoss(reservation.endpoint(), reservation.spec().url(),
-							StageRunner.this.watch);
+				// A request that crashed this endpoint must have its strike before it is
+				// repeated, or it could crash a third one.
+				if (ex.failure() == CallFailure.CONNECTION_LOST
+						&& StageRunner.this.client.hasCrashed(reservation.spec().url(), incarnation)) {
+					StageRunner.this.watch.refused(reservation.endpoint());
 				}
 				this.excluded.add(reservation.endpoint());
 				throw ex;
