Ask peers that joined unseen, accept stages without max_tokens, blame crossed answers

Cause: a VM cut off from the log asked only the members it had read, so a VM that joined meanwhile could have run the key it called not run. A stage without max_tokens was refused with an unclear message. Upkeep passed members on without failure domains, so a member never heard could not be evicted. Change: KnownMembers joins both sources; StageSpec reads the field as an object; CROSSED_ANSWER blames the endpoint; Upkeep passes the domains; eviction of a non-member is answered as not recorded. Result: ConfigurationTests failed before (cannot map null into int) and passes; KnownMembersTests pass; core and server tests pass.

--- a/core/src/main/java/org/fulmargap/config/StageSpec.java
+++ b/core/src/main/java/org/fulmargap/config/StageSpec.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
 
 /**
@@ -13,9 +14,8 @@
  * @param maxTokens the highest number of generated tokens, zero for stages that generate
  * none
  */
-public record StageSpec(@JsonProperty(value = "name", required = true) String name,
-		@JsonProperty(value = "kind", required = true) StageKind kind,
-		@JsonProperty(value = "service", required = true) String service, @JsonProperty("max_tokens") int maxTokens) {
+public record StageSpec(@JsonProperty("name") String name, @JsonProperty("kind") StageKind kind,
+		@JsonProperty("service") String service, @JsonProperty("max_tokens") int maxTokens) {
 
 	/**
 	 * Checks the components.
@@ -29,4 +29,13 @@
 		}
 	}
 
+	// Takes the number as an object, because the mapper refuses absent primitive values.
+	@JsonCreator
+	static StageSpec of(@JsonProperty(value = "name", required = true) String name,
+			@JsonProperty(value = "kind", required = true) StageKind kind,
+			@JsonProperty(value = "service", required = true) String service,
+			@JsonProperty("max_tokens") Integer maxTokens) {
+		return new StageSpec(name, kind, service, (maxTokens != null) ? maxTokens : 0);
+	}
+
 }
--- a/core/src/main/java/org/fulmargap/routing/CallFailure.java
+++ b/core/src/main/java/org/fulmargap/routing/CallFailure.java
@@ -29,7 +29,7 @@
 	ERROR_STATUS(DispatchState.MAYBE_SENT, true),
 
 	/** The answer belongs to another attempt. */
-	CROSSED_ANSWER(DispatchState.MAYBE_SENT, false),
+	CROSSED_ANSWER(DispatchState.MAYBE_SENT, true),
 
 	/** The answer was incomplete or could not be parsed. */
 	INCOMPLETE_ANSWER(DispatchState.MAYBE_SENT, true);
--- a/server/src/main/java/org/fulmargap/server/Operations.java
+++ b/server/src/main/java/org/fulmargap/server/Operations.java
@@ -113,10 +113,12 @@
 	public CompletableFuture<Boolean> evict(String vm) {
 		CompletableFuture<Boolean> evicted = new CompletableFuture<>();
 		var member = this.config.state().members().get(vm);
-		if (member != null) {
-			this.config.evict(vm, member.incarnation(), "ordered by an operator");
+		if (member == null) {
+			evicted.complete(false);
+			return evicted;
 		}
-		awaitEvicted(vm, (member != null) ? member.incarnation() : "", this.clock.getAsLong() + EVICT_WAIT_MS, evicted);
+		this.config.evict(vm, member.incarnation(), "ordered by an operator");
+		awaitEvicted(vm, member.incarnation(), this.clock.getAsLong() + EVICT_WAIT_MS, evicted);
 		return evicted;
 	}
 
--- a/server/src/main/java/org/fulmargap/server/PlatformModule.java
+++ b/server/src/main/java/org/fulmargap/server/PlatformModule.java
@@ -68,9 +68,10 @@
 	@Provides
 	@Singleton
 	static LogClaimService claims(Settings settings, PlatformLog log, ServiceIdentity identity, TcpPeerNetwork network,
-			LogConfigService config, TimerQueue timers, MetricRegistry metrics, LongSupplier clock) {
-		return new LogClaimService(log, () -> network, config, identity, settings.keyLifetimeMs(), clock, timers,
-				metrics);
+			LogConfigService config, TimerQueue timers, MembershipView membership, MetricRegistry metrics,
+			LongSupplier clock) {
+		return new LogClaimService(log, () -> network, new KnownMembers(config, membership, clock), identity,
+				settings.keyLifetimeMs(), clock, timers, metrics);
 	}
 
 	@Provides
--- a/server/src/main/java/org/fulmargap/server/Upkeep.java
+++ b/server/src/main/java/org/fulmargap/server/Upkeep.java
@@ -1,8 +1,5 @@
 package org.fulmargap.server;
 
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -10,7 +7,6 @@
 import java.util.function.LongSupplier;
 
 import org.fulmargap.config.ConfigState;
-import org.fulmargap.membership.Incarnation;
 import org.fulmargap.membership.MembershipView;
 import org.fulmargap.peer.OrderService;
 import org.fulmargap.peer.TcpPeerNetwork;
@@ -87,23 +83,10 @@
 
 	private void changed(ConfigState state) {
 		long nowMs = this.clock.getAsLong();
-		Map<String, Incarnation> members = new HashMap<>();
-		state.members()
-			.forEach((vm, member) -> incarnation(member.incarnation())
-				.ifPresent((incarnation) -> members.put(vm, incarnation)));
-		this.membership.setJoined(members, nowMs);
+		this.membership.setJoined(state.members().values(), nowMs);
 		this.orders.mergeFromLog(LoggedOrders.fromLog(state.orders().values()), nowMs);
 	}
 
-	private static Optional<Incarnation> incarnation(String text) {
-		try {
-			return Optional.of(Incarnation.parse(text));
-		}
-		catch (IllegalArgumentException ex) {
-			return Optional.empty();
-		}
-	}
-
 	private void run() {
 		long nowMs = this.clock.getAsLong();
 		boolean silent = this.config.isLogSilent();
