Read the idle cost of entry VMs after a minute

Cause: ten seconds after the start, compilation by the JVM dominates: 16% of a core against 4.2% (trial reading) after 12 minutes. Change: a warm-up of 60 s before the reading.

--- a/standin/src/main/java/org/fulmargap/standin/ControlCostCommand.java
+++ b/standin/src/main/java/org/fulmargap/standin/ControlCostCommand.java
@@ -34,6 +34,10 @@
 	@Option(names = "--seconds", defaultValue = "10", description = "Length of one reading.")
 	private int seconds;
 
+	@Option(names = "--warm-up-seconds", defaultValue = "60",
+			description = "Time between start and reading, in which the JVM compiles the code.")
+	private int warmUpSeconds;
+
 	@Option(names = "--vms-per-domain", split = ",", defaultValue = "1,2,4",
 			description = "Numbers of entry VMs in each of three failure domains.")
 	private List<Integer> vmsPerDomain;
@@ -67,8 +71,7 @@
 				cluster.patch(cluster.vms().get(0), moreEndpoints(cluster, endpointCount));
 				cluster.awaitVersion(2);
 			}
-			// The first seconds after the start are spent on compilation by the JVM.
-			TimeUnit.SECONDS.sleep(this.seconds);
+			TimeUnit.SECONDS.sleep(this.warmUpSeconds);
 			Reading before = Reading.take(cluster);
 			TimeUnit.SECONDS.sleep(this.seconds);
 			Reading after = Reading.take(cluster);
