End the entry VMs of every command that is interrupted

Cause: only the demo had a shutdown hook; control-cost left 12 processes behind when it was ended by SIGTERM. Change: the hook moves into Cluster.

--- a/standin/src/main/java/org/fulmargap/standin/Cluster.java
+++ b/standin/src/main/java/org/fulmargap/standin/Cluster.java
@@ -46,6 +46,9 @@
 
 	private final LoopbackClient control = new LoopbackClient(CALL_TIMEOUT, 16);
 
+	/** Ends the entry VMs when the process that started them is interrupted. */
+	private final Thread cleanUp = new Thread(this::close, "cluster-clean-up");
+
 	/**
 	 * Creates the cluster without starting it.
 	 * @param options size, command and folders
@@ -53,6 +56,7 @@
 	 */
 	public Cluster(ClusterOptions options) throws IOException {
 		this.options = options;
+		Runtime.getRuntime().addShutdownHook(this.cleanUp);
 		FreePorts ports = new FreePorts();
 		this.platform = new PlatformStandIn(options.platform().withPorts(ports.next(options.failureDomains().size())));
 		for (String domain : options.failureDomains()) {
@@ -377,6 +381,9 @@
 
 	@Override
 	public void close() {
+		if (Thread.currentThread() != this.cleanUp) {
+			removeCleanUp();
+		}
 		this.client.close();
 		this.control.close();
 		this.vms.values().forEach(EntryVm::close);
@@ -384,4 +391,13 @@
 		this.platform.close();
 	}
 
+	private void removeCleanUp() {
+		try {
+			Runtime.getRuntime().removeShutdownHook(this.cleanUp);
+		}
+		catch (IllegalStateException ex) {
+			// The JVM is shutting down, and the hook runs or has run.
+		}
+	}
+
 }
--- a/standin/src/main/java/org/fulmargap/standin/DemoCommand.java
+++ b/standin/src/main/java/org/fulmargap/standin/DemoCommand.java
@@ -36,8 +36,6 @@
 		Path workFolder = Files.createTempDirectory("fulmargap-demo");
 		Cluster cluster = new Cluster(ClusterOptions.threeDomains(
 				List.of(this.root.resolve("bin/fulmargapd").toString()), this.root.resolve("config"), workFolder));
-		Thread cleanUp = new Thread(cluster::close, "demo-clean-up");
-		Runtime.getRuntime().addShutdownHook(cleanUp);
 		boolean asPromised = false;
 		try {
 			cluster.start();
