--- a/proofs/src/test/java/org/fulmargap/proofs/EndpointFailureTests.java
+++ b/proofs/src/test/java/org/fulmargap/proofs/EndpointFailureTests.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 
-import org.fulmargap.standin.Cluster;
+import org.fulmargap.standin.Conditions;
 import org.fulmargap.standin.EntryVm;
 import org.fulmargap.standin.LoopbackClient.Answer;
 import org.junit.jupiter.api.Nested;
@@ -109,7 +109,7 @@
 			}
 			assertThat(last.errorType()).isEqualTo("REQUEST_QUARANTINED");
 			assertThat(crashes("encoder")).isLessThanOrEqualTo(2);
-			Cluster.await("reads after the crashes", () -> read(this.first).status() == 200
+			Conditions.await("reads after the crashes", () -> read(this.first).status() == 200
 					&& read(this.second).status() == 200 && read(this.third).status() == 200);
 		}
 
--- a/proofs/src/test/java/org/fulmargap/proofs/EntryVmFailureTests.java
+++ b/proofs/src/test/java/org/fulmargap/proofs/EntryVmFailureTests.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-import org.fulmargap.standin.Cluster;
+import org.fulmargap.standin.Conditions;
 import org.fulmargap.standin.LoopbackClient.Answer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -44,7 +44,7 @@
 			this.cluster.platformFaults(Map.of("hang", false));
 			this.cluster.awaitReady(this.second);
 			Answer[] resent = new Answer[1];
-			Cluster.await("the action to run elsewhere", () -> {
+			Conditions.await("the action to run elsewhere", () -> {
 				resent[0] = answer(action(this.second, "killed-before"));
 				return resent[0].status() == 200;
 			});
@@ -89,7 +89,7 @@
 			this.first.freeze();
 			try {
 				Answer resent = answer(action(this.second, key));
-				Cluster.await("a pause of more than 3 s", () -> System.nanoTime() - startNs > FROZEN_NS);
+				Conditions.await("a pause of more than 3 s", () -> System.nanoTime() - startNs > FROZEN_NS);
 				assertThat(paused).isNotDone();
 				return resent;
 			}
@@ -114,7 +114,7 @@
 			}
 			requests.add(action(this.first, "terminated"));
 			awaitExecution("terminated");
-			Cluster.await("all reads to generate", () -> executionsOf("generate") == 6);
+			Conditions.await("all reads to generate", () -> executionsOf("generate") == 6);
 			this.first.terminate();
 			awaitEvents(this.first, "DRAINING", 1);
 			serviceFaults("generator", Map.of("hold", false));
--- a/proofs/src/test/java/org/fulmargap/proofs/LogFailureTests.java
+++ b/proofs/src/test/java/org/fulmargap/proofs/LogFailureTests.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-import org.fulmargap.standin.Cluster;
+import org.fulmargap.standin.Conditions;
 import org.fulmargap.standin.LoopbackClient.Answer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -52,7 +52,7 @@
 			assertAtMostOnce("log-down", refused);
 			assertReadsAreAnswered(this.first, this.second, this.third);
 			this.cluster.platformFaults(Map.of("down", false));
-			Cluster.await("the action to run after the outage",
+			Conditions.await("the action to run after the outage",
 					() -> answer(action(this.second, "log-down")).status() == 200);
 			assertThat(this.cluster.executionsOfKey("log-down")).isEqualTo(1);
 		}
@@ -63,7 +63,7 @@
 			this.cluster.platformFaults(Map.of("down", true));
 			long startNs = System.nanoTime();
 			assertThat(this.cluster.order(this.first, "bog-sur", "OUT").status()).isEqualTo(200);
-			Cluster.await("3 s after the order", () -> {
+			Conditions.await("3 s after the order", () -> {
 				assertReadsAreAnswered(this.first, this.second, this.third);
 				return System.nanoTime() - startNs > TimeUnit.SECONDS.toNanos(3);
 			});
@@ -73,7 +73,7 @@
 			}
 			assertThat(this.cluster.executionsIn("bog-sur")).isEqualTo(before);
 			this.cluster.order(this.second, "bog-sur", "IN");
-			Cluster.await("work in the domain that is back", () -> {
+			Conditions.await("work in the domain that is back", () -> {
 				assertReadsAreAnswered(this.first, this.second, this.third);
 				return this.cluster.executionsIn("bog-sur") > before;
 			});
@@ -87,7 +87,7 @@
 			this.cluster.platformFaults(Map.of("down", true));
 			this.first.kill();
 			this.first.start();
-			Cluster.await("readiness from peers",
+			Conditions.await("readiness from peers",
 					() -> this.cluster.get(this.first.adminUrl() + "/health/ready").path("ready").asBoolean());
 			assertThat(version()).isEqualTo(version);
 			assertReadsAreAnswered(this.first);
@@ -95,7 +95,7 @@
 			assertAtMostOnce("restarted", refused);
 			this.cluster.platformFaults(Map.of("down", false));
 			this.cluster.awaitReady(this.first);
-			Cluster.await("the action to run after the outage",
+			Conditions.await("the action to run after the outage",
 					() -> answer(action(this.first, "restarted")).status() == 200);
 			assertThat(this.cluster.executionsOfKey("restarted")).isEqualTo(1);
 		}
--- a/proofs/src/test/java/org/fulmargap/proofs/Proof.java
+++ b/proofs/src/test/java/org/fulmargap/proofs/Proof.java
@@ -15,6 +15,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.standin.Cluster;
+import org.fulmargap.standin.Conditions;
 import org.fulmargap.standin.ClusterOptions;
 import org.fulmargap.standin.EndpointOptions;
 import org.fulmargap.standin.EntryVm;
@@ -158,7 +159,7 @@
 	}
 
 	void awaitExecution(String key) throws Exception {
-		Cluster.await("execution of " + key, () -> this.cluster.executionsOfKey(key) == 1);
+		Conditions.await("execution of " + key, () -> this.cluster.executionsOfKey(key) == 1);
 	}
 
 	/**
@@ -169,7 +170,7 @@
 	 * @throws Exception if the event does not come
 	 */
 	void awaitEvents(EntryVm vm, String type, int count) throws Exception {
-		Cluster.await(count + " events " + type + " at " + vm.name(), () -> events(vm, type) >= count);
+		Conditions.await(count + " events " + type + " at " + vm.name(), () -> events(vm, type) >= count);
 	}
 
 	int events(EntryVm vm, String type) throws IOException {
--- a/standin/src/main/java/org/fulmargap/standin/Cluster.java
+++ b/standin/src/main/java/org/fulmargap/standin/Cluster.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.StringJoiner;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -121,7 +120,7 @@
 	 * @throws Exception if it ends or does not become ready in time
 	 */
 	public void awaitReady(EntryVm vm) throws Exception {
-		await(vm.name() + " to be ready", () -> {
+		Conditions.await(vm.name() + " to be ready", () -> {
 			if (!vm.isAlive()) {
 				throw new IllegalStateException(vm.name() + " has ended: " + vm.output());
 			}
@@ -176,7 +175,7 @@
 	public void awaitVersion(long version) throws Exception {
 		for (EntryVm vm : this.vms.values()) {
 			if (vm.isAlive()) {
-				await("version " + version + " on " + vm.name(),
+				Conditions.await("version " + version + " on " + vm.name(),
 						() -> get(vm.adminUrl() + "/v1/config").path("version").asLong() >= version);
 			}
 		}
@@ -315,28 +314,6 @@
 		return this.control.send("GET", url, null).json();
 	}
 
-	/**
-	 * Waits until a condition holds.
-	 * @param what what is waited for, for the error message
-	 * @param condition the condition; an {@link IOException} counts as not fulfilled
-	 * @throws Exception if the condition throws or does not hold within 60 s
-	 */
-	public static void await(String what, Callable<Boolean> condition) throws Exception {
-		long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
-		while (System.nanoTime() < endNs) {
-			try {
-				if (condition.call()) {
-					return;
-				}
-			}
-			catch (IOException ex) {
-				// The process is not there yet, or not any more.
-			}
-			LockSupport.parkNanos(POLL_NS);
-		}
-		throw new IllegalStateException("timed out waiting for " + what);
-	}
-
 	/**
 	 * Returns an entry VM.
 	 * @param name the name of the VM
--- a/standin/src/main/java/org/fulmargap/standin/Demo.java
+++ b/standin/src/main/java/org/fulmargap/standin/Demo.java
@@ -121,7 +121,7 @@
 	private void takeOut(EntryVm vm) throws Exception {
 		long startNs = System.nanoTime();
 		cli(vm, "take-out", "failure-domain", OUT_DOMAIN);
-		Cluster.await("3 s after the order", () -> System.nanoTime() - startNs > OUT_AFTER_NS);
+		Conditions.await("3 s after the order", () -> System.nanoTime() - startNs > OUT_AFTER_NS);
 		int before = this.cluster.executionsIn(OUT_DOMAIN);
 		int answered = readOnAll();
 		int newWork = this.cluster.executionsIn(OUT_DOMAIN) - before;
@@ -134,7 +134,7 @@
 		cli(vm, "bring-back", "failure-domain", OUT_DOMAIN);
 		int before = this.cluster.executionsIn(OUT_DOMAIN);
 		int[] sent = new int[2];
-		Cluster.await("work in " + OUT_DOMAIN, () -> {
+		Conditions.await("work in " + OUT_DOMAIN, () -> {
 			sent[0] += REQUESTS_PER_STEP;
 			sent[1] += readOnAll();
 			return this.cluster.executionsIn(OUT_DOMAIN) > before;
