--- a/standin/src/main/java/org/fulmargap/standin/DemoCommand.java
+++ b/standin/src/main/java/org/fulmargap/standin/DemoCommand.java
@@ -41,6 +41,7 @@
 			cluster.start();
 			asPromised = new Demo(cluster, this.root.resolve("bin/fulmargapctl"), workFolder, out).run();
 			if (this.keep) {
+				restartEnded(cluster);
 				printUrls(cluster, out);
 				new CountDownLatch(1).await();
 			}
@@ -58,6 +59,16 @@
 		return asPromised ? 0 : EXIT_BROKEN;
 	}
 
+	// The demo killed an entry VM. While a member is missing, every patch is refused.
+	private static void restartEnded(Cluster cluster) throws Exception {
+		for (EntryVm vm : cluster.vms()) {
+			if (!vm.isAlive()) {
+				vm.start();
+				cluster.awaitReady(vm);
+			}
+		}
+	}
+
 	private static boolean stop(Cluster cluster, PrintStream out) throws InterruptedException {
 		List<EntryVm> running = cluster.vms().stream().filter(EntryVm::isAlive).toList();
 		running.forEach(EntryVm::terminate);
