Judge releases against outcomes also in an incomplete ledger

Change: OUTCOME_AFTER_RELEASE and RELEASE_AFTER_OUTCOME count as violations again, whether the ledger is complete or not.

--- a/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
+++ b/core/src/main/java/org/fulmargap/claim/ClaimLedger.java
@@ -339,7 +339,7 @@
 		if (claim == null) {
 			boolean released = entry != null && entry.isReleased(outcome.attemptId());
 			events.add(new ClaimEvent(
-					released ? violation(ClaimEvent.Type.OUTCOME_AFTER_RELEASE) : ClaimEvent.Type.OUTCOME_WITHOUT_CLAIM,
+					released ? ClaimEvent.Type.OUTCOME_AFTER_RELEASE : ClaimEvent.Type.OUTCOME_WITHOUT_CLAIM,
 					position.offset(), "attempt " + outcome.attemptId()));
 			return;
 		}
@@ -359,7 +359,7 @@
 		KeyEntry entry = this.entries.computeIfAbsent(release.key(), (key) -> new KeyEntry(position.appendedAtMs()));
 		HeldClaim claim = entry.find(release.attemptId());
 		if (claim != null && claim.outcome != null) {
-			events.add(new ClaimEvent(violation(ClaimEvent.Type.RELEASE_AFTER_OUTCOME), position.offset(),
+			events.add(new ClaimEvent(ClaimEvent.Type.RELEASE_AFTER_OUTCOME, position.offset(),
 					"attempt " + release.attemptId()));
 			return;
 		}
