--- a/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
+++ b/server/src/main/java/org/fulmargap/pipeline/StageRunner.java
@@ -134,11 +134,8 @@
 		private Deadline stageDeadline(long nowMs) {
 			long remainingMs = this.request.deadline().remainingMs(nowMs);
 			int stagesLeft = this.request.pipeline().stages().size() - this.index;
-			// The expected times come from past answers. If they are too high, for
-			// example
-			// after an incident, a stage still gets a part of the time, so that new
-			// answers
-			// can correct them.
+			// The expected times come from past answers and may be too high after an
+			// incident. A stage keeps a part of the time, so that answers correct them.
 			long leastMs = remainingMs / (2L * stagesLeft);
 			return new Deadline(nowMs + Math.max(leastMs, StageRunner.this.budgets.limitMs(this.request.pipeline(),
 					this.index, this.request.deadline(), nowMs)));
