--- /dev/null
+++ b/core/src/main/java/org/fulmargap/batch/Piece.java
@@ -0,0 +1,28 @@
+package org.fulmargap.batch;
+
+import java.util.List;
+
+/**
+ * One piece of the work of a stage for one request.
+ *
+ * @param ticket the number under which the submitter knows the piece
+ * @param attemptId the identity of the request
+ * @param stage the index of the stage in the route
+ * @param segment the index of the piece in the stage
+ * @param chunkKey the key of the request's input, or an empty text if it has inputs
+ * @param inputs the results of earlier stages, or an empty list
+ * @param dueAtMs when the piece should be done, in milliseconds
+ * @param expiresAtMs when nobody needs the piece any more, in milliseconds
+ * @param resultBytes the approximate size of the result in bytes
+ */
+public record Piece(long ticket, String attemptId, int stage, int segment, String chunkKey, List<String> inputs,
+		long dueAtMs, long expiresAtMs, long resultBytes) {
+
+	/**
+	 * Creates a piece.
+	 */
+	public Piece {
+		inputs = List.copyOf(inputs);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/batch/StageCall.java
@@ -0,0 +1,15 @@
+package org.fulmargap.batch;
+
+import java.util.List;
+
+import org.fulmargap.placement.Endpoint;
+
+/**
+ * A call with pieces to one endpoint.
+ *
+ * @param endpoint the endpoint
+ * @param pieces the pieces in the order of the call
+ * @param expectedMs the expected time of the call in milliseconds
+ */
+public record StageCall(Endpoint endpoint, List<Piece> pieces, double expectedMs) {
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/catalog/Catalog.java
@@ -0,0 +1,105 @@
+package org.fulmargap.catalog;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the operators' configuration. Immutable.
+ */
+public final class Catalog {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost = new HashMap<>();
+
+	private final Map<String, ServiceSpec> services;
+
+	private final Map<String, ClientAccount> accountsByKey;
+
+	private final boolean hasAccounts;
+
+	private final RequestLimits limits;
+
+	/**
+	 * Creates a catalog.
+	 * @param version the version of the configuration
+	 * @param routes all routes
+	 * @param services all services by name
+	 * @param accountsByKey the client accounts by API key
+	 * @param hasAccounts whether the configuration declares client accounts
+	 * @param limits the bounds on requests
+	 */
+	public Catalog(long version, List<Route> routes, Map<String, ServiceSpec> services,
+			Map<String, ClientAccount> accountsByKey, boolean hasAccounts, RequestLimits limits) {
+		this.version = version;
+		this.services = Map.copyOf(services);
+		this.accountsByKey = Map.copyOf(accountsByKey);
+		this.hasAccounts = hasAccounts;
+		this.limits = limits;
+		for (Route route : routes) {
+			this.routesByHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>())
+				.add(route);
+		}
+		Comparator<Route> longestFirst = Comparator.comparingInt((Route route) -> -route.pathPrefix().length());
+		this.routesByHost.values().forEach((list) -> list.sort(longestFirst));
+	}
+
+	/**
+	 * Returns the version of the configuration.
+	 * @return the version
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the bounds on requests.
+	 * @return the bounds
+	 */
+	public RequestLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Returns all services.
+	 * @return services by name
+	 */
+	public Map<String, ServiceSpec> services() {
+		return this.services;
+	}
+
+	/**
+	 * Finds the route with the longest prefix of a path.
+	 * @param host the host without port
+	 * @param path the path, with or without a query
+	 * @return the route, or empty if none matches
+	 */
+	public Optional<Route> route(String host, String path) {
+		List<Route> candidates = this.routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of());
+		return candidates.stream().filter((route) -> path.startsWith(route.pathPrefix())).findFirst();
+	}
+
+	/**
+	 * Finds the account that holds an API key.
+	 * @param apiKey the key
+	 * @return the account, or empty if no account holds the key
+	 */
+	public Optional<ClientAccount> account(String apiKey) {
+		return Optional.ofNullable(this.accountsByKey.get(apiKey));
+	}
+
+	/**
+	 * Tells whether a request on a route needs an API key.
+	 * @param route the route
+	 * @return {@code true} if it does
+	 */
+	public boolean needsKey(Route route) {
+		return this.hasAccounts && !route.anonymous();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -0,0 +1,165 @@
+package org.fulmargap.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * All endpoints that the platform's store lists, by service. Confined to one thread.
+ */
+public final class EndpointDirectory {
+
+	/**
+	 * How long an endpoint whose record lapsed during an outage of the store is still
+	 * used, in milliseconds: less than the time in which leaving endpoints must be left
+	 * alone.
+	 */
+	public static final long LAPSE_GRACE_MS = 1_400;
+
+	private final Map<String, Endpoint> byId = new HashMap<>();
+
+	private final Map<String, List<Endpoint>> byService = new HashMap<>();
+
+	private Set<String> evacuatedDomains = Set.of();
+
+	/**
+	 * Takes over a record.
+	 * @param record the newest record of an endpoint
+	 * @param nowMs the present time in milliseconds
+	 * @return what changed
+	 */
+	public Change put(EndpointRecord record, long nowMs) {
+		Endpoint known = this.byId.get(record.id());
+		if (known == null) {
+			Endpoint added = new Endpoint(record, nowMs);
+			this.byId.put(record.id(), added);
+			list(record.service()).add(added);
+			return Change.ADDED;
+		}
+		boolean wasDraining = known.record().draining();
+		if (!known.record().service().equals(record.service())) {
+			list(known.record().service()).remove(known);
+			list(record.service()).add(known);
+		}
+		known.update(record, nowMs);
+		return (record.draining() && !wasDraining) ? Change.DRAINING : Change.UPDATED;
+	}
+
+	/**
+	 * Removes an endpoint.
+	 * @param id the name of the endpoint
+	 * @param graceMs how long it may still be used, in milliseconds
+	 * @param nowMs the present time in milliseconds
+	 * @return whether it was known
+	 */
+	public boolean remove(String id, long graceMs, long nowMs) {
+		Endpoint known = this.byId.get(id);
+		if (known == null) {
+			return false;
+		}
+		known.removeAt(nowMs + graceMs);
+		return true;
+	}
+
+	/**
+	 * Forgets the endpoints whose time is over.
+	 * @param nowMs the present time in milliseconds
+	 */
+	public void purge(long nowMs) {
+		for (Endpoint endpoint : List.copyOf(this.byId.values())) {
+			boolean over = !endpoint.isOpen(nowMs) && !endpoint.record().draining();
+			if (over && endpoint.ownInFlight() == 0) {
+				this.byId.remove(endpoint.record().id());
+				list(endpoint.record().service()).remove(endpoint);
+			}
+		}
+	}
+
+	/**
+	 * Removes all endpoints that a complete listing of the store doesn't hold.
+	 * @param ids the names in the listing
+	 * @param graceMs how long the missing ones may still be used, in milliseconds
+	 * @param nowMs the present time in milliseconds
+	 */
+	public void retain(Set<String> ids, long graceMs, long nowMs) {
+		Set<String> missing = new HashSet<>(this.byId.keySet());
+		missing.removeAll(ids);
+		missing.forEach((id) -> remove(id, graceMs, nowMs));
+	}
+
+	/**
+	 * Sets the failure domains that get no new work.
+	 * @param domains the names of the domains
+	 */
+	public void evacuate(Set<String> domains) {
+		this.evacuatedDomains = Set.copyOf(domains);
+	}
+
+	/**
+	 * Returns the endpoints of a service that may get new work.
+	 * @param service the name of the service
+	 * @param nowMs the present time in milliseconds
+	 * @return the endpoints in the order in which they became known
+	 */
+	public List<Endpoint> open(String service, long nowMs) {
+		List<Endpoint> open = new ArrayList<>();
+		for (Endpoint endpoint : this.byService.getOrDefault(service, List.of())) {
+			if (mayUse(endpoint, nowMs)) {
+				open.add(endpoint);
+			}
+		}
+		return open;
+	}
+
+	/**
+	 * Tells whether an endpoint may get new work.
+	 * @param endpoint the endpoint
+	 * @param nowMs the present time in milliseconds
+	 * @return {@code true} if it is open and its failure domain isn't evacuated
+	 */
+	public boolean mayUse(Endpoint endpoint, long nowMs) {
+		return endpoint.isOpen(nowMs) && !this.evacuatedDomains.contains(endpoint.record().failureDomain());
+	}
+
+	/**
+	 * Finds an endpoint.
+	 * @param id its name
+	 * @return the endpoint, or empty if it is not known
+	 */
+	public Optional<Endpoint> find(String id) {
+		return Optional.ofNullable(this.byId.get(id));
+	}
+
+	/**
+	 * Returns all known endpoints.
+	 * @return the endpoints
+	 */
+	public List<Endpoint> all() {
+		return List.copyOf(this.byId.values());
+	}
+
+	private List<Endpoint> list(String service) {
+		return this.byService.computeIfAbsent(service, (name) -> new ArrayList<>());
+	}
+
+	/**
+	 * What a record changed.
+	 */
+	public enum Change {
+
+		/** The endpoint was not known before. */
+		ADDED,
+
+		/** The endpoint has begun to leave. */
+		DRAINING,
+
+		/** Something else changed, or nothing. */
+		UPDATED
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/placement/PrefixCache.java
@@ -0,0 +1,58 @@
+package org.fulmargap.placement;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * The prompt parts that a model engine is believed to keep: those that this VM or a peer
+ * has sent there. The least recently used parts are forgotten first, as in the engine.
+ */
+final class PrefixCache {
+
+	/** The share of an engine's memory that is counted on for cached parts. */
+	private static final double CACHE_SHARE = 0.6;
+
+	private final LinkedHashMap<String, Integer> tokensByPart = new LinkedHashMap<>(16, 0.75f, true);
+
+	private long tokens;
+
+	/**
+	 * Counts the tokens at the beginning of a prompt that need not be read again.
+	 * @param prompt the prompt
+	 * @return the number of tokens
+	 */
+	int cachedTokens(Prompt prompt) {
+		int cached = 0;
+		for (PromptPart part : prompt.parts()) {
+			if (!this.tokensByPart.containsKey(part.id())) {
+				break;
+			}
+			cached += part.tokens();
+		}
+		return cached;
+	}
+
+	/**
+	 * Records that a prompt was sent to the engine.
+	 * @param prompt the prompt
+	 * @param capacityTokens the memory of the engine in tokens
+	 */
+	void add(Prompt prompt, long capacityTokens) {
+		for (PromptPart part : prompt.parts()) {
+			Integer known = this.tokensByPart.put(part.id(), part.tokens());
+			this.tokens += part.tokens() - ((known != null) ? known : 0);
+		}
+		var oldest = this.tokensByPart.entrySet().iterator();
+		while (this.tokens > capacityTokens * CACHE_SHARE && oldest.hasNext()) {
+			Map.Entry<String, Integer> part = oldest.next();
+			this.tokens -= part.getValue();
+			oldest.remove();
+		}
+	}
+
+	void clear() {
+		this.tokensByPart.clear();
+		this.tokens = 0;
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMain.java
@@ -0,0 +1,53 @@
+package org.fulmargap.entry;
+
+import java.nio.file.Path;
+
+import org.fulmargap.platform.NodeSettings;
+import org.fulmargap.platform.NodeSettingsException;
+import org.fulmargap.platform.NodeSettingsFile;
+import sun.misc.Signal;
+
+/**
+ * Starts an entry VM on the users' platform: {@code fulmargap-entry}.
+ */
+public final class EntryMain {
+
+	private static final int EXIT_BAD_SETTINGS = 2;
+
+	private EntryMain() {
+	}
+
+	/**
+	 * Starts the process.
+	 * @param args none
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	public static void main(String[] args) throws InterruptedException {
+		String path = System.getenv(NodeSettingsFile.PATH_VARIABLE);
+		NodeSettings settings;
+		try {
+			settings = NodeSettingsFile.read(Path.of((path != null) ? path : "/etc/fulmargap/node.toml"));
+		}
+		catch (NodeSettingsException ex) {
+			System.err.println("fulmargap: bad settings: " + ex.getMessage());
+			System.exit(EXIT_BAD_SETTINGS);
+			return;
+		}
+		EntryVm vm = new EntryVm(settings);
+		Signal.handle(new Signal("TERM"), (signal) -> new Thread(() -> stop(vm), "stop").start());
+		Signal.handle(new Signal("HUP"), (signal) -> EventLog.state("reload").with("path", path).write());
+		vm.start();
+		Thread.currentThread().join();
+	}
+
+	private static void stop(EntryVm vm) {
+		try (vm) {
+			vm.drain();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		System.exit(0);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMetrics.java
@@ -0,0 +1,68 @@
+package org.fulmargap.entry;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+
+/**
+ * Counters and latencies of this process, shown as text.
+ */
+public final class EntryMetrics {
+
+	private static final double[] QUANTILES = { 0.5, 0.95, 0.99 };
+
+	private static final long WINDOW_SECONDS = 60;
+
+	private static final double NANOS_PER_MS = 1_000_000;
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	/**
+	 * Counts an event.
+	 * @param name the name of the counter
+	 */
+	public void count(String name) {
+		this.registry.counter(name).inc();
+	}
+
+	/**
+	 * Records how long something took.
+	 * @param name the name of the histogram
+	 * @param durationMs the time in milliseconds
+	 */
+	public void time(String name, long durationMs) {
+		this.registry
+			.timer(name, () -> new Timer(new SlidingTimeWindowArrayReservoir(WINDOW_SECONDS, TimeUnit.SECONDS)))
+			.update(durationMs, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Returns all values as lines of name and value.
+	 * @return the text
+	 */
+	public String text() {
+		StringBuilder text = new StringBuilder();
+		for (Map.Entry<String, Counter> counter : this.registry.getCounters().entrySet()) {
+			line(text, counter.getKey() + "_total", counter.getValue().getCount());
+		}
+		for (Map.Entry<String, Timer> timer : this.registry.getTimers().entrySet()) {
+			Snapshot snapshot = timer.getValue().getSnapshot();
+			for (double quantile : QUANTILES) {
+				line(text, timer.getKey() + "_ms{quantile=\"" + quantile + "\"}",
+						snapshot.getValue(quantile) / NANOS_PER_MS);
+			}
+			line(text, timer.getKey() + "_count", timer.getValue().getCount());
+		}
+		return text.toString();
+	}
+
+	private static void line(StringBuilder text, String name, Object value) {
+		text.append("fulmargap_").append(name).append(' ').append(value).append('\n');
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -0,0 +1,215 @@
+package org.fulmargap.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.fulmargap.entry.caller.CallerServer;
+import org.fulmargap.entry.endpoint.EndpointPool;
+import org.fulmargap.entry.peer.PeerListener;
+import org.fulmargap.entry.peer.PeerMessage;
+import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.entry.request.RequestRouter;
+import org.fulmargap.entry.request.RequestServices;
+import org.fulmargap.entry.request.ServiceTimes;
+import org.fulmargap.entry.stage.StageClient;
+import org.fulmargap.entry.stage.StageDesk;
+import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.PeerLoad;
+import org.fulmargap.placement.Placement;
+import org.fulmargap.placement.RetryAllowance;
+import org.fulmargap.platform.NodeSettings;
+import org.fulmargap.platform.StoreClient;
+import org.fulmargap.routing.CrashQuarantine;
+
+/**
+ * One entry VM on the users' platform. Everything but reading the store runs on one event
+ * loop, because these VMs have less than one core.
+ */
+public final class EntryVm implements AutoCloseable, PeerListener {
+
+	/** The port of the metrics, as in the deploy file. */
+	public static final int METRICS_PORT = 9_464;
+
+	private static final int MAX_FINGERPRINTS = 1_000;
+
+	private static final long NANOS_PER_MS = 1_000_000;
+
+	/** How long new requests are still taken after SIGTERM, in milliseconds. */
+	private static final long NOTICE_MS = 2_500;
+
+	/** The last part of the time to stop, which is left for the exit, in milliseconds. */
+	private static final long EXIT_MARGIN_MS = 700;
+
+	private static final long POLL_MS = 50;
+
+	private final NodeSettings settings;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = (EventLoop) this.group.next();
+
+	private final LongSupplier clockMs = () -> System.nanoTime() / NANOS_PER_MS;
+
+	private final StoreView view = new StoreView();
+
+	private final EntryMetrics metrics = new EntryMetrics();
+
+	private final AtomicBoolean draining = new AtomicBoolean();
+
+	private final CrashQuarantine quarantine = new CrashQuarantine(MAX_FINGERPRINTS);
+
+	private final PeerNetwork peers;
+
+	private final StageClient stages;
+
+	private final CallerServer callers;
+
+	private final StoreClient store;
+
+	private final StoreWatch watch;
+
+	/**
+	 * Creates an entry VM that serves nothing yet.
+	 * @param settings what the platform says of it
+	 */
+	public EntryVm(NodeSettings settings) {
+		this.settings = settings;
+		this.peers = new PeerNetwork(settings.vm(), System.currentTimeMillis(), this.loop, this.clockMs);
+		EndpointPool pool = new EndpointPool(this.loop, this.clockMs);
+		RetryAllowance retries = new RetryAllowance(settings.retryRatio(), settings.retrySlack(),
+				settings.retryWindowMs());
+		StageDesk desk = new StageDesk(this.loop, this.clockMs, this.view, pool, retries, this.peers::vmCount,
+				this.metrics);
+		this.stages = new StageClient(this.loop, desk, this.peers);
+		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
+				new Placement(settings.failureDomain()), retries, this.quarantine, pool, this.stages, this.peers,
+				new ServiceTimes(), this.metrics);
+		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, new RequestRouter(services));
+		this.store = new StoreClient(settings.storeAddress());
+		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers);
+	}
+
+	/**
+	 * Begins to serve.
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	public void start() throws InterruptedException {
+		this.peers.start(this.settings.ip(), this.settings.firstPeerPort(), this);
+		this.watch.start(this.settings.vm(), this.settings.ip() + ':' + this.settings.firstPeerPort());
+		ReadinessServer readiness = new ReadinessServer(this.loop, this::isReady, this.metrics);
+		String address = this.settings.readinessAddress();
+		readiness.listen(this.settings.ip(), Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
+		readiness.listen(this.settings.ip(), METRICS_PORT);
+		this.callers.listen(this.settings.callerAddress());
+		EventLog.state("started").with("vm", this.settings.vm()).with("domain", this.settings.failureDomain()).write();
+	}
+
+	private boolean isReady() {
+		return !this.draining.get() && this.view.isComplete();
+	}
+
+	/**
+	 * Finishes what is under way and ends: called when the platform stops the process.
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	public void drain() throws InterruptedException {
+		if (!this.draining.compareAndSet(false, true)) {
+			return;
+		}
+		long beganAtMs = this.clockMs.getAsLong();
+		EventLog.state("draining").with("vm", this.settings.vm()).write();
+		this.loop.execute(() -> {
+			this.callers.drain();
+			this.peers.drain();
+		});
+		long limitMs = this.settings.graceMs() - EXIT_MARGIN_MS;
+		boolean busy = true;
+		while (busy && this.clockMs.getAsLong() - beganAtMs < limitMs) {
+			Thread.sleep(POLL_MS);
+			long ageMs = this.clockMs.getAsLong() - beganAtMs;
+			busy = ageMs < NOTICE_MS || busyConnections() > 0;
+		}
+		EventLog.state("stopped")
+			.with("vm", this.settings.vm())
+			.with("unfinished", busyConnections())
+			.with("store_calls", this.store.calls())
+			.write();
+	}
+
+	private long busyConnections() throws InterruptedException {
+		return this.loop.submit(this.callers::busyConnections).awaitUninterruptibly().getNow();
+	}
+
+	@Override
+	public void received(String peer, PeerMessage message) {
+		long nowMs = this.clockMs.getAsLong();
+		if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			reported(peer, heartbeat, nowMs);
+		}
+		else if (message instanceof PeerMessage.PromptSent sent) {
+			this.view.directory().find(sent.endpoint()).ifPresent((endpoint) -> promptSent(endpoint, sent));
+		}
+		else if (message instanceof PeerMessage.Pieces pieces) {
+			this.stages.receive(peer, pieces);
+		}
+		else if (message instanceof PeerMessage.Outcomes outcomes) {
+			this.stages.receive(outcomes);
+		}
+		else if (message instanceof PeerMessage.Withdrawal withdrawal) {
+			this.stages.receive(peer, withdrawal);
+		}
+		else if (message instanceof PeerMessage.Release release) {
+			this.stages.release(release.service(), release.handles());
+		}
+	}
+
+	private void reported(String peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
+		for (Endpoint endpoint : this.view.directory().all()) {
+			endpoint.reported(peer, new PeerLoad(0, 0, nowMs));
+		}
+		for (PeerMessage.Load load : heartbeat.loads()) {
+			this.view.directory()
+				.find(load.endpoint())
+				.ifPresent((endpoint) -> endpoint.reported(peer,
+						new PeerLoad(load.inFlight(), load.prefillTokens(), nowMs)));
+		}
+	}
+
+	private void promptSent(Endpoint endpoint, PeerMessage.PromptSent sent) {
+		this.view.catalog()
+			.map((catalog) -> catalog.services().get(endpoint.record().service()))
+			.filter((service) -> service.engine() != null)
+			.ifPresent((service) -> endpoint.peerSent(sent.prompt(), service.engine().cacheTokens()));
+	}
+
+	@Override
+	public void peerLost(String peer) {
+		this.stages.peerLost(peer);
+	}
+
+	@Override
+	public List<PeerMessage.Load> loads() {
+		List<PeerMessage.Load> loads = new ArrayList<>();
+		for (Endpoint endpoint : this.view.directory().all()) {
+			if (endpoint.ownInFlight() > 0) {
+				loads.add(new PeerMessage.Load(endpoint.record().id(), endpoint.ownInFlight(),
+						endpoint.ownPrefillTokens()));
+			}
+		}
+		return loads;
+	}
+
+	@Override
+	public void close() {
+		this.watch.close();
+		this.store.close();
+		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/ReadinessServer.java
@@ -0,0 +1,85 @@
+package org.fulmargap.entry;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * Tells the platform whether this VM is ready, and operators its metrics.
+ */
+final class ReadinessServer {
+
+	private static final int MAX_BODY_BYTES = 4_096;
+
+	private final EventLoop loop;
+
+	private final BooleanSupplier ready;
+
+	private final EntryMetrics metrics;
+
+	ReadinessServer(EventLoop loop, BooleanSupplier ready, EntryMetrics metrics) {
+		this.loop = loop;
+		this.ready = ready;
+		this.metrics = metrics;
+	}
+
+	void listen(String ip, int port) throws InterruptedException {
+		new ServerBootstrap().group(this.loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline()
+						.addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler());
+				}
+			})
+			.bind(new InetSocketAddress(ip, port))
+			.sync();
+	}
+
+	private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+			boolean asksMetrics = request.uri().startsWith("/metrics");
+			boolean good = asksMetrics || ReadinessServer.this.ready.getAsBoolean();
+			String text = (asksMetrics) ? ReadinessServer.this.metrics.text() : "";
+			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+					(good) ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+					Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+			boolean keepAlive = HttpUtil.isKeepAlive(request);
+			var written = context.writeAndFlush(response);
+			if (!keepAlive) {
+				written.addListener(ChannelFutureListener.CLOSE);
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -0,0 +1,228 @@
+package org.fulmargap.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.placement.EndpointDirectory;
+import org.fulmargap.placement.EndpointRecord;
+import org.fulmargap.platform.EndpointRecordDecoder;
+import org.fulmargap.platform.KeyedRecord;
+import org.fulmargap.platform.MalformedRecordException;
+import org.fulmargap.platform.OperatorRecord;
+import org.fulmargap.platform.StoreClient;
+import org.fulmargap.platform.StoreException;
+import org.fulmargap.platform.StorePage;
+import org.fulmargap.platform.StoreTopic;
+
+/**
+ * Keeps the view of the platform's store up to date.
+ */
+final class StoreWatch implements AutoCloseable {
+
+	private static final long OPERATOR_INTERVAL_MS = 200;
+
+	private static final long ENDPOINTS_INTERVAL_MS = 600;
+
+	private static final long MEMBERS_INTERVAL_MS = 1_000;
+
+	/** Records that vanish this soon after an outage may have lapsed by it, in ms. */
+	private static final long LAPSE_SUSPICION_MS = 5_000;
+
+	/** How long to wait before the own address is written again, in milliseconds. */
+	private static final long REGISTER_PAUSE_MS = 500;
+
+	private final StoreClient store;
+
+	private final EventLoop loop;
+
+	private final LongSupplier clockMs;
+
+	private final StoreView view;
+
+	private final PeerNetwork peers;
+
+	private final List<Thread> threads = new ArrayList<>();
+
+	private long storeTroubledAtMs = Long.MIN_VALUE / 2;
+
+	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers) {
+		this.store = store;
+		this.loop = loop;
+		this.clockMs = clockMs;
+		this.view = view;
+		this.peers = peers;
+	}
+
+	void start(String vm, String peerAddress) {
+		follow(StoreTopic.OPERATOR, OPERATOR_INTERVAL_MS, this::operatorPage);
+		follow(StoreTopic.ENDPOINTS, ENDPOINTS_INTERVAL_MS, this::endpointPage);
+		run("register", () -> register(vm, peerAddress));
+	}
+
+	private void follow(StoreTopic topic, long minIntervalMs, java.util.function.Consumer<StorePage> apply) {
+		StoreTail tail = new StoreTail(this.store, topic, minIntervalMs, this.clockMs,
+				(page) -> this.loop.execute(() -> apply.accept(page)),
+				(reachable) -> this.loop.execute(() -> this.storeTroubledAtMs = this.clockMs.getAsLong()));
+		run("tail-" + topic, tail);
+	}
+
+	private void run(String name, Runnable task) {
+		Thread thread = new Thread(task, name);
+		thread.setDaemon(true);
+		this.threads.add(thread);
+		thread.start();
+	}
+
+	// The own address is in the store before the addresses of the others are read, so
+	// that
+	// of two VMs that start together at least one finds the other.
+	private void register(String vm, String peerAddress) {
+		try {
+			while (!put(vm, peerAddress)) {
+				Thread.sleep(REGISTER_PAUSE_MS);
+			}
+			new StoreTail(this.store, StoreTopic.MEMBERS, MEMBERS_INTERVAL_MS, this.clockMs,
+					(page) -> this.loop.execute(() -> memberPage(page)), (reachable) -> {
+					})
+				.run();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private boolean put(String vm, String peerAddress) {
+		try {
+			this.store.put(StoreTopic.MEMBERS, vm, peerAddress.getBytes(StandardCharsets.UTF_8));
+			EventLog.state("registered").with("vm", vm).with("address", peerAddress).write();
+			return true;
+		}
+		catch (StoreException ex) {
+			EventLog.state("register_failed").with("type", ex.type()).with("cause", ex.getMessage()).write();
+			return false;
+		}
+	}
+
+	private void operatorPage(StorePage page) {
+		Set<String> out = new HashSet<>();
+		for (KeyedRecord record : page.records()) {
+			try {
+				apply(OperatorRecord.decode(record), record.offset(), out);
+			}
+			catch (MalformedRecordException ex) {
+				EventLog.state("operator_record_refused")
+					.with("key", record.key())
+					.with("offset", record.offset())
+					.with("cause", ex.getMessage())
+					.write();
+			}
+		}
+		if (page.isComplete()) {
+			this.view.evacuateOnly(out);
+		}
+	}
+
+	private void apply(OperatorRecord record, long offset, Set<String> out) {
+		if (record instanceof OperatorRecord.Configuration configuration) {
+			boolean inForce = this.view.replace(configuration.catalog());
+			EventLog.state("config_read")
+				.with("version", configuration.catalog().version())
+				.with("offset", offset)
+				.with("in_force", inForce)
+				.write();
+		}
+		else if (record instanceof OperatorRecord.Evacuation evacuation) {
+			if (evacuation.out()) {
+				out.add(evacuation.failureDomain());
+			}
+			this.view.evacuate(evacuation.failureDomain(), evacuation.out());
+			EventLog.state((evacuation.out()) ? "domain_out" : "domain_in")
+				.with("domain", evacuation.failureDomain())
+				.with("offset", offset)
+				.write();
+		}
+	}
+
+	private void endpointPage(StorePage page) {
+		long nowMs = this.clockMs.getAsLong();
+		boolean mayHaveLapsed = nowMs - this.storeTroubledAtMs < LAPSE_SUSPICION_MS;
+		long graceMs = (mayHaveLapsed) ? EndpointDirectory.LAPSE_GRACE_MS : 0;
+		Map<String, KeyedRecord> newest = new HashMap<>();
+		page.records().forEach((record) -> newest.put(record.key(), record));
+		Set<String> listed = new HashSet<>();
+		for (KeyedRecord record : newest.values()) {
+			if (record.isRemoval()) {
+				removed(record, graceMs, nowMs);
+			}
+			else if (updated(record, nowMs)) {
+				listed.add(record.key());
+			}
+		}
+		if (page.isComplete()) {
+			this.view.directory().retain(listed, graceMs, nowMs);
+			this.view.endpointsListed();
+		}
+		this.view.directory().purge(nowMs);
+	}
+
+	private void removed(KeyedRecord record, long graceMs, long nowMs) {
+		if (this.view.directory().remove(record.key(), graceMs, nowMs)) {
+			EventLog.state("endpoint_gone")
+				.with("endpoint", record.key())
+				.with("offset", record.offset())
+				.with("grace_ms", graceMs)
+				.write();
+		}
+	}
+
+	private boolean updated(KeyedRecord record, long nowMs) {
+		try {
+			EndpointRecord endpoint = EndpointRecordDecoder.decode(record.key(), record.value());
+			EndpointDirectory.Change change = this.view.put(endpoint, nowMs);
+			if (change != EndpointDirectory.Change.UPDATED) {
+				EventLog.state("endpoint_" + change.name().toLowerCase(java.util.Locale.ROOT))
+					.with("endpoint", endpoint.id())
+					.with("service", endpoint.service())
+					.with("domain", endpoint.failureDomain())
+					.with("cold_ms", endpoint.coldForMs())
+					.with("offset", record.offset())
+					.write();
+			}
+			return true;
+		}
+		catch (MalformedRecordException ex) {
+			EventLog.state("endpoint_record_refused")
+				.with("endpoint", record.key())
+				.with("offset", record.offset())
+				.with("cause", ex.getMessage())
+				.write();
+			this.view.directory().remove(record.key(), 0, nowMs);
+			return false;
+		}
+	}
+
+	private void memberPage(StorePage page) {
+		for (KeyedRecord record : page.records()) {
+			if (record.isRemoval()) {
+				this.peers.forgotten(record.key());
+			}
+			else {
+				this.peers.known(record.key(), new String(record.value(), StandardCharsets.UTF_8));
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.threads.forEach(Thread::interrupt);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -0,0 +1,236 @@
+package org.fulmargap.entry.caller;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * The connection of one caller: hands its requests on one after the other and writes
+ * their answers.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+	/** The requests that may wait on one connection for the answer to the one before. */
+	private static final int MAX_PIPELINED = 16;
+
+	private final CallerServer server;
+
+	private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+
+	private ChannelHandlerContext context;
+
+	private Exchange current;
+
+	private boolean closing;
+
+	private long idleSinceMs;
+
+	CallerConnection(CallerServer server) {
+		this.server = server;
+		this.idleSinceMs = server.nowMs();
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext newContext) {
+		this.context = newContext;
+		this.server.opened(this);
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		FullHttpRequest request = (FullHttpRequest) message;
+		if (this.closing) {
+			// The answer that ends the connection is on its way; this request is not
+			// read.
+			request.release();
+			return;
+		}
+		if (this.current != null) {
+			if (this.pipelined.size() >= MAX_PIPELINED) {
+				request.release();
+				context.close();
+				return;
+			}
+			this.pipelined.add(request);
+			return;
+		}
+		start(request);
+	}
+
+	private void start(FullHttpRequest request) {
+		Exchange exchange = new Exchange(request);
+		this.current = exchange;
+		if (request.decoderResult().isFailure() || isAmbiguous(request)) {
+			request.release();
+			exchange.keepAlive = false;
+			exchange.answer(HttpResponseStatus.BAD_REQUEST.code(),
+					DefaultHttpHeadersFactory.headersFactory().newHeaders(), Unpooled.EMPTY_BUFFER);
+			return;
+		}
+		exchange.listener = this.server.handler().handle(request, exchange);
+	}
+
+	// A request whose end two readers may see at different places could hide another one.
+	private static boolean isAmbiguous(FullHttpRequest request) {
+		HttpHeaders headers = request.headers();
+		return headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1
+				|| headers.getAll(HttpHeaderNames.HOST).size() != 1;
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.server.closed(this);
+		this.pipelined.forEach(FullHttpRequest::release);
+		this.pipelined.clear();
+		Exchange left = this.current;
+		this.current = null;
+		if (left != null && left.listener != null) {
+			left.listener.callerLeft();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+	void closeIfIdle(long nowMs, long idleTimeoutMs) {
+		if (this.current == null && nowMs - this.idleSinceMs > idleTimeoutMs) {
+			this.context.close();
+		}
+	}
+
+	boolean isBusy() {
+		return this.current != null;
+	}
+
+	void closeIfUnused() {
+		if (this.current == null) {
+			this.context.close();
+		}
+	}
+
+	private void finished(Exchange exchange) {
+		if (this.current != exchange) {
+			return;
+		}
+		this.current = null;
+		this.idleSinceMs = this.server.nowMs();
+		if (!exchange.keepAlive) {
+			this.closing = true;
+			return;
+		}
+		FullHttpRequest next = this.pipelined.poll();
+		if (next != null) {
+			start(next);
+		}
+	}
+
+	private final class Exchange implements CallerExchange {
+
+		private final boolean isHead;
+
+		private boolean keepAlive;
+
+		private CallerListener listener;
+
+		private Exchange(FullHttpRequest request) {
+			this.isHead = request.method().equals(HttpMethod.HEAD);
+			this.keepAlive = HttpUtil.isKeepAlive(request);
+		}
+
+		@Override
+		public void answer(int status, HttpHeaders headers, ByteBuf body) {
+			if (isGone()) {
+				body.release();
+				return;
+			}
+			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+					HttpResponseStatus.valueOf(status), (this.isHead) ? Unpooled.EMPTY_BUFFER : body);
+			response.headers().set(headers);
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+			setConnection(response);
+			write(response, true);
+		}
+
+		@Override
+		public void begin(int status, HttpHeaders headers) {
+			if (isGone()) {
+				return;
+			}
+			HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+			response.headers().set(headers);
+			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+			setConnection(response);
+			CallerConnection.this.context.write(response);
+		}
+
+		@Override
+		public void write(ByteBuf content) {
+			if (isGone()) {
+				content.release();
+				return;
+			}
+			CallerConnection.this.context.writeAndFlush(new DefaultHttpContent(content));
+		}
+
+		@Override
+		public void end() {
+			if (!isGone()) {
+				write(LastHttpContent.EMPTY_LAST_CONTENT, true);
+			}
+		}
+
+		@Override
+		public void abort() {
+			if (!isGone()) {
+				CallerConnection.this.current = null;
+				CallerConnection.this.context.close();
+			}
+		}
+
+		private boolean isGone() {
+			return CallerConnection.this.current != this;
+		}
+
+		private void setConnection(HttpResponse response) {
+			if (CallerConnection.this.server.isDraining()) {
+				this.keepAlive = false;
+			}
+			if (!this.keepAlive) {
+				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+			}
+		}
+
+		private void write(Object message, boolean last) {
+			var future = CallerConnection.this.context.writeAndFlush(message);
+			if (last) {
+				if (!this.keepAlive) {
+					future.addListener(ChannelFutureListener.CLOSE);
+				}
+				finished(this);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -0,0 +1,139 @@
+package org.fulmargap.entry.caller;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.fulmargap.catalog.RequestLimits;
+
+/**
+ * Accepts the connections of callers. Confined to its event loop.
+ */
+public final class CallerServer {
+
+	private static final int BACKLOG = 1_024;
+
+	private static final int MAX_CHUNK_BYTES = 65_536;
+
+	private static final long SWEEP_INTERVAL_MS = 1_000;
+
+	private final EventLoop loop;
+
+	private final LongSupplier clockMs;
+
+	private final Supplier<RequestLimits> limits;
+
+	private final Set<CallerConnection> connections = new HashSet<>();
+
+	private final CallerHandler handler;
+
+	private boolean draining;
+
+	/**
+	 * Creates a server that doesn't listen yet.
+	 * @param loop the event loop of all connections
+	 * @param clockMs the present time in milliseconds
+	 * @param limits the bounds on requests
+	 * @param handler takes the requests
+	 */
+	public CallerServer(EventLoop loop, LongSupplier clockMs, Supplier<RequestLimits> limits, CallerHandler handler) {
+		this.loop = loop;
+		this.clockMs = clockMs;
+		this.limits = limits;
+		this.handler = handler;
+	}
+
+	/**
+	 * Begins to listen.
+	 * @param address the address as {@code IP:port}
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	public void listen(String address) throws InterruptedException {
+		int colon = address.lastIndexOf(':');
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					addHandlers(channel);
+				}
+			});
+		bootstrap
+			.bind(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
+			.sync();
+		this.loop.scheduleWithFixedDelay(this::closeIdle, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void addHandlers(Channel channel) {
+		RequestLimits bounds = this.limits.get();
+		channel.pipeline()
+			.addLast(new HttpRequestDecoder(bounds.maxHeaderBytes(), bounds.maxHeaderBytes(), MAX_CHUNK_BYTES),
+					new HttpResponseEncoder(), new HttpObjectAggregator(bounds.maxBodyBytes()),
+					new CallerConnection(this));
+	}
+
+	private void closeIdle() {
+		long nowMs = this.clockMs.getAsLong();
+		long idleTimeoutMs = this.limits.get().idleTimeoutMs();
+		List.copyOf(this.connections).forEach((connection) -> connection.closeIfIdle(nowMs, idleTimeoutMs));
+	}
+
+	/**
+	 * Begins to leave: answers ask callers to close their connections.
+	 */
+	public void drain() {
+		this.draining = true;
+	}
+
+	/**
+	 * Closes the connections that carry no request.
+	 */
+	public void closeUnused() {
+		List.copyOf(this.connections).forEach(CallerConnection::closeIfUnused);
+	}
+
+	/**
+	 * Returns the number of requests that are under way.
+	 * @return the number
+	 */
+	public long busyConnections() {
+		return this.connections.stream().filter(CallerConnection::isBusy).count();
+	}
+
+	boolean isDraining() {
+		return this.draining;
+	}
+
+	CallerHandler handler() {
+		return this.handler;
+	}
+
+	long nowMs() {
+		return this.clockMs.getAsLong();
+	}
+
+	void opened(CallerConnection connection) {
+		this.connections.add(connection);
+	}
+
+	void closed(CallerConnection connection) {
+		this.connections.remove(connection);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The connections of callers.
+ */
+package org.fulmargap.entry.caller;
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -0,0 +1,164 @@
+package org.fulmargap.entry.endpoint;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.fulmargap.platform.EndpointAnswer;
+import org.fulmargap.platform.EndpointHeaders;
+
+/**
+ * One connection to an endpoint, which carries one call at a time. Answers to other calls
+ * are skipped; bytes that no call waits for end the connection.
+ */
+final class EndpointConnection extends ChannelInboundHandlerAdapter {
+
+	private static final int FIRST_FINAL_STATUS = 200;
+
+	private final EndpointPool pool;
+
+	private final String address;
+
+	private final Channel channel;
+
+	private EndpointCall call;
+
+	private boolean requestWritten;
+
+	private boolean skipping;
+
+	private boolean closesAfterAnswer;
+
+	private long idleTimeoutMs = -1;
+
+	private long idleSinceMs;
+
+	EndpointConnection(EndpointPool pool, String address, Channel channel) {
+		this.pool = pool;
+		this.address = address;
+		this.channel = channel;
+	}
+
+	String address() {
+		return this.address;
+	}
+
+	long idleTimeoutMs() {
+		return this.idleTimeoutMs;
+	}
+
+	long idleSinceMs() {
+		return this.idleSinceMs;
+	}
+
+	boolean isOpen() {
+		return this.channel.isActive();
+	}
+
+	void send(FullHttpRequest request, EndpointCall newCall) {
+		this.call = newCall;
+		this.requestWritten = false;
+		this.skipping = false;
+		this.channel.writeAndFlush(request).addListener((future) -> {
+			this.requestWritten = future.isSuccess();
+			if (!future.isSuccess()) {
+				fail(CallFailure.CONNECTION_LOST);
+			}
+		});
+	}
+
+	/**
+	 * Ends the connection and forgets its call, which hears nothing more.
+	 */
+	void cancel() {
+		this.call = null;
+		this.channel.close();
+	}
+
+	void close() {
+		this.channel.close();
+	}
+
+	private void fail(CallFailure failure) {
+		EndpointCall failed = this.call;
+		this.call = null;
+		this.channel.close();
+		if (failed != null) {
+			failed.failed(failure);
+		}
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			read((HttpObject) message);
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void read(HttpObject message) {
+		if (this.call == null || message.decoderResult().isFailure()) {
+			fail(CallFailure.WRONG_ANSWER);
+			return;
+		}
+		if (message instanceof HttpResponse head) {
+			readHead(head);
+		}
+		if (message instanceof HttpContent content && this.call != null) {
+			readContent(content);
+		}
+	}
+
+	private void readHead(HttpResponse head) {
+		int status = head.status().code();
+		EndpointAnswer answer = EndpointHeaders.decode(status, (name) -> head.headers().get(name));
+		String expected = this.call.attemptId();
+		boolean foreign = !expected.isEmpty() && !answer.attemptId().isEmpty() && !answer.attemptId().equals(expected);
+		this.skipping = status < FIRST_FINAL_STATUS || foreign;
+		if (this.skipping) {
+			return;
+		}
+		this.closesAfterAnswer = answer.closes();
+		this.idleTimeoutMs = answer.idleTimeoutMs();
+		this.call.answered(answer, head);
+	}
+
+	private void readContent(HttpContent content) {
+		if (!this.skipping && content.content().isReadable()) {
+			this.call.received(content.content());
+		}
+		if (content instanceof LastHttpContent && !this.skipping && this.call != null) {
+			EndpointCall done = this.call;
+			this.call = null;
+			// An answer that came before the whole request was written may leave bytes of
+			// the request unread at the endpoint.
+			if (this.closesAfterAnswer || !this.requestWritten) {
+				this.channel.close();
+			}
+			else {
+				this.idleSinceMs = this.pool.nowMs();
+				this.pool.release(this);
+			}
+			done.ended();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		fail(CallFailure.CONNECTION_LOST);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.pool.closed(this);
+		fail(CallFailure.CONNECTION_LOST);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -0,0 +1,205 @@
+package org.fulmargap.entry.endpoint;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Keeps connections to endpoints open between calls. Confined to its event loop.
+ */
+public final class EndpointPool implements AutoCloseable {
+
+	/** How long a connection may take to come about, in milliseconds. */
+	private static final int CONNECT_TIMEOUT_MS = 250;
+
+	/** How long a connection is kept when the endpoint names no time, in milliseconds. */
+	private static final long DEFAULT_IDLE_MS = 900;
+
+	/** A connection is given up this long before its endpoint would, in milliseconds. */
+	private static final long IDLE_MARGIN_MS = 300;
+
+	/** How often connections that were idle too long are closed, in milliseconds. */
+	private static final long SWEEP_INTERVAL_MS = 500;
+
+	private final EventLoop loop;
+
+	private final LongSupplier clockMs;
+
+	private final Bootstrap bootstrap;
+
+	private final Map<String, Deque<EndpointConnection>> idleByAddress = new HashMap<>();
+
+	private long connects;
+
+	/**
+	 * Creates a pool.
+	 * @param loop the event loop of all connections
+	 * @param clockMs the present time in milliseconds
+	 */
+	public EndpointPool(EventLoop loop, LongSupplier clockMs) {
+		this.loop = loop;
+		this.clockMs = clockMs;
+		this.bootstrap = new Bootstrap().group(loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.handler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline().addLast(new HttpRequestEncoder(), new HttpResponseDecoder());
+				}
+			});
+		loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Sends a request to an endpoint.
+	 * @param address the address as {@code IP:port}
+	 * @param request the request; the pool takes it over
+	 * @param call hears what becomes of it
+	 * @return what cancels the call
+	 */
+	public Cancellable send(String address, FullHttpRequest request, EndpointCall call) {
+		EndpointConnection kept = takeIdle(address);
+		if (kept != null) {
+			kept.send(request, call);
+			return kept::cancel;
+		}
+		return connect(address, request, call);
+	}
+
+	private Cancellable connect(String address, FullHttpRequest request, EndpointCall call) {
+		this.connects++;
+		int colon = address.lastIndexOf(':');
+		ChannelFuture future = this.bootstrap.connect(
+				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+		PendingCall pending = new PendingCall(future.channel());
+		future.addListener((connected) -> {
+			if (pending.cancelled) {
+				request.release();
+				future.channel().close();
+			}
+			else if (!connected.isSuccess()) {
+				request.release();
+				call.failed(CallFailure.NOT_CONNECTED);
+			}
+			else {
+				pending.connection = new EndpointConnection(this, address, future.channel());
+				future.channel().pipeline().addLast(pending.connection);
+				pending.connection.send(request, call);
+			}
+		});
+		return pending;
+	}
+
+	private EndpointConnection takeIdle(String address) {
+		Deque<EndpointConnection> idle = this.idleByAddress.get(address);
+		while (idle != null && !idle.isEmpty()) {
+			EndpointConnection connection = idle.pollLast();
+			if (connection.isOpen() && !isIdleTooLong(connection)) {
+				return connection;
+			}
+			connection.close();
+		}
+		return null;
+	}
+
+	private boolean isIdleTooLong(EndpointConnection connection) {
+		long timeoutMs = (connection.idleTimeoutMs() > 0) ? connection.idleTimeoutMs() : DEFAULT_IDLE_MS;
+		return this.clockMs.getAsLong() - connection.idleSinceMs() > timeoutMs - IDLE_MARGIN_MS;
+	}
+
+	private void sweep() {
+		for (Deque<EndpointConnection> idle : this.idleByAddress.values()) {
+			while (!idle.isEmpty() && isIdleTooLong(idle.peekFirst())) {
+				idle.pollFirst().close();
+			}
+		}
+		this.idleByAddress.values().removeIf(Deque::isEmpty);
+	}
+
+	void release(EndpointConnection connection) {
+		if (connection.isOpen()) {
+			this.idleByAddress.computeIfAbsent(connection.address(), (address) -> new ArrayDeque<>())
+				.addLast(connection);
+		}
+	}
+
+	void closed(EndpointConnection connection) {
+		Deque<EndpointConnection> idle = this.idleByAddress.get(connection.address());
+		if (idle != null) {
+			idle.remove(connection);
+		}
+	}
+
+	long nowMs() {
+		return this.clockMs.getAsLong();
+	}
+
+	/**
+	 * Returns the number of connections that were opened.
+	 * @return the number since the start
+	 */
+	public long connects() {
+		return this.connects;
+	}
+
+	@Override
+	public void close() {
+		this.loop.execute(() -> this.idleByAddress.values().forEach((idle) -> idle.forEach(EndpointConnection::close)));
+	}
+
+	/**
+	 * Ends a call whose answer is no longer of use.
+	 */
+	@FunctionalInterface
+	public interface Cancellable {
+
+		/**
+		 * Ends the call and its connection; the call hears nothing more.
+		 */
+		void cancel();
+
+	}
+
+	private static final class PendingCall implements Cancellable {
+
+		private final Channel channel;
+
+		private EndpointConnection connection;
+
+		private boolean cancelled;
+
+		private PendingCall(Channel channel) {
+			this.channel = channel;
+		}
+
+		@Override
+		public void cancel() {
+			this.cancelled = true;
+			if (this.connection != null) {
+				this.connection.cancel();
+			}
+			else {
+				this.channel.close();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections and calls to endpoints.
+ */
+package org.fulmargap.entry.endpoint;
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -0,0 +1,247 @@
+package org.fulmargap.entry.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fulmargap.batch.Piece;
+import org.fulmargap.entry.stage.PieceOutcome;
+import org.fulmargap.placement.Prompt;
+import org.fulmargap.placement.PromptPart;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Encodes messages between entry VMs in MessagePack: the number of the type, then the
+ * fields in order. Times travel as distances from the present, because VMs share no
+ * clock.
+ */
+final class PeerCodec {
+
+	private static final int MAX_LIST = 100_000;
+
+	private PeerCodec() {
+	}
+
+	static byte[] encode(PeerMessage message, long nowMs) {
+		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+			write(out, message, nowMs);
+			return out.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("writing to memory failed", ex);
+		}
+	}
+
+	private static void write(MessageBufferPacker out, PeerMessage message, long nowMs) throws IOException {
+		if (message instanceof PeerMessage.Hello hello) {
+			out.packInt(Type.HELLO.ordinal()).packString(hello.vm()).packLong(hello.startedAtMs());
+		}
+		else if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			out.packInt(Type.HEARTBEAT.ordinal()).packBoolean(heartbeat.draining());
+			out.packArrayHeader(heartbeat.loads().size());
+			for (PeerMessage.Load load : heartbeat.loads()) {
+				out.packString(load.endpoint()).packInt(load.inFlight()).packLong(load.prefillTokens());
+			}
+		}
+		else if (message instanceof PeerMessage.PromptSent sent) {
+			out.packInt(Type.PROMPT_SENT.ordinal()).packString(sent.endpoint());
+			writePrompt(out, sent.prompt());
+		}
+		else if (message instanceof PeerMessage.Pieces pieces) {
+			out.packInt(Type.PIECES.ordinal()).packString(pieces.service()).packArrayHeader(pieces.pieces().size());
+			for (Piece piece : pieces.pieces()) {
+				writePiece(out, piece, nowMs);
+			}
+		}
+		else {
+			writeShort(out, message);
+		}
+	}
+
+	private static void writeShort(MessageBufferPacker out, PeerMessage message) throws IOException {
+		if (message instanceof PeerMessage.Outcomes outcomes) {
+			out.packInt(Type.OUTCOMES.ordinal()).packArrayHeader(outcomes.outcomes().size());
+			for (PieceOutcome outcome : outcomes.outcomes()) {
+				out.packLong(outcome.ticket()).packString(outcome.handle()).packString(outcome.failureDomain());
+			}
+		}
+		else if (message instanceof PeerMessage.Withdrawal withdrawal) {
+			out.packInt(Type.WITHDRAWAL.ordinal()).packLong(withdrawal.ticket());
+		}
+		else if (message instanceof PeerMessage.Release release) {
+			out.packInt(Type.RELEASE.ordinal()).packString(release.service());
+			writeTexts(out, release.handles());
+		}
+		else if (message instanceof PeerMessage.Strike strike) {
+			out.packInt(Type.STRIKE.ordinal()).packString(strike.fingerprint()).packString(strike.endpoint());
+		}
+		else {
+			throw new IllegalStateException("no encoding for " + message.getClass());
+		}
+	}
+
+	private static void writePrompt(MessageBufferPacker out, Prompt prompt) throws IOException {
+		out.packInt(prompt.promptTokens()).packInt(prompt.maxOutputTokens()).packArrayHeader(prompt.parts().size());
+		for (PromptPart part : prompt.parts()) {
+			out.packString(part.id()).packInt(part.tokens());
+		}
+	}
+
+	private static void writePiece(MessageBufferPacker out, Piece piece, long nowMs) throws IOException {
+		out.packLong(piece.ticket())
+			.packString(piece.attemptId())
+			.packInt(piece.stage())
+			.packInt(piece.segment())
+			.packString(piece.chunkKey());
+		writeTexts(out, piece.inputs());
+		out.packLong(piece.dueAtMs() - nowMs).packLong(piece.expiresAtMs() - nowMs).packLong(piece.resultBytes());
+	}
+
+	private static void writeTexts(MessageBufferPacker out, List<String> texts) throws IOException {
+		out.packArrayHeader(texts.size());
+		for (String text : texts) {
+			out.packString(text);
+		}
+	}
+
+	/**
+	 * Decodes a message.
+	 * @param bytes the frame
+	 * @param nowMs the present time in milliseconds
+	 * @return the message
+	 * @throws IOException if the frame holds none
+	 */
+	static PeerMessage decode(byte[] bytes, long nowMs) throws IOException {
+		try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+			int type = in.unpackInt();
+			if (type < 0 || type >= Type.values().length) {
+				throw new IOException("unknown type of message: " + type);
+			}
+			return Type.values()[type].read(in, nowMs);
+		}
+		catch (RuntimeException ex) {
+			throw new IOException("malformed message", ex);
+		}
+	}
+
+	private static PeerMessage.Heartbeat readHeartbeat(MessageUnpacker in) throws IOException {
+		boolean draining = in.unpackBoolean();
+		List<PeerMessage.Load> loads = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			loads.add(new PeerMessage.Load(in.unpackString(), in.unpackInt(), in.unpackLong()));
+		}
+		return new PeerMessage.Heartbeat(draining, loads);
+	}
+
+	private static Prompt readPrompt(MessageUnpacker in) throws IOException {
+		int promptTokens = in.unpackInt();
+		int maxOutputTokens = in.unpackInt();
+		List<PromptPart> parts = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			parts.add(new PromptPart(in.unpackString(), in.unpackInt()));
+		}
+		return new Prompt(promptTokens, maxOutputTokens, parts);
+	}
+
+	private static PeerMessage.Pieces readPieces(MessageUnpacker in, long nowMs) throws IOException {
+		String service = in.unpackString();
+		List<Piece> pieces = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			pieces.add(new Piece(in.unpackLong(), in.unpackString(), in.unpackInt(), in.unpackInt(), in.unpackString(),
+					readTexts(in), nowMs + in.unpackLong(), nowMs + in.unpackLong(), in.unpackLong()));
+		}
+		return new PeerMessage.Pieces(service, pieces);
+	}
+
+	private static PeerMessage.Outcomes readOutcomes(MessageUnpacker in) throws IOException {
+		List<PieceOutcome> outcomes = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			outcomes.add(new PieceOutcome(in.unpackLong(), in.unpackString(), in.unpackString()));
+		}
+		return new PeerMessage.Outcomes(outcomes);
+	}
+
+	private static List<String> readTexts(MessageUnpacker in) throws IOException {
+		List<String> texts = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			texts.add(in.unpackString());
+		}
+		return texts;
+	}
+
+	private static int readSize(MessageUnpacker in) throws IOException {
+		int size = in.unpackArrayHeader();
+		if (size > MAX_LIST) {
+			throw new IOException("a list of " + size + " entries");
+		}
+		return size;
+	}
+
+	/**
+	 * The types of messages; the order is part of the protocol.
+	 */
+	private enum Type {
+
+		HELLO {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.Hello(in.unpackString(), in.unpackLong());
+			}
+		},
+
+		HEARTBEAT {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return readHeartbeat(in);
+			}
+		},
+
+		PROMPT_SENT {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.PromptSent(in.unpackString(), readPrompt(in));
+			}
+		},
+
+		PIECES {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return readPieces(in, nowMs);
+			}
+		},
+
+		OUTCOMES {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return readOutcomes(in);
+			}
+		},
+
+		WITHDRAWAL {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.Withdrawal(in.unpackLong());
+			}
+		},
+
+		RELEASE {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.Release(in.unpackString(), readTexts(in));
+			}
+		},
+
+		STRIKE {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.Strike(in.unpackString(), in.unpackString());
+			}
+		};
+
+		abstract PeerMessage read(MessageUnpacker in, long nowMs) throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
@@ -0,0 +1,29 @@
+package org.fulmargap.entry.peer;
+
+import java.util.List;
+
+/**
+ * Hears the other entry VMs.
+ */
+public interface PeerListener {
+
+	/**
+	 * Hears a message.
+	 * @param peer the name of the sender
+	 * @param message the message
+	 */
+	void received(String peer, PeerMessage message);
+
+	/**
+	 * Hears that a peer is no longer heard, is leaving or has started anew.
+	 * @param peer the name of the peer
+	 */
+	void peerLost(String peer);
+
+	/**
+	 * Returns what this VM has in flight, for heartbeats.
+	 * @return the loads
+	 */
+	List<PeerMessage.Load> loads();
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -0,0 +1,440 @@
+package org.fulmargap.entry.peer;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import org.fulmargap.entry.EventLog;
+
+/**
+ * The links to the other entry VMs. Each VM sends on connections that it opened and only
+ * reads those that it accepted. Confined to its event loop.
+ */
+public final class PeerNetwork {
+
+	/** How often a heartbeat goes to each peer, in milliseconds. */
+	private static final long HEARTBEAT_MS = 250;
+
+	/** A peer that isn't heard for this time is lost, in milliseconds. */
+	private static final long LOST_AFTER_MS = 900;
+
+	/** A peer that was heard within this time counts in shared limits, in ms. */
+	private static final long COUNTED_MS = 20_000;
+
+	/** How long to wait before the next attempt to connect, in milliseconds. */
+	private static final long RECONNECT_MS = 400;
+
+	/** The longest wait before the next attempt to connect, in milliseconds. */
+	private static final long MAX_RECONNECT_MS = 5_000;
+
+	private static final int CONNECT_TIMEOUT_MS = 500;
+
+	private static final int MAX_FRAME_BYTES = 4 << 20;
+
+	private static final int LENGTH_BYTES = 4;
+
+	/** Unsent bytes beyond which a peer is taken for stuck. */
+	private static final int MAX_UNSENT_BYTES = 1 << 20;
+
+	private final String ownName;
+
+	private final long startedAtMs;
+
+	private final EventLoop loop;
+
+	private final LongSupplier clockMs;
+
+	private final Map<String, Peer> peers = new HashMap<>();
+
+	private PeerListener listener;
+
+	private boolean draining;
+
+	private long lastTickAtMs;
+
+	/**
+	 * Creates a network without peers.
+	 * @param ownName the name of this VM
+	 * @param startedAtMs when this process started, in milliseconds since the epoch
+	 * @param loop the event loop
+	 * @param clockMs the present time in milliseconds
+	 */
+	public PeerNetwork(String ownName, long startedAtMs, EventLoop loop, LongSupplier clockMs) {
+		this.ownName = ownName;
+		this.startedAtMs = startedAtMs;
+		this.loop = loop;
+		this.clockMs = clockMs;
+	}
+
+	/**
+	 * Begins to listen and to send heartbeats.
+	 * @param ip the own address
+	 * @param port the port
+	 * @param newListener hears the peers
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	public void start(String ip, int port, PeerListener newListener) throws InterruptedException {
+		this.listener = newListener;
+		new ServerBootstrap().group(this.loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline().addLast(decoder(), new Receiver());
+				}
+			})
+			.bind(new InetSocketAddress(ip, port))
+			.sync();
+		this.loop.scheduleWithFixedDelay(this::tick, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private static LengthFieldBasedFrameDecoder decoder() {
+		return new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+	}
+
+	/**
+	 * Takes over the address of a VM.
+	 * @param vm the name of the VM
+	 * @param address its address as {@code IP:port}
+	 */
+	public void known(String vm, String address) {
+		if (vm.equals(this.ownName)) {
+			return;
+		}
+		Peer peer = this.peers.computeIfAbsent(vm, (name) -> new Peer(name));
+		if (!address.equals(peer.address)) {
+			peer.address = address;
+			peer.disconnect();
+			peer.reconnectMs = RECONNECT_MS;
+			peer.connect();
+		}
+	}
+
+	/**
+	 * Forgets a VM that has left.
+	 * @param vm the name of the VM
+	 */
+	public void forgotten(String vm) {
+		Peer peer = this.peers.remove(vm);
+		if (peer != null) {
+			peer.removed = true;
+			peer.disconnect();
+			peer.lose("left");
+		}
+	}
+
+	/**
+	 * Tells the peers that this VM is about to leave.
+	 */
+	public void drain() {
+		this.draining = true;
+		tick();
+	}
+
+	/**
+	 * Returns the name of this VM.
+	 * @return the name
+	 */
+	public String ownName() {
+		return this.ownName;
+	}
+
+	/**
+	 * Returns the number of entry VMs over which shared limits are divided: this one and
+	 * all that were heard lately.
+	 * @return the number
+	 */
+	public int vmCount() {
+		long nowMs = this.clockMs.getAsLong();
+		int count = 1;
+		for (Peer peer : this.peers.values()) {
+			boolean counted = peer.heardAtMs == Long.MIN_VALUE || nowMs - peer.heardAtMs < COUNTED_MS;
+			count += (counted) ? 1 : 0;
+		}
+		return count;
+	}
+
+	/**
+	 * Returns the VM that is in charge of a service, in the view of this VM.
+	 * @param service the name of the service
+	 * @return the name of the VM
+	 */
+	public String inCharge(String service) {
+		String best = this.ownName;
+		int bestRank = (this.draining) ? Integer.MIN_VALUE : rank(service, this.ownName);
+		for (Peer peer : this.peers.values()) {
+			if (peer.alive && !peer.draining && peer.isConnected()) {
+				int rank = rank(service, peer.name);
+				if (rank > bestRank) {
+					best = peer.name;
+					bestRank = rank;
+				}
+			}
+		}
+		return best;
+	}
+
+	private static int rank(String service, String vm) {
+		int hash = (service + '@' + vm).hashCode() * 0x9E3779B9;
+		return (hash ^ (hash >>> 15)) * 0x85EBCA6B;
+	}
+
+	/**
+	 * Sends a message to a peer.
+	 * @param vm the name of the peer
+	 * @param message the message
+	 * @return whether it could be handed to a connection
+	 */
+	public boolean send(String vm, PeerMessage message) {
+		Peer peer = this.peers.get(vm);
+		return peer != null && peer.send(message);
+	}
+
+	/**
+	 * Sends a message to all peers that can be reached.
+	 * @param message the message
+	 */
+	public void sendAll(PeerMessage message) {
+		this.peers.values().forEach((peer) -> peer.send(message));
+	}
+
+	private void tick() {
+		long nowMs = this.clockMs.getAsLong();
+		boolean slept = nowMs - this.lastTickAtMs > LOST_AFTER_MS;
+		this.lastTickAtMs = nowMs;
+		PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(this.draining, this.listener.loads());
+		for (Peer peer : List.copyOf(this.peers.values())) {
+			peer.send(heartbeat);
+			// After a pause of this process, what the peers sent meanwhile is read first.
+			if (!slept && peer.alive && nowMs - peer.heardAtMs > LOST_AFTER_MS) {
+				peer.lose("silent");
+				peer.disconnect();
+				peer.connect();
+			}
+		}
+	}
+
+	private void received(Receiver receiver, PeerMessage message) {
+		long nowMs = this.clockMs.getAsLong();
+		if (message instanceof PeerMessage.Hello hello) {
+			receiver.peer = this.peers.computeIfAbsent(hello.vm(), (name) -> new Peer(name));
+			receiver.peer.greeted(hello, nowMs);
+			return;
+		}
+		Peer peer = receiver.peer;
+		if (peer == null) {
+			return;
+		}
+		peer.heard(nowMs);
+		if (message instanceof PeerMessage.Heartbeat heartbeat && heartbeat.draining() && !peer.draining) {
+			peer.draining = true;
+			peer.lose("draining");
+		}
+		this.listener.received(peer.name, message);
+	}
+
+	/**
+	 * Another entry VM.
+	 */
+	private final class Peer {
+
+		private final String name;
+
+		private String address;
+
+		private Channel channel;
+
+		private boolean connecting;
+
+		private long reconnectMs = RECONNECT_MS;
+
+		private long heardAtMs = Long.MIN_VALUE;
+
+		private long peerStartedAtMs;
+
+		private boolean alive;
+
+		private boolean draining;
+
+		private boolean removed;
+
+		private Peer(String name) {
+			this.name = name;
+		}
+
+		private boolean isConnected() {
+			return this.channel != null && this.channel.isActive();
+		}
+
+		private void connect() {
+			if (this.connecting || this.removed || this.address == null || isConnected()) {
+				return;
+			}
+			this.connecting = true;
+			int colon = this.address.lastIndexOf(':');
+			new Bootstrap().group(PeerNetwork.this.loop)
+				.channel(NioSocketChannel.class)
+				.option(ChannelOption.TCP_NODELAY, true)
+				.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+				.handler(new ChannelInitializer<Channel>() {
+					@Override
+					protected void initChannel(Channel opened) {
+						opened.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES), new Sender(Peer.this));
+					}
+				})
+				.connect(new InetSocketAddress(this.address.substring(0, colon),
+						Integer.parseInt(this.address.substring(colon + 1))))
+				.addListener((future) -> {
+					this.connecting = false;
+					if (!future.isSuccess()) {
+						reconnectLater();
+					}
+				});
+		}
+
+		private void reconnectLater() {
+			PeerNetwork.this.loop.schedule(this::connect, this.reconnectMs, TimeUnit.MILLISECONDS);
+			this.reconnectMs = Math.min(MAX_RECONNECT_MS, this.reconnectMs * 2);
+		}
+
+		private void connected(Channel opened) {
+			this.channel = opened;
+			this.reconnectMs = RECONNECT_MS;
+			send(new PeerMessage.Hello(PeerNetwork.this.ownName, PeerNetwork.this.startedAtMs));
+			send(new PeerMessage.Heartbeat(PeerNetwork.this.draining, PeerNetwork.this.listener.loads()));
+		}
+
+		private void disconnected(Channel closed) {
+			if (closed == this.channel) {
+				this.channel = null;
+				lose("disconnected");
+				reconnectLater();
+			}
+		}
+
+		private void disconnect() {
+			Channel open = this.channel;
+			this.channel = null;
+			if (open != null) {
+				open.close();
+			}
+		}
+
+		private boolean send(PeerMessage message) {
+			if (!isConnected()) {
+				return false;
+			}
+			if (this.channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
+				return false;
+			}
+			byte[] frame = PeerCodec.encode(message, PeerNetwork.this.clockMs.getAsLong());
+			this.channel.writeAndFlush(io.netty.buffer.Unpooled.wrappedBuffer(frame));
+			return true;
+		}
+
+		private void greeted(PeerMessage.Hello hello, long nowMs) {
+			if (this.peerStartedAtMs != hello.startedAtMs()) {
+				lose("restarted");
+				this.draining = false;
+			}
+			this.peerStartedAtMs = hello.startedAtMs();
+			heard(nowMs);
+			this.reconnectMs = RECONNECT_MS;
+			connect();
+		}
+
+		private void heard(long nowMs) {
+			this.heardAtMs = nowMs;
+			if (!this.alive) {
+				this.alive = true;
+				EventLog.state("peer_heard").with("peer", this.name).write();
+			}
+		}
+
+		private void lose(String reason) {
+			if (this.alive) {
+				EventLog.state("peer_lost")
+					.with("peer", this.name)
+					.with("reason", reason)
+					.with("silent_ms", PeerNetwork.this.clockMs.getAsLong() - this.heardAtMs)
+					.write();
+			}
+			this.alive = false;
+			PeerNetwork.this.listener.peerLost(this.name);
+		}
+
+	}
+
+	/**
+	 * The sending end of a connection.
+	 */
+	private static final class Sender extends SimpleChannelInboundHandler<ByteBuf> {
+
+		private final Peer peer;
+
+		private Sender(Peer peer) {
+			this.peer = peer;
+		}
+
+		@Override
+		public void channelActive(ChannelHandlerContext context) {
+			this.peer.connected(context.channel());
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, ByteBuf unexpected) {
+			context.close();
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			this.peer.disconnected(context.channel());
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+	}
+
+	/**
+	 * The receiving end of a connection.
+	 */
+	private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+
+		private Peer peer;
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
+			received(this, PeerCodec.decode(ByteBufUtil.getBytes(frame), PeerNetwork.this.clockMs.getAsLong()));
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			EventLog.state("peer_frame_refused").with("cause", cause).write();
+			context.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Links between entry VMs.
+ */
+package org.fulmargap.entry.peer;
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -0,0 +1,53 @@
+package org.fulmargap.entry.request;
+
+/**
+ * Why a request ends without an endpoint's answer. A status of 503 says that the request
+ * has not run and never will; 502 and 504 leave it open.
+ */
+public enum Refusal {
+
+	/** This VM knows no configuration yet. */
+	NO_CONFIGURATION(503, 0.5),
+
+	/** No route matches. */
+	NO_ROUTE(404, 0),
+
+	/** The API key is missing or unknown. */
+	UNKNOWN_KEY(401, 0),
+
+	/** The request has crashed several endpoints. */
+	QUARANTINED(503, 30),
+
+	/** No endpoint can take the request now. */
+	NO_ENDPOINT(503, 0.3),
+
+	/** A stage could not be done. */
+	STAGE_FAILED(503, 0.3),
+
+	/** There is not enough time left to run the request. */
+	TOO_LATE(503, 0.5),
+
+	/** The request was sent and may have run. */
+	OUTCOME_UNKNOWN(502, 0),
+
+	/** The request was sent and its time is over. */
+	TIMED_OUT(504, 0);
+
+	private final int status;
+
+	private final double retryAfterSeconds;
+
+	Refusal(int status, double retryAfterSeconds) {
+		this.status = status;
+		this.retryAfterSeconds = retryAfterSeconds;
+	}
+
+	int status() {
+		return this.status;
+	}
+
+	double retryAfterSeconds() {
+		return this.retryAfterSeconds;
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -0,0 +1,618 @@
+package org.fulmargap.entry.request;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import org.fulmargap.catalog.Catalog;
+import org.fulmargap.catalog.ClientAccount;
+import org.fulmargap.catalog.Route;
+import org.fulmargap.catalog.ServiceSpec;
+import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.caller.CallerExchange;
+import org.fulmargap.entry.caller.CallerListener;
+import org.fulmargap.entry.endpoint.CallFailure;
+import org.fulmargap.entry.endpoint.EndpointCall;
+import org.fulmargap.entry.endpoint.EndpointPool;
+import org.fulmargap.entry.peer.PeerMessage;
+import org.fulmargap.placement.Choice;
+import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.Placement;
+import org.fulmargap.placement.Prompt;
+import org.fulmargap.placement.RepeatRule;
+import org.fulmargap.platform.CallerHeaders;
+import org.fulmargap.platform.CallerRequest;
+import org.fulmargap.platform.EndpointAnswer;
+import org.fulmargap.platform.EndpointHeaders;
+import org.fulmargap.platform.EndpointRequest;
+import org.fulmargap.platform.Header;
+import org.fulmargap.routing.CrashQuarantine;
+
+/**
+ * The way of one request: stages, choice of an endpoint, call, answer, and what follows
+ * from failures. Confined to the event loop.
+ */
+final class RequestFlow implements CallerListener, StageRun.Listener {
+
+	/**
+	 * The share of the time left after which a refused caller may return at the latest.
+	 */
+	private static final double RETRY_AFTER_SHARE = 0.3;
+
+	/** The lowest rank that an engine knows. */
+	private static final int LOWEST_PRIORITY = 9;
+
+	private static final double MS_PER_SECOND = 1_000;
+
+	/**
+	 * A repeatable call without sign of life is repeated after its usual time times this.
+	 */
+	private static final double PATIENCE_FACTOR = 4;
+
+	/** The least time before a repeatable call is repeated, in milliseconds. */
+	private static final long LEAST_PATIENCE_MS = 120;
+
+	/** How long a resumable stream may pause before it goes on elsewhere, in ms. */
+	private static final long STREAM_PATIENCE_MS = 1_500;
+
+	/** How long to wait before an endpoint without room is asked for again, in ms. */
+	private static final long NO_ENDPOINT_PAUSE_MS = 40;
+
+	private final RequestServices services;
+
+	private final CallerExchange exchange;
+
+	private final CallerRequest request;
+
+	private final HttpMethod method;
+
+	private final String uri;
+
+	private final HttpHeaders headers;
+
+	private final ByteBuf body;
+
+	private final Route route;
+
+	private final ServiceSpec service;
+
+	private final ClientAccount account;
+
+	private final String fingerprint;
+
+	private final long arrivedAtMs;
+
+	private final long endsAtMs;
+
+	private final StageRun stageRun;
+
+	private final Set<String> usedEndpoints = new HashSet<>();
+
+	private Future<?> endTimer;
+
+	private Call call;
+
+	private int calls;
+
+	private int runs;
+
+	private boolean answerBegun;
+
+	private EventSplitter events;
+
+	private boolean over;
+
+	RequestFlow(RequestServices services, CallerExchange exchange, FullHttpRequest http, CallerRequest request,
+			Catalog catalog, Route route, ClientAccount account, String fingerprint) {
+		this.services = services;
+		this.exchange = exchange;
+		this.request = request;
+		this.method = http.method();
+		this.uri = http.uri();
+		this.headers = http.headers();
+		this.body = http.content().retain();
+		this.route = route;
+		String serviceName = route.service(request.attemptId().hashCode());
+		this.service = catalog.services().getOrDefault(serviceName, new ServiceSpec(serviceName, 0, 0, null, null));
+		this.account = account;
+		this.fingerprint = fingerprint;
+		this.arrivedAtMs = services.nowMs();
+		long timeMs = (request.timeLeftMs() >= 0) ? Math.min(request.timeLeftMs(), route.timeoutMs())
+				: route.timeoutMs();
+		this.endsAtMs = this.arrivedAtMs + timeMs;
+		this.stageRun = new StageRun(services.stages(), route, request, this.arrivedAtMs + route.objectiveMs(),
+				this.endsAtMs, this);
+	}
+
+	void start() {
+		this.endTimer = this.services.loop()
+			.schedule(this::timeOver, this.endsAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
+		this.services.retries().firstRequest(this.service.name());
+		this.stageRun.start();
+	}
+
+	@Override
+	public void stagesDone() {
+		this.services.metrics().time("stages", this.services.nowMs() - this.arrivedAtMs);
+		dispatch();
+	}
+
+	@Override
+	public void stageFailed(String stageService) {
+		EventLog.request("stage_failed", this.request.attemptId()).with("service", stageService).write();
+		refuse(Refusal.STAGE_FAILED);
+	}
+
+	private void dispatch() {
+		if (this.over) {
+			return;
+		}
+		long nowMs = this.services.nowMs();
+		if (this.endsAtMs - nowMs < 1) {
+			timeOver();
+			return;
+		}
+		Placement.Demand demand = new Placement.Demand(this.request.prompt(), this.stageRun.finalInputs());
+		Optional<Choice> choice = this.services.placement()
+			.choose(this.services.view().directory().open(this.service.name(), nowMs), this.usedEndpoints, this.service,
+					demand, this.services.peers().vmCount(), nowMs);
+		if (choice.isEmpty()) {
+			noEndpoint(nowMs);
+			return;
+		}
+		this.call = new Call(choice.get(), nowMs);
+		this.call.send(nowMs);
+	}
+
+	// A cold endpoint may take the request a little later; otherwise there is none.
+	private void noEndpoint(long nowMs) {
+		boolean someOpen = this.services.view()
+			.directory()
+			.open(this.service.name(), nowMs)
+			.stream()
+			.anyMatch((endpoint) -> !this.usedEndpoints.contains(endpoint.record().id()));
+		long waitedMs = nowMs - this.arrivedAtMs;
+		if (someOpen && waitedMs + NO_ENDPOINT_PAUSE_MS < this.route.objectiveMs() / 2) {
+			this.services.loop().schedule(this::dispatch, NO_ENDPOINT_PAUSE_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		giveUp(this.runs > 0, Refusal.NO_ENDPOINT);
+	}
+
+	private void giveUp(boolean maybeRan, Refusal refusal) {
+		refuse((maybeRan) ? Refusal.OUTCOME_UNKNOWN : refusal);
+	}
+
+	private void timeOver() {
+		if (this.over) {
+			return;
+		}
+		giveUp0(this.runs > 0 || this.call != null);
+	}
+
+	private void giveUp0(boolean maybeRan) {
+		refuse((maybeRan) ? Refusal.TIMED_OUT : Refusal.TOO_LATE);
+	}
+
+	private void refuse(Refusal refusal) {
+		if (this.over) {
+			return;
+		}
+		long leftMs = Math.max(0, this.endsAtMs - this.services.nowMs());
+		EventLog.request("refused", this.request.attemptId())
+			.with("reason", refusal)
+			.with("route", this.route.name())
+			.with("age_ms", this.services.nowMs() - this.arrivedAtMs)
+			.with("left_ms", leftMs)
+			.with("calls", this.calls)
+			.with("runs", this.runs)
+			.write();
+		this.services.metrics().count("refused_" + refusal.name().toLowerCase(Locale.ROOT));
+		if (this.answerBegun) {
+			finish();
+			this.exchange.abort();
+			return;
+		}
+		finish();
+		answer(this.exchange, refusal, leftMs);
+	}
+
+	/**
+	 * Answers a request that no endpoint answers.
+	 * @param exchange the request
+	 * @param refusal why
+	 * @param leftMs how long the caller still waits, in milliseconds
+	 */
+	static void answer(CallerExchange exchange, Refusal refusal, long leftMs) {
+		HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+		if (refusal.retryAfterSeconds() > 0) {
+			// Callers that were refused together come back at different times.
+			double spread = 0.5 + ThreadLocalRandom.current().nextDouble();
+			double seconds = Math.min(refusal.retryAfterSeconds() * spread, leftMs * RETRY_AFTER_SHARE / MS_PER_SECOND);
+			headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
+		}
+		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+		ByteBuf body = Unpooled.copiedBuffer("{\"error\":\"" + refusal.name() + "\"}", StandardCharsets.UTF_8);
+		exchange.answer(refusal.status(), headers, body);
+	}
+
+	@Override
+	public void callerLeft() {
+		if (!this.over) {
+			EventLog.request("caller_left", this.request.attemptId())
+				.with("age_ms", this.services.nowMs() - this.arrivedAtMs)
+				.write();
+			this.services.metrics().count("caller_left");
+			finish();
+		}
+	}
+
+	private void finish() {
+		this.over = true;
+		this.endTimer.cancel(false);
+		this.stageRun.close();
+		if (this.call != null) {
+			this.call.cancel();
+		}
+		this.body.release();
+	}
+
+	private void done(int status) {
+		long ageMs = this.services.nowMs() - this.arrivedAtMs;
+		this.services.metrics().time("request", ageMs);
+		this.services.metrics().count("answered_" + status / 100 + "xx");
+		EventLog.request("answered", this.request.attemptId())
+			.with("status", status)
+			.with("route", this.route.name())
+			.with("age_ms", ageMs)
+			.with("runs", this.runs)
+			.write();
+		finish();
+	}
+
+	private void callFailed(Call failed, CallFailure failure, boolean maybeRan) {
+		if (maybeRan) {
+			this.runs++;
+		}
+		String id = failed.endpoint.record().id();
+		this.usedEndpoints.add(id);
+		long nowMs = this.services.nowMs();
+		boolean resumable = this.answerBegun && this.route.resumable();
+		boolean allowed = (!this.answerBegun || resumable)
+				&& RepeatRule.mayRepeat(this.route.isRepeatable(), maybeRan, this.runs, this.route.maxAttempts(),
+						this.calls)
+				&& this.services.quarantine().verdict(this.fingerprint, nowMs) != CrashQuarantine.Verdict.QUARANTINED
+				&& this.services.retries().tryRepeat(this.service.name(), this.services.peers().vmCount(), nowMs);
+		EventLog.request("call_failed", this.request.attemptId())
+			.with("endpoint", id)
+			.with("failure", failure)
+			.with("maybe_ran", maybeRan)
+			.with("after_ms", nowMs - failed.sentAtMs)
+			.with("repeat", allowed)
+			.write();
+		if (!allowed) {
+			giveUp(this.runs > 0, Refusal.NO_ENDPOINT);
+			return;
+		}
+		if (this.events != null) {
+			this.events.reset();
+		}
+		dispatch();
+	}
+
+	/**
+	 * A call of this request to one endpoint.
+	 */
+	private final class Call implements EndpointCall {
+
+		private final Endpoint endpoint;
+
+		private final Choice choice;
+
+		private final long sentAtMs;
+
+		private int unreadTokens;
+
+		private EndpointPool.Cancellable cancellable;
+
+		private EndpointAnswer answer;
+
+		private HttpResponse head;
+
+		private ByteBuf buffered;
+
+		private boolean closed;
+
+		private boolean firstSeen;
+
+		private Future<?> patience;
+
+		private Call(Choice choice, long nowMs) {
+			this.choice = choice;
+			this.endpoint = choice.endpoint();
+			this.sentAtMs = nowMs;
+		}
+
+		private void send(long nowMs) {
+			RequestFlow flow = RequestFlow.this;
+			Prompt prompt = flow.request.prompt();
+			long cacheTokens = (flow.service.engine() != null) ? flow.service.engine().cacheTokens() : 0;
+			this.unreadTokens = this.endpoint.started(prompt, cacheTokens, nowMs);
+			flow.calls++;
+			EventLog.request("dispatched", flow.request.attemptId())
+				.with("route", flow.route.name())
+				.with("endpoint", this.endpoint)
+				.with("cost_ms", Math.round(this.choice.costMs()))
+				.with("candidates", this.choice.candidates())
+				.with("in_flight", this.endpoint.inFlight(nowMs))
+				.with("unread_tokens", this.unreadTokens)
+				.with("age_ms", nowMs - flow.arrivedAtMs)
+				.write();
+			if (!prompt.parts().isEmpty()) {
+				flow.services.peers().sendAll(new PeerMessage.PromptSent(this.endpoint.record().id(), prompt));
+			}
+			this.cancellable = flow.services.pool().send(this.endpoint.record().address(), httpRequest(nowMs), this);
+			watch();
+		}
+
+		private void watch() {
+			RequestFlow flow = RequestFlow.this;
+			if (!flow.route.isRepeatable() || flow.runs + 1 >= flow.route.maxAttempts()) {
+				return;
+			}
+			double usualMs = flow.services.times().expectedMs(flow.service.name());
+			long patienceMs = (flow.route.kind().isStreaming()) ? STREAM_PATIENCE_MS
+					: (long) Math.max(LEAST_PATIENCE_MS, usualMs * PATIENCE_FACTOR);
+			this.patience = flow.services.loop().schedule(this::silent, patienceMs, TimeUnit.MILLISECONDS);
+		}
+
+		private void silent() {
+			if (!this.closed) {
+				this.cancellable.cancel();
+				failed(CallFailure.TIMED_OUT);
+			}
+		}
+
+		private FullHttpRequest httpRequest(long nowMs) {
+			RequestFlow flow = RequestFlow.this;
+			FullHttpRequest http = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, flow.method, flow.uri,
+					flow.body.retainedDuplicate());
+			Set<String> named = new HashSet<>();
+			for (String value : flow.headers.getAll(HttpHeaderNames.CONNECTION)) {
+				for (String name : value.split(",")) {
+					named.add(name.trim().toLowerCase(Locale.ROOT));
+				}
+			}
+			flow.headers.forEach((header) -> {
+				if (CallerHeaders.isPassedOn(header.getKey())
+						&& !named.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+					http.headers().add(header.getKey(), header.getValue());
+				}
+			});
+			String lastEventId = (flow.events != null) ? flow.events.lastEventId() : null;
+			String accountName = (flow.account != null) ? flow.account.name() : null;
+			for (Header header : EndpointHeaders.encode(new EndpointRequest(this.endpoint.record().id(),
+					flow.endsAtMs - nowMs, accountName, priority(), flow.stageRun.finalHandles(), lastEventId))) {
+				http.headers().set(header.name(), header.value());
+			}
+			if (flow.body.isReadable() || flow.headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+					|| flow.headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+				http.headers().set(HttpHeaderNames.CONTENT_LENGTH, flow.body.readableBytes());
+			}
+			return http;
+		}
+
+		private int priority() {
+			RequestFlow flow = RequestFlow.this;
+			if (flow.service.engine() == null) {
+				return -1;
+			}
+			boolean ofAccount = flow.account != null && flow.account.priority() >= 0;
+			return Math.min(LOWEST_PRIORITY, (ofAccount) ? flow.account.priority() : flow.route.priority());
+		}
+
+		@Override
+		public String attemptId() {
+			return RequestFlow.this.request.attemptId();
+		}
+
+		@Override
+		public void answered(EndpointAnswer newAnswer, HttpResponse newHead) {
+			this.answer = newAnswer;
+			this.head = newHead;
+			if (newAnswer.coldForMs() > 0) {
+				this.endpoint.reportedCold(newAnswer.coldForMs(), RequestFlow.this.services.nowMs());
+			}
+			if (!isStream()) {
+				this.buffered = Unpooled.buffer();
+			}
+			else if (RequestFlow.this.events == null) {
+				RequestFlow.this.events = new EventSplitter();
+			}
+		}
+
+		private boolean isStream() {
+			return RequestFlow.this.route.kind().isStreaming() && this.answer.isSuccess() && this.answer.sealed();
+		}
+
+		@Override
+		public void received(ByteBuf content) {
+			if (this.buffered != null) {
+				this.buffered.writeBytes(content);
+				return;
+			}
+			ByteBuf whole = RequestFlow.this.events.add(content);
+			if (whole != null) {
+				firstSeen();
+				restartPatience();
+				forward(whole);
+			}
+		}
+
+		private void restartPatience() {
+			if (this.patience != null) {
+				this.patience.cancel(false);
+				watch();
+			}
+		}
+
+		private void forward(ByteBuf part) {
+			RequestFlow flow = RequestFlow.this;
+			if (!flow.answerBegun) {
+				flow.answerBegun = true;
+				flow.exchange.begin(this.answer.status(), callerHeaders());
+			}
+			flow.exchange.write(part);
+		}
+
+		private void firstSeen() {
+			if (!this.firstSeen) {
+				this.firstSeen = true;
+				RequestFlow flow = RequestFlow.this;
+				long nowMs = flow.services.nowMs();
+				this.endpoint.firstEvent(this.unreadTokens);
+				flow.services.metrics().time("first_event", nowMs - flow.arrivedAtMs);
+				flow.stageRun.close();
+				EventLog.request("first_event", flow.request.attemptId())
+					.with("endpoint", this.endpoint)
+					.with("after_ms", nowMs - this.sentAtMs)
+					.with("age_ms", nowMs - flow.arrivedAtMs)
+					.write();
+			}
+		}
+
+		private HttpHeaders callerHeaders() {
+			HttpHeaders passed = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+			this.head.headers().forEach((header) -> {
+				if (CallerHeaders.isPassedOn(header.getKey())) {
+					passed.add(header.getKey(), header.getValue());
+				}
+			});
+			return passed;
+		}
+
+		@Override
+		public void ended() {
+			close();
+			RequestFlow flow = RequestFlow.this;
+			long nowMs = flow.services.nowMs();
+			if (this.answer.notExecuted()) {
+				notExecuted(nowMs);
+				return;
+			}
+			if (this.buffered == null) {
+				flow.runs++;
+				succeeded(nowMs);
+				ByteBuf rest = flow.events.rest();
+				if (rest.isReadable() || !flow.answerBegun) {
+					forward(rest);
+				}
+				flow.exchange.end();
+				flow.done(this.answer.status());
+				return;
+			}
+			endedWhole(nowMs);
+		}
+
+		private void endedWhole(long nowMs) {
+			RequestFlow flow = RequestFlow.this;
+			boolean proper = !this.answer.isSuccess() || this.answer.sealed();
+			if (!proper) {
+				this.endpoint.failed(false, nowMs);
+				flow.callFailed(this, CallFailure.WRONG_ANSWER, true);
+				return;
+			}
+			boolean mayRepeat = this.answer.isServerError() && flow.route.isRepeatable()
+					&& RepeatRule.mayRepeat(true, true, flow.runs + 1, flow.route.maxAttempts(), flow.calls)
+					&& flow.services.retries().tryRepeat(flow.service.name(), flow.services.peers().vmCount(), nowMs);
+			if (mayRepeat) {
+				this.endpoint.failed(false, nowMs);
+				flow.runs++;
+				flow.usedEndpoints.add(this.endpoint.record().id());
+				flow.dispatch();
+				return;
+			}
+			flow.runs++;
+			if (this.answer.isServerError()) {
+				this.endpoint.failed(false, nowMs);
+			}
+			else {
+				succeeded(nowMs);
+			}
+			flow.exchange.answer(this.answer.status(), callerHeaders(), this.buffered);
+			flow.done(this.answer.status());
+		}
+
+		private void succeeded(long nowMs) {
+			RequestFlow flow = RequestFlow.this;
+			double usualMs = (flow.service.engine() != null) ? 0
+					: flow.services.times().expectedMs(flow.service.name());
+			if (flow.service.engine() == null) {
+				flow.services.times().record(flow.service.name(), nowMs - this.sentAtMs);
+			}
+			this.endpoint.succeeded(nowMs - this.sentAtMs, usualMs, nowMs);
+			flow.services.quarantine().completed(flow.fingerprint);
+		}
+
+		private void notExecuted(long nowMs) {
+			if (this.answer.isMisdirected()) {
+				this.endpoint.failed(true, nowMs);
+			}
+			else {
+				this.endpoint.refused(nowMs + NO_ENDPOINT_PAUSE_MS);
+			}
+			RequestFlow.this.callFailed(this, CallFailure.NOT_CONNECTED, false);
+		}
+
+		@Override
+		public void failed(CallFailure failure) {
+			close();
+			RequestFlow flow = RequestFlow.this;
+			long nowMs = flow.services.nowMs();
+			this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
+			if (failure == CallFailure.CONNECTION_LOST) {
+				flow.services.quarantine().connectionLost(this.endpoint.record().id(), flow.fingerprint, nowMs);
+			}
+			flow.callFailed(this, failure, failure.maybeRan());
+		}
+
+		private void cancel() {
+			if (!this.closed) {
+				close();
+				this.cancellable.cancel();
+			}
+		}
+
+		private void close() {
+			if (this.closed) {
+				return;
+			}
+			this.closed = true;
+			RequestFlow.this.call = null;
+			this.endpoint.ended();
+			if (!this.firstSeen) {
+				this.endpoint.firstEvent(this.unreadTokens);
+			}
+			if (this.patience != null) {
+				this.patience.cancel(false);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
@@ -0,0 +1,91 @@
+package org.fulmargap.entry.request;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.zip.CRC32;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.fulmargap.catalog.Catalog;
+import org.fulmargap.catalog.ClientAccount;
+import org.fulmargap.catalog.Route;
+import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.caller.CallerExchange;
+import org.fulmargap.entry.caller.CallerHandler;
+import org.fulmargap.entry.caller.CallerListener;
+import org.fulmargap.platform.CallerHeaders;
+import org.fulmargap.platform.CallerRequest;
+import org.fulmargap.routing.CrashQuarantine;
+
+/**
+ * Takes requests of callers: finds the route and the client account, and starts the flow.
+ */
+public final class RequestRouter implements CallerHandler {
+
+	private final RequestServices services;
+
+	/**
+	 * Creates a router.
+	 * @param services what requests share
+	 */
+	public RequestRouter(RequestServices services) {
+		this.services = services;
+	}
+
+	@Override
+	public CallerListener handle(FullHttpRequest http, CallerExchange exchange) {
+		CallerRequest request = CallerHeaders.decode((name) -> http.headers().get(name));
+		this.services.metrics().count("requests");
+		Optional<Catalog> catalog = this.services.view().catalog();
+		if (catalog.isEmpty() || !this.services.view().isComplete()) {
+			return refuse(http, exchange, request, Refusal.NO_CONFIGURATION);
+		}
+		String host = http.headers().get(HttpHeaderNames.HOST, "");
+		int colon = host.indexOf(':');
+		String name = (colon >= 0) ? host.substring(0, colon) : host;
+		Optional<Route> route = catalog.get().route(name, http.uri());
+		if (route.isEmpty()) {
+			return refuse(http, exchange, request, Refusal.NO_ROUTE);
+		}
+		Optional<ClientAccount> account = catalog.get().account(request.apiKey());
+		if (account.isEmpty() && catalog.get().needsKey(route.get())) {
+			return refuse(http, exchange, request, Refusal.UNKNOWN_KEY);
+		}
+		String fingerprint = fingerprint(http, request);
+		CrashQuarantine.Verdict verdict = this.services.quarantine().verdict(fingerprint, this.services.nowMs());
+		if (!verdict.mayRun()) {
+			return refuse(http, exchange, request, Refusal.QUARANTINED);
+		}
+		RequestFlow flow = new RequestFlow(this.services, exchange, http, request, catalog.get(), route.get(),
+				account.orElse(null), fingerprint);
+		http.release();
+		flow.start();
+		return flow;
+	}
+
+	private CallerListener refuse(FullHttpRequest http, CallerExchange exchange, CallerRequest request,
+			Refusal refusal) {
+		EventLog.request("refused", request.attemptId())
+			.with("reason", refusal)
+			.with("config_version", this.services.view().catalog().map(Catalog::version).orElse(0L))
+			.write();
+		this.services.metrics().count("refused_" + refusal.name().toLowerCase(java.util.Locale.ROOT));
+		http.release();
+		RequestFlow.answer(exchange, refusal, Math.max(0, request.timeLeftMs()));
+		return null;
+	}
+
+	private static String fingerprint(FullHttpRequest http, CallerRequest request) {
+		CRC32 hash = new CRC32();
+		hash.update(request.apiKey().getBytes(StandardCharsets.UTF_8));
+		if (http.content().hasArray()) {
+			hash.update(http.content().array(), http.content().arrayOffset() + http.content().readerIndex(),
+					http.content().readableBytes());
+		}
+		else {
+			hash.update(http.content().nioBuffer());
+		}
+		return http.uri() + '#' + Long.toHexString(hash.getValue());
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -0,0 +1,38 @@
+package org.fulmargap.entry.request;
+
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+import org.fulmargap.entry.EntryMetrics;
+import org.fulmargap.entry.StoreView;
+import org.fulmargap.entry.endpoint.EndpointPool;
+import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.entry.stage.StageClient;
+import org.fulmargap.placement.Placement;
+import org.fulmargap.placement.RetryAllowance;
+import org.fulmargap.routing.CrashQuarantine;
+
+/**
+ * What requests share.
+ *
+ * @param loop the event loop to which everything here is confined
+ * @param clockMs the present time in milliseconds
+ * @param view what the platform's store holds
+ * @param placement chooses endpoints
+ * @param retries this VM's share of repeats
+ * @param quarantine requests that crash endpoints
+ * @param pool connections to endpoints
+ * @param stages runs stages
+ * @param peers the other entry VMs
+ * @param times usual times of services
+ * @param metrics counters and latencies
+ */
+public record RequestServices(EventLoop loop, LongSupplier clockMs, StoreView view, Placement placement,
+		RetryAllowance retries, CrashQuarantine quarantine, EndpointPool pool, StageClient stages, PeerNetwork peers,
+		ServiceTimes times, EntryMetrics metrics) {
+
+	long nowMs() {
+		return this.clockMs.getAsLong();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -0,0 +1,224 @@
+package org.fulmargap.entry.stage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import org.fulmargap.batch.Piece;
+import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.peer.PeerMessage;
+import org.fulmargap.entry.peer.PeerNetwork;
+
+/**
+ * Hands pieces to the entry VM that is in charge of their service: the VM with the
+ * highest hash among those that this VM hears. When that VM is lost its pieces go to the
+ * next one; two VMs that both believe to be in charge only form smaller calls. Confined
+ * to the event loop.
+ */
+public final class StageClient {
+
+	private final EventLoop loop;
+
+	private final StageDesk desk;
+
+	private final PeerNetwork peers;
+
+	private final Map<Long, Submission> submissions = new HashMap<>();
+
+	private final Map<PeerTicket, Runnable> withdrawals = new HashMap<>();
+
+	private final Map<PeerService, List<Piece>> outgoing = new LinkedHashMap<>();
+
+	private final Map<String, List<PieceOutcome>> outgoingOutcomes = new LinkedHashMap<>();
+
+	private long lastTicket;
+
+	private boolean flushPlanned;
+
+	/**
+	 * Creates a client.
+	 * @param loop the event loop
+	 * @param desk makes the calls that this VM is in charge of
+	 * @param peers the other entry VMs
+	 */
+	public StageClient(EventLoop loop, StageDesk desk, PeerNetwork peers) {
+		this.loop = loop;
+		this.desk = desk;
+		this.peers = peers;
+	}
+
+	/**
+	 * Returns the number for the next piece.
+	 * @return the number
+	 */
+	public long newTicket() {
+		this.lastTicket++;
+		return this.lastTicket;
+	}
+
+	/**
+	 * Has a piece done.
+	 * @param service the service of its stage
+	 * @param piece the piece, with a number from {@link #newTicket}
+	 * @param outcome hears what came of it, unless it is withdrawn
+	 */
+	public void submit(String service, Piece piece, Consumer<PieceOutcome> outcome) {
+		Submission submission = new Submission(service, piece, outcome);
+		this.submissions.put(piece.ticket(), submission);
+		dispatch(submission);
+	}
+
+	private void dispatch(Submission submission) {
+		submission.owner = this.peers.inCharge(submission.service);
+		if (submission.owner.equals(this.peers.ownName())) {
+			submission.withdrawal = this.desk.submit(submission.service, submission.piece, this::finished);
+			return;
+		}
+		this.outgoing.computeIfAbsent(new PeerService(submission.owner, submission.service), (key) -> new ArrayList<>())
+			.add(submission.piece);
+		flushSoon();
+	}
+
+	private void flushSoon() {
+		if (!this.flushPlanned) {
+			this.flushPlanned = true;
+			this.loop.execute(this::flush);
+		}
+	}
+
+	private void flush() {
+		this.flushPlanned = false;
+		Map<PeerService, List<Piece>> pieces = new LinkedHashMap<>(this.outgoing);
+		this.outgoing.clear();
+		pieces.forEach((target, list) -> this.peers.send(target.peer, new PeerMessage.Pieces(target.service, list)));
+		Map<String, List<PieceOutcome>> outcomes = new LinkedHashMap<>(this.outgoingOutcomes);
+		this.outgoingOutcomes.clear();
+		outcomes.forEach((peer, list) -> this.peers.send(peer, new PeerMessage.Outcomes(list)));
+	}
+
+	private void finished(PieceOutcome outcome) {
+		Submission submission = this.submissions.remove(outcome.ticket());
+		if (submission != null) {
+			submission.outcome.accept(outcome);
+		}
+	}
+
+	/**
+	 * Withdraws a piece that nobody needs any more.
+	 * @param ticket the number of the piece
+	 */
+	public void withdraw(long ticket) {
+		Submission submission = this.submissions.remove(ticket);
+		if (submission == null) {
+			return;
+		}
+		if (submission.withdrawal != null) {
+			submission.withdrawal.run();
+		}
+		else {
+			this.peers.send(submission.owner, new PeerMessage.Withdrawal(ticket));
+		}
+	}
+
+	/**
+	 * Gives up results.
+	 * @param service the service of their stage
+	 * @param handles the names of the results
+	 */
+	public void release(String service, List<String> handles) {
+		String owner = this.peers.inCharge(service);
+		if (owner.equals(this.peers.ownName())
+				|| !this.peers.send(owner, new PeerMessage.Release(service, List.copyOf(handles)))) {
+			this.desk.release(service, handles);
+		}
+	}
+
+	/**
+	 * Takes pieces of a peer.
+	 * @param peer the name of the peer
+	 * @param message the pieces
+	 */
+	public void receive(String peer, PeerMessage.Pieces message) {
+		for (Piece piece : message.pieces()) {
+			PeerTicket key = new PeerTicket(peer, piece.ticket());
+			Runnable withdrawal = this.desk.submit(message.service(), piece, (outcome) -> {
+				this.withdrawals.remove(key);
+				this.outgoingOutcomes.computeIfAbsent(peer, (name) -> new ArrayList<>()).add(outcome);
+				flushSoon();
+			});
+			this.withdrawals.put(key, withdrawal);
+		}
+	}
+
+	/**
+	 * Takes the withdrawal of a peer's piece.
+	 * @param peer the name of the peer
+	 * @param message the withdrawal
+	 */
+	public void receive(String peer, PeerMessage.Withdrawal message) {
+		Runnable withdrawal = this.withdrawals.remove(new PeerTicket(peer, message.ticket()));
+		if (withdrawal != null) {
+			withdrawal.run();
+		}
+	}
+
+	/**
+	 * Takes results that a peer's calls brought. A result that nobody waits for any more
+	 * is given up.
+	 * @param message the results
+	 */
+	public void receive(PeerMessage.Outcomes message) {
+		for (PieceOutcome outcome : message.outcomes()) {
+			finished(outcome);
+		}
+	}
+
+	/**
+	 * Hands the pieces of a lost peer to the VM that is in charge now, and drops the
+	 * pieces that came from it.
+	 * @param peer the name of the peer
+	 */
+	public void peerLost(String peer) {
+		List<Submission> lost = this.submissions.values()
+			.stream()
+			.filter((submission) -> peer.equals(submission.owner))
+			.toList();
+		if (!lost.isEmpty()) {
+			EventLog.state("pieces_moved").with("peer", peer).with("pieces", lost.size()).write();
+		}
+		lost.forEach(this::dispatch);
+		List<PeerTicket> orphans = this.withdrawals.keySet().stream().filter((key) -> key.peer.equals(peer)).toList();
+		orphans.forEach((key) -> this.withdrawals.remove(key).run());
+	}
+
+	private static final class Submission {
+
+		private final String service;
+
+		private final Piece piece;
+
+		private final Consumer<PieceOutcome> outcome;
+
+		private String owner;
+
+		private Runnable withdrawal;
+
+		private Submission(String service, Piece piece, Consumer<PieceOutcome> outcome) {
+			this.service = service;
+			this.piece = piece;
+			this.outcome = outcome;
+		}
+
+	}
+
+	private record PeerTicket(String peer, long ticket) {
+	}
+
+	private record PeerService(String peer, String service) {
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
@@ -0,0 +1,431 @@
+package org.fulmargap.entry.stage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.Future;
+import org.fulmargap.batch.BatchFormer;
+import org.fulmargap.batch.Piece;
+import org.fulmargap.batch.StageCall;
+import org.fulmargap.catalog.ServiceSpec;
+import org.fulmargap.entry.EntryMetrics;
+import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.StoreView;
+import org.fulmargap.entry.endpoint.CallFailure;
+import org.fulmargap.entry.endpoint.EndpointCall;
+import org.fulmargap.entry.endpoint.EndpointPool;
+import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.RetryAllowance;
+import org.fulmargap.platform.EndpointAnswer;
+import org.fulmargap.platform.MalformedRecordException;
+import org.fulmargap.platform.PieceResult;
+import org.fulmargap.platform.StageCalls;
+
+/**
+ * Makes the calls of the stage services that this VM is in charge of, with the pieces of
+ * all entry VMs. Confined to the event loop.
+ */
+public final class StageDesk {
+
+	/** A call that takes this many times its expected time is given up. */
+	private static final double CALL_TIMEOUT_FACTOR = 2.5;
+
+	/** The least time of a call before it is given up, in milliseconds. */
+	private static final double LEAST_CALL_TIMEOUT_MS = 500;
+
+	/** How long an endpoint that is full gets nothing, in milliseconds. */
+	private static final long FULL_PAUSE_MS = 60;
+
+	/** The calls in which one piece may be. */
+	private static final int MAX_CALLS_PER_PIECE = 3;
+
+	/** How often pieces that wait are looked at, in milliseconds. */
+	private static final long TICK_MS = 50;
+
+	/** How long results that are given up are gathered, in milliseconds. */
+	private static final long FREE_DELAY_MS = 30;
+
+	private final EventLoop loop;
+
+	private final LongSupplier clockMs;
+
+	private final StoreView view;
+
+	private final EndpointPool pool;
+
+	private final RetryAllowance retries;
+
+	private final IntSupplier vmCount;
+
+	private final EntryMetrics metrics;
+
+	private final Map<String, Lane> lanes = new HashMap<>();
+
+	private final Map<String, List<String>> freedByAddress = new HashMap<>();
+
+	/**
+	 * Creates a desk.
+	 * @param loop the event loop
+	 * @param clockMs the present time in milliseconds
+	 * @param view what the platform's store holds
+	 * @param pool connections to endpoints
+	 * @param retries this VM's share of repeats
+	 * @param vmCount the number of entry VMs
+	 * @param metrics counters and latencies
+	 */
+	public StageDesk(EventLoop loop, LongSupplier clockMs, StoreView view, EndpointPool pool, RetryAllowance retries,
+			IntSupplier vmCount, EntryMetrics metrics) {
+		this.loop = loop;
+		this.clockMs = clockMs;
+		this.view = view;
+		this.pool = pool;
+		this.retries = retries;
+		this.vmCount = vmCount;
+		this.metrics = metrics;
+		loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Takes a piece.
+	 * @param service the service of its stage
+	 * @param piece the piece
+	 * @param outcome hears what came of it
+	 * @return what withdraws the piece
+	 */
+	public Runnable submit(String service, Piece piece, Consumer<PieceOutcome> outcome) {
+		ServiceSpec spec = this.view.catalog().map((catalog) -> catalog.services().get(service)).orElse(null);
+		if (spec == null || spec.stage() == null) {
+			this.loop.execute(() -> outcome.accept(PieceOutcome.failed(piece.ticket())));
+			return () -> {
+			};
+		}
+		Lane lane = this.lanes.computeIfAbsent(service, (name) -> new Lane(name, new BatchFormer(spec.stage())));
+		lane.former.capacity(spec.stage());
+		Entry entry = new Entry(outcome);
+		lane.entries.put(piece, entry);
+		lane.former.add(piece);
+		lane.pumpSoon();
+		return () -> lane.withdraw(piece);
+	}
+
+	/**
+	 * Gives up results.
+	 * @param service the service of their stage
+	 * @param handles the names of the results
+	 */
+	public void release(String service, List<String> handles) {
+		Lane lane = this.lanes.get(service);
+		for (String handle : handles) {
+			if (lane != null) {
+				lane.former.release(handle);
+			}
+			String address = handle.substring(0, Math.max(0, handle.indexOf('/')));
+			if (this.freedByAddress.isEmpty()) {
+				this.loop.schedule(this::sendFreed, FREE_DELAY_MS, TimeUnit.MILLISECONDS);
+			}
+			this.freedByAddress.computeIfAbsent(address, (key) -> new ArrayList<>()).add(handle);
+		}
+		if (lane != null) {
+			lane.pumpSoon();
+		}
+	}
+
+	private void sendFreed() {
+		Map<String, List<String>> freed = Map.copyOf(this.freedByAddress);
+		this.freedByAddress.clear();
+		freed.forEach((address, handles) -> {
+			if (!address.isEmpty()) {
+				this.pool.send(address,
+						StageRequests.post(address, StageCalls.FREE_PATH, StageCalls.encodeFree(handles), null),
+						new IgnoredCall());
+			}
+		});
+	}
+
+	private void tick() {
+		this.lanes.values().forEach(Lane::pump);
+	}
+
+	/**
+	 * The pieces and calls of one service.
+	 */
+	private final class Lane {
+
+		private final String service;
+
+		private final BatchFormer former;
+
+		private final Map<Piece, Entry> entries = new HashMap<>();
+
+		private boolean pumpPlanned;
+
+		private Lane(String service, BatchFormer former) {
+			this.service = service;
+			this.former = former;
+		}
+
+		private void pumpSoon() {
+			// Pieces that arrive in one turn of the event loop share a call.
+			if (!this.pumpPlanned) {
+				this.pumpPlanned = true;
+				StageDesk.this.loop.execute(this::pump);
+			}
+		}
+
+		private void pump() {
+			this.pumpPlanned = false;
+			long nowMs = StageDesk.this.clockMs.getAsLong();
+			for (Piece late : this.former.expire(nowMs)) {
+				StageDesk.this.metrics.count("pieces_expired");
+				finish(late, PieceOutcome.failed(late.ticket()));
+			}
+			if (this.former.waitingCount() == 0) {
+				return;
+			}
+			List<Endpoint> open = StageDesk.this.view.directory().open(this.service, nowMs);
+			Optional<StageCall> next = this.former.next(open, nowMs);
+			while (next.isPresent()) {
+				send(next.get(), nowMs);
+				next = this.former.next(open, nowMs);
+			}
+		}
+
+		private void send(StageCall call, long nowMs) {
+			call.pieces().forEach((piece) -> this.entries.get(piece).calls++);
+			StageDesk.this.metrics.count("stage_calls");
+			RunningCall running = new RunningCall(this, call, nowMs);
+			String address = call.endpoint().record().address();
+			running.cancellable = StageDesk.this.pool.send(address, StageRequests.post(address, StageCalls.RUN_PATH,
+					StageCalls.encode(call.pieces(), nowMs), call.endpoint().record().id()), running);
+			double timeoutMs = Math.max(LEAST_CALL_TIMEOUT_MS,
+					call.expectedMs() * CALL_TIMEOUT_FACTOR * Math.max(1, call.endpoint().slowness()));
+			running.timeout = StageDesk.this.loop.schedule(running::timedOut, (long) timeoutMs, TimeUnit.MILLISECONDS);
+		}
+
+		private void withdraw(Piece piece) {
+			this.entries.remove(piece);
+			this.former.remove(piece);
+		}
+
+		private void finish(Piece piece, PieceOutcome outcome) {
+			Entry entry = this.entries.remove(piece);
+			if (entry != null) {
+				entry.outcome.accept(outcome);
+			}
+			else if (outcome.isDone()) {
+				release(this.service, List.of(outcome.handle()));
+			}
+		}
+
+		private void again(Piece piece, boolean arrived, long nowMs) {
+			Entry entry = this.entries.get(piece);
+			if (entry == null) {
+				return;
+			}
+			boolean allowed = entry.calls < MAX_CALLS_PER_PIECE && (!arrived
+					|| StageDesk.this.retries.tryRepeat(this.service, StageDesk.this.vmCount.getAsInt(), nowMs));
+			if (allowed) {
+				this.former.add(piece);
+			}
+			else {
+				finish(piece, PieceOutcome.failed(piece.ticket()));
+			}
+		}
+
+	}
+
+	private static final class Entry {
+
+		private final Consumer<PieceOutcome> outcome;
+
+		private int calls;
+
+		private Entry(Consumer<PieceOutcome> outcome) {
+			this.outcome = outcome;
+		}
+
+	}
+
+	/**
+	 * A call on its way.
+	 */
+	private final class RunningCall implements EndpointCall {
+
+		private final Lane lane;
+
+		private final StageCall call;
+
+		private final long startedAtMs;
+
+		private final ByteBuf body = Unpooled.buffer(512);
+
+		private EndpointPool.Cancellable cancellable;
+
+		private Future<?> timeout;
+
+		private EndpointAnswer answer;
+
+		private RunningCall(Lane lane, StageCall call, long startedAtMs) {
+			this.lane = lane;
+			this.call = call;
+			this.startedAtMs = startedAtMs;
+		}
+
+		@Override
+		public String attemptId() {
+			return "";
+		}
+
+		@Override
+		public void answered(EndpointAnswer newAnswer, HttpResponse head) {
+			this.answer = newAnswer;
+		}
+
+		@Override
+		public void received(ByteBuf content) {
+			this.body.writeBytes(content);
+		}
+
+		@Override
+		public void ended() {
+			long nowMs = close();
+			if (this.answer.isSuccess()) {
+				deliver(nowMs);
+			}
+			else if (this.answer.notExecuted()) {
+				refused(nowMs);
+			}
+			else {
+				this.call.endpoint().failed(true, nowMs);
+				repeatAll("status_" + this.answer.status(), true, nowMs);
+			}
+			this.lane.pumpSoon();
+		}
+
+		private void refused(long nowMs) {
+			if (this.answer.isMisdirected()) {
+				this.call.endpoint().failed(true, nowMs);
+			}
+			else {
+				this.call.endpoint().refused(nowMs + FULL_PAUSE_MS);
+			}
+			repeatAll("refused_" + this.answer.status(), true, nowMs);
+		}
+
+		private void deliver(long nowMs) {
+			List<PieceResult> results;
+			try {
+				results = StageCalls.decode(ByteBufUtil.getBytes(this.body), this.call.pieces().size());
+			}
+			catch (MalformedRecordException ex) {
+				this.call.endpoint().failed(true, nowMs);
+				repeatAll("malformed", true, nowMs);
+				return;
+			}
+			this.call.endpoint().succeeded(nowMs - this.startedAtMs, this.call.expectedMs(), nowMs);
+			StageDesk.this.metrics.time("stage_call", nowMs - this.startedAtMs);
+			for (int i = 0; i < results.size(); i++) {
+				deliver(this.call.pieces().get(i), results.get(i), nowMs);
+			}
+		}
+
+		private void deliver(Piece piece, PieceResult result, long nowMs) {
+			Endpoint endpoint = this.call.endpoint();
+			if (result.failure() == null) {
+				this.lane.former.hold(endpoint, result.handle(), piece.resultBytes(), nowMs);
+				this.lane.finish(piece,
+						new PieceOutcome(piece.ticket(), result.handle(), endpoint.record().failureDomain()));
+				return;
+			}
+			EventLog.request("piece_failed", piece.attemptId())
+				.with("service", this.lane.service)
+				.with("stage", piece.stage())
+				.with("endpoint", endpoint)
+				.with("reason", result.failure())
+				.write();
+			if (result.failure() == PieceResult.Failure.LATE || result.failure() == PieceResult.Failure.INPUT_GONE) {
+				this.lane.finish(piece, PieceOutcome.failed(piece.ticket()));
+			}
+			else {
+				this.lane.again(piece, true, nowMs);
+			}
+		}
+
+		@Override
+		public void failed(CallFailure failure) {
+			long nowMs = close();
+			this.call.endpoint().failed(true, nowMs);
+			repeatAll(failure.name(), failure.maybeRan(), nowMs);
+			this.lane.pumpSoon();
+		}
+
+		private void timedOut() {
+			this.cancellable.cancel();
+			failed(CallFailure.TIMED_OUT);
+		}
+
+		private long close() {
+			this.timeout.cancel(false);
+			this.lane.former.ended(this.call);
+			return StageDesk.this.clockMs.getAsLong();
+		}
+
+		private void repeatAll(String reason, boolean arrived, long nowMs) {
+			EventLog.state("stage_call_failed")
+				.with("service", this.lane.service)
+				.with("endpoint", this.call.endpoint())
+				.with("pieces", this.call.pieces().size())
+				.with("reason", reason)
+				.with("body", (this.body.readableBytes() < 200) ? this.body.toString(StandardCharsets.UTF_8) : "")
+				.write();
+			this.call.pieces().forEach((piece) -> this.lane.again(piece, arrived, nowMs));
+		}
+
+	}
+
+	/**
+	 * A call whose answer changes nothing: results that are not given up expire.
+	 */
+	private static final class IgnoredCall implements EndpointCall {
+
+		@Override
+		public String attemptId() {
+			return "";
+		}
+
+		@Override
+		public void answered(EndpointAnswer answer, HttpResponse head) {
+			// Nothing depends on the answer.
+		}
+
+		@Override
+		public void received(ByteBuf content) {
+			// Nothing depends on the answer.
+		}
+
+		@Override
+		public void ended() {
+			// Nothing depends on the answer.
+		}
+
+		@Override
+		public void failed(CallFailure failure) {
+			EventLog.state("free_failed").with("reason", failure).write();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/stage/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Runs the stages of requests through calls that all entry VMs share.
+ */
+package org.fulmargap.entry.stage;
--- a/server/src/main/java/org/fulmargap/http/CallerServices.java
+++ b/server/src/main/java/org/fulmargap/http/CallerServices.java
@@ -7,8 +7,8 @@
 import com.codahale.metrics.MetricRegistry;
 import org.fulmargap.config.PipelineSpec;
 import org.fulmargap.pipeline.PipelineExecutor;
-import org.fulmargap.platform.ClaimService;
-import org.fulmargap.platform.ConfigService;
+import org.fulmargap.ledger.ClaimService;
+import org.fulmargap.ledger.ConfigService;
 import org.fulmargap.timeline.Invariants;
 import org.fulmargap.timeline.Timeline;
 
--- a/server/src/main/java/org/fulmargap/http/ClaimFilter.java
+++ b/server/src/main/java/org/fulmargap/http/ClaimFilter.java
@@ -10,7 +10,7 @@
 import org.fulmargap.claim.RecordedOutcome;
 import org.fulmargap.config.Json;
 import org.fulmargap.pipeline.RunState;
-import org.fulmargap.platform.ClaimService;
+import org.fulmargap.ledger.ClaimService;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
 import org.fulmargap.timeline.EventType;
--- a/server/src/main/java/org/fulmargap/http/Exchange.java
+++ b/server/src/main/java/org/fulmargap/http/Exchange.java
@@ -5,8 +5,8 @@
 import org.fulmargap.config.AccountSpec;
 import org.fulmargap.config.PipelineSpec;
 import org.fulmargap.endpoint.TokenSink;
-import org.fulmargap.platform.ClaimService;
-import org.fulmargap.platform.ConfigService;
+import org.fulmargap.ledger.ClaimService;
+import org.fulmargap.ledger.ConfigService;
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.Priority;
 
--- a/server/src/main/java/org/fulmargap/http/OperatorActions.java
+++ b/server/src/main/java/org/fulmargap/http/OperatorActions.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import org.fulmargap.platform.ConfigService;
+import org.fulmargap.ledger.ConfigService;
 
 /**
  * What operators can do besides changing the configuration.
--- a/server/src/main/java/org/fulmargap/http/OperatorApi.java
+++ b/server/src/main/java/org/fulmargap/http/OperatorApi.java
@@ -11,7 +11,7 @@
 import io.javalin.Javalin;
 import io.javalin.http.Context;
 import org.fulmargap.config.Json;
-import org.fulmargap.platform.ConfigService;
+import org.fulmargap.ledger.ConfigService;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
 import org.fulmargap.timeline.EventType;
--- a/server/src/main/java/org/fulmargap/http/PatchHistory.java
+++ b/server/src/main/java/org/fulmargap/http/PatchHistory.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.fulmargap.platform.ConfigService;
+import org.fulmargap.ledger.ConfigService;
 
 /**
  * Remembers the decisions about the most recent patches that were sent to this entry VM.
--- a/server/src/main/java/org/fulmargap/platform/ClaimMembers.java
+++ b/server/src/main/java/org/fulmargap/ledger/ClaimMembers.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import java.util.Collection;
 
--- a/server/src/main/java/org/fulmargap/platform/ClaimOutside.java
+++ b/server/src/main/java/org/fulmargap/ledger/ClaimOutside.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import org.fulmargap.claim.ClaimRecord;
 import org.fulmargap.claim.ClaimView;
--- a/server/src/main/java/org/fulmargap/platform/ClaimRefusals.java
+++ b/server/src/main/java/org/fulmargap/ledger/ClaimRefusals.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import org.fulmargap.claim.ClaimView;
 import org.fulmargap.claim.RecordedOutcome;
--- a/server/src/main/java/org/fulmargap/platform/ClaimTable.java
+++ b/server/src/main/java/org/fulmargap/ledger/ClaimTable.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,7 +14,7 @@
 import org.fulmargap.claim.ClaimView;
 import org.fulmargap.claim.RecordedOutcome;
 import org.fulmargap.peer.PeerNetwork;
-import org.fulmargap.platform.ClaimAttempt.State;
+import org.fulmargap.ledger.ClaimAttempt.State;
 import org.fulmargap.request.FulmargapException;
 
 /**
--- a/server/src/main/java/org/fulmargap/platform/ConfigTable.java
+++ b/server/src/main/java/org/fulmargap/ledger/ConfigTable.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,8 +17,8 @@
 import org.fulmargap.config.OrderRegister;
 import org.fulmargap.config.PatchDecision;
 import org.fulmargap.config.PendingPatch;
-import org.fulmargap.platform.ConfigService.Decision;
-import org.fulmargap.platform.ConfigService.PatchRefusal;
+import org.fulmargap.ledger.ConfigService.Decision;
+import org.fulmargap.ledger.ConfigService.PatchRefusal;
 
 /**
  * The configuration as one entry VM knows it, and what it still has to append. Every
--- a/server/src/main/java/org/fulmargap/platform/PumpThread.java
+++ b/server/src/main/java/org/fulmargap/ledger/PumpThread.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
--- a/server/src/main/java/org/fulmargap/platform/TimerQueue.java
+++ b/server/src/main/java/org/fulmargap/ledger/TimerQueue.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 /**
  * Runs tasks after a delay.
--- a/server/src/main/java/org/fulmargap/pipeline/PipelineRequest.java
+++ b/server/src/main/java/org/fulmargap/pipeline/PipelineRequest.java
@@ -5,7 +5,7 @@
 import org.fulmargap.config.Configuration;
 import org.fulmargap.config.PipelineSpec;
 import org.fulmargap.endpoint.TokenSink;
-import org.fulmargap.platform.ClaimService;
+import org.fulmargap.ledger.ClaimService;
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.Priority;
 
--- a/server/src/main/java/org/fulmargap/server/Availability.java
+++ b/server/src/main/java/org/fulmargap/server/Availability.java
@@ -6,7 +6,7 @@
 import org.fulmargap.config.Configuration;
 import org.fulmargap.peer.OrderService;
 import org.fulmargap.pipeline.EndpointWatch;
-import org.fulmargap.platform.ConfigService;
+import org.fulmargap.ledger.ConfigService;
 
 /**
  * Collects the reasons for which endpoints get no new work.
--- a/server/src/main/java/org/fulmargap/server/CoreModule.java
+++ b/server/src/main/java/org/fulmargap/server/CoreModule.java
@@ -12,7 +12,7 @@
 import org.fulmargap.membership.Incarnation;
 import org.fulmargap.membership.MembershipLimits;
 import org.fulmargap.membership.MembershipView;
-import org.fulmargap.platform.ServiceIdentity;
+import org.fulmargap.ledger.ServiceIdentity;
 import org.fulmargap.routing.AdaptiveRouter;
 import org.fulmargap.routing.CrashQuarantine;
 import org.fulmargap.routing.Router;
--- a/server/src/main/java/org/fulmargap/server/KnownMembers.java
+++ b/server/src/main/java/org/fulmargap/server/KnownMembers.java
@@ -6,7 +6,7 @@
 
 import org.fulmargap.membership.Member;
 import org.fulmargap.membership.MembershipView;
-import org.fulmargap.platform.ClaimMembers;
+import org.fulmargap.ledger.ClaimMembers;
 
 /**
  * Names the members of the configuration stream and the entry VMs heard as peers. A VM
--- a/server/src/main/java/org/fulmargap/server/Membership.java
+++ b/server/src/main/java/org/fulmargap/server/Membership.java
@@ -8,8 +8,8 @@
 import org.fulmargap.membership.MembershipView;
 import org.fulmargap.peer.PeerHandler;
 import org.fulmargap.peer.TcpPeerNetwork;
-import org.fulmargap.platform.LogClaimService;
-import org.fulmargap.platform.LogConfigService;
+import org.fulmargap.ledger.LogClaimService;
+import org.fulmargap.ledger.LogConfigService;
 
 /**
  * Joins the other entry VMs and leaves them.
--- a/server/src/main/java/org/fulmargap/server/Operations.java
+++ b/server/src/main/java/org/fulmargap/server/Operations.java
@@ -14,10 +14,10 @@
 import org.fulmargap.membership.Member;
 import org.fulmargap.membership.MembershipView;
 import org.fulmargap.peer.OrderService;
-import org.fulmargap.platform.ConfigService;
-import org.fulmargap.platform.LogClaimService;
-import org.fulmargap.platform.LogConfigService;
-import org.fulmargap.platform.TimerQueue;
+import org.fulmargap.ledger.ConfigService;
+import org.fulmargap.ledger.LogClaimService;
+import org.fulmargap.ledger.LogConfigService;
+import org.fulmargap.ledger.TimerQueue;
 
 /**
  * Carries out what operators order.
--- a/server/src/main/java/org/fulmargap/server/PeerAnswers.java
+++ b/server/src/main/java/org/fulmargap/server/PeerAnswers.java
@@ -15,8 +15,8 @@
 import org.fulmargap.peer.OrderService;
 import org.fulmargap.peer.PeerHandler;
 import org.fulmargap.peer.PeerNetwork;
-import org.fulmargap.platform.LogClaimService;
-import org.fulmargap.platform.LogConfigService;
+import org.fulmargap.ledger.LogClaimService;
+import org.fulmargap.ledger.LogConfigService;
 import org.fulmargap.routing.CrashQuarantine;
 import org.fulmargap.routing.Router;
 
--- a/server/src/main/java/org/fulmargap/server/RouterFeed.java
+++ b/server/src/main/java/org/fulmargap/server/RouterFeed.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import org.fulmargap.platform.ConfigService;
-import org.fulmargap.platform.LogConfigService;
+import org.fulmargap.ledger.ConfigService;
+import org.fulmargap.ledger.LogConfigService;
 import org.fulmargap.routing.Router;
 import org.fulmargap.timeline.EventType;
 import org.fulmargap.timeline.Invariants;
--- a/server/src/main/java/org/fulmargap/server/VmListWatch.java
+++ b/server/src/main/java/org/fulmargap/server/VmListWatch.java
@@ -6,7 +6,7 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
-import org.fulmargap.platform.VmDirectory;
+import org.fulmargap.ledger.VmDirectory;
 import org.fulmargap.timeline.EventType;
 import org.fulmargap.timeline.Timeline;
 
--- a/server/src/test/java/org/fulmargap/http/MemoryClaims.java
+++ b/server/src/test/java/org/fulmargap/http/MemoryClaims.java
@@ -9,7 +9,7 @@
 
 import org.fulmargap.claim.ClaimKey;
 import org.fulmargap.claim.RecordedOutcome;
-import org.fulmargap.platform.ClaimService;
+import org.fulmargap.ledger.ClaimService;
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.FailureType;
 import org.fulmargap.request.FulmargapException;
--- a/server/src/test/java/org/fulmargap/http/TestService.java
+++ b/server/src/test/java/org/fulmargap/http/TestService.java
@@ -29,7 +29,7 @@
 import org.fulmargap.pipeline.EndpointWatch;
 import org.fulmargap.pipeline.PipelineExecutor;
 import org.fulmargap.pipeline.StageLog;
-import org.fulmargap.platform.ConfigService;
+import org.fulmargap.ledger.ConfigService;
 import org.fulmargap.request.FulmargapException;
 import org.fulmargap.request.Priority;
 import org.fulmargap.routing.AdaptiveRouter;
--- a/server/src/test/java/org/fulmargap/platform/LogClaimServiceTests.java
+++ b/server/src/test/java/org/fulmargap/ledger/LogClaimServiceTests.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,7 +7,7 @@
 import org.fulmargap.claim.ClaimKey;
 import org.fulmargap.claim.RecordedOutcome;
 import org.fulmargap.peer.PeerNetwork.KeyState;
-import org.fulmargap.platform.ClaimService.Result;
+import org.fulmargap.ledger.ClaimService.Result;
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.FailureType;
 import org.junit.jupiter.api.BeforeEach;
--- a/server/src/test/java/org/fulmargap/platform/LogConfigServiceTests.java
+++ b/server/src/test/java/org/fulmargap/ledger/LogConfigServiceTests.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import java.util.List;
 import java.util.Map;
@@ -8,8 +8,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.fulmargap.config.Json;
 import org.fulmargap.config.OrderRegister;
-import org.fulmargap.platform.ConfigService.Decision;
-import org.fulmargap.platform.ConfigService.PatchRefusal;
+import org.fulmargap.ledger.ConfigService.Decision;
+import org.fulmargap.ledger.ConfigService.PatchRefusal;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
--- a/server/src/test/java/org/fulmargap/platform/PlatformServicesProperties.java
+++ b/server/src/test/java/org/fulmargap/ledger/PlatformServicesProperties.java
@@ -1,4 +1,4 @@
-package org.fulmargap.platform;
+package org.fulmargap.ledger;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,7 +14,7 @@
 import org.fulmargap.claim.ClaimKey;
 import org.fulmargap.claim.RecordedOutcome;
 import org.fulmargap.config.Json;
-import org.fulmargap.platform.ClaimService.Result;
+import org.fulmargap.ledger.ClaimService.Result;
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.FailureType;
 
--- a/server/src/test/java/org/fulmargap/server/KnownMembersTests.java
+++ b/server/src/test/java/org/fulmargap/server/KnownMembersTests.java
@@ -7,7 +7,7 @@
 import org.fulmargap.membership.Incarnation;
 import org.fulmargap.membership.MembershipLimits;
 import org.fulmargap.membership.MembershipView;
-import org.fulmargap.platform.ClaimMembers;
+import org.fulmargap.ledger.ClaimMembers;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
