Order stage pieces by urgency, free room when confirmed, start side stages late

Change: the former puts late pieces behind those that can be in time, ranks by priority, prefers endpoints beside the inputs; room is free when the endpoint says so. Test: BatchFormerTests, StageLoadTests (the overload case failed at first: pieces were taken whose full call ended after they were due).

--- a/core/src/main/java/org/fulmargap/batch/BatchFormer.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchFormer.java
@@ -16,16 +16,25 @@
  * Forms the calls to the endpoints of one stage service out of the pieces of all entry
  * VMs. An endpoint gets its next call when the one before is done, so that pieces which
  * arrive meanwhile share that call: on busy days calls fill up by themselves, on calm
- * days no piece waits for company. The most urgent pieces go first. Confined to one
- * thread.
+ * days no piece waits for company.
+ * <p>
+ * The most urgent pieces go first: those of more urgent requests, then those that are due
+ * earlier. In an overload that order alone would make every request late, so pieces that
+ * are late already wait behind those that can still be in time. Confined to one thread.
  */
 public final class BatchFormer {
 
-	/** The time for which a piece must still be of use when its call begins, in ms. */
-	private static final double LEAST_USEFUL_SHARE = 1.0;
+	/** How much earlier a piece is due for each rank of its request, in milliseconds. */
+	private static final long RANK_MS = 600;
 
-	private final TreeSet<Piece> waiting = new TreeSet<>(
-			Comparator.comparingLong(Piece::dueAtMs).thenComparing(Piece::attemptId).thenComparingLong(Piece::ticket));
+	private static final Comparator<Piece> MOST_URGENT = Comparator.comparingLong(BatchFormer::urgencyMs)
+		.thenComparing(Piece::attemptId)
+		.thenComparingInt(Piece::stage)
+		.thenComparingLong(Piece::ticket);
+
+	private final TreeSet<Piece> waiting = new TreeSet<>(MOST_URGENT);
+
+	private final TreeSet<Piece> late = new TreeSet<>(MOST_URGENT);
 
 	private final Map<String, StageRoom> rooms = new HashMap<>();
 
@@ -39,6 +48,10 @@
 		this.capacity = capacity;
 	}
 
+	private static long urgencyMs(Piece piece) {
+		return piece.dueAtMs() + piece.priority() * RANK_MS;
+	}
+
 	/**
 	 * Replaces the capacity after a change of the configuration.
 	 * @param capacity what one endpoint can take
@@ -61,7 +74,7 @@
 	 * @return whether it was waiting
 	 */
 	public boolean remove(Piece piece) {
-		return this.waiting.remove(piece);
+		return this.waiting.remove(piece) || this.late.remove(piece);
 	}
 
 	/**
@@ -69,27 +82,42 @@
 	 * @return the number
 	 */
 	public int waitingCount() {
-		return this.waiting.size();
+		return this.waiting.size() + this.late.size();
 	}
 
 	/**
-	 * Removes the pieces that can't be done in time any more.
+	 * Removes the pieces that nobody can use any more when a call that begins now ends,
+	 * and puts the late ones behind the others.
 	 * @param nowMs the present time in milliseconds
-	 * @return the pieces
+	 * @return the removed pieces
 	 */
 	public List<Piece> expire(long nowMs) {
 		List<Piece> expired = new ArrayList<>();
-		double leastMs = (this.capacity.callMs() + this.capacity.pieceMs()) * LEAST_USEFUL_SHARE;
+		long doneAtMs = nowMs + (long) expectedMs(1);
+		expire(this.waiting, doneAtMs, expired);
+		expire(this.late, doneAtMs, expired);
+		// While many pieces wait, calls are full and take longer.
+		long fullAtMs = nowMs + (long) expectedMs(Math.min(this.capacity.batch(), Math.max(1, waitingCount())));
 		for (Iterator<Piece> i = this.waiting.iterator(); i.hasNext();) {
 			Piece piece = i.next();
-			if (nowMs + leastMs > piece.expiresAtMs()) {
-				expired.add(piece);
+			if (fullAtMs > piece.dueAtMs()) {
+				this.late.add(piece);
 				i.remove();
 			}
 		}
 		return expired;
 	}
 
+	private static void expire(TreeSet<Piece> pieces, long doneAtMs, List<Piece> expired) {
+		for (Iterator<Piece> i = pieces.iterator(); i.hasNext();) {
+			Piece piece = i.next();
+			if (doneAtMs > piece.expiresAtMs()) {
+				expired.add(piece);
+				i.remove();
+			}
+		}
+	}
+
 	/**
 	 * Forms the next call.
 	 * @param endpoints the endpoints that may get work
@@ -97,42 +125,64 @@
 	 * @return the call, or empty if no piece waits or no endpoint is free
 	 */
 	public Optional<StageCall> next(List<Endpoint> endpoints, long nowMs) {
-		if (this.waiting.isEmpty()) {
+		if (waitingCount() == 0) {
 			return Optional.empty();
 		}
+		Piece first = (this.waiting.isEmpty()) ? this.late.first() : this.waiting.first();
 		Endpoint best = null;
 		long bestFreeBytes = 0;
 		for (Endpoint endpoint : endpoints) {
 			StageRoom room = room(endpoint);
 			long freeBytes = this.capacity.roomBytes() - room.usedBytes(nowMs);
 			boolean usable = !endpoint.isSuspended(nowMs) && room.callsInFlight() < this.capacity.slots()
-					&& freeBytes >= this.waiting.first().resultBytes();
-			if (usable && (best == null || isBetter(endpoint, freeBytes, best, bestFreeBytes))) {
+					&& freeBytes >= first.resultBytes();
+			if (usable && (best == null || isBetter(first, endpoint, freeBytes, best, bestFreeBytes))) {
 				best = endpoint;
 				bestFreeBytes = freeBytes;
 			}
 		}
-		return (best != null) ? Optional.of(take(best, bestFreeBytes, nowMs)) : Optional.empty();
+		return (best != null) ? Optional.of(take(best, bestFreeBytes)) : Optional.empty();
 	}
 
-	private static boolean isBetter(Endpoint endpoint, long freeBytes, Endpoint best, long bestFreeBytes) {
-		int bySpeed = Double.compare(Math.round(endpoint.slowness() * 2), Math.round(best.slowness() * 2));
-		return bySpeed < 0 || (bySpeed == 0 && freeBytes > bestFreeBytes);
+	private static boolean isBetter(Piece first, Endpoint endpoint, long freeBytes, Endpoint best, long bestFreeBytes) {
+		int bySpeed = Double.compare(Math.round(endpoint.slowness()), Math.round(best.slowness()));
+		if (bySpeed != 0) {
+			return bySpeed < 0;
+		}
+		int byDomain = Boolean.compare(isNear(first, endpoint), isNear(first, best));
+		return byDomain > 0 || (byDomain == 0 && freeBytes > bestFreeBytes);
 	}
 
-	private StageCall take(Endpoint endpoint, long freeBytes, long nowMs) {
+	private static boolean isNear(Piece piece, Endpoint endpoint) {
+		return piece.inputDomain().isEmpty() || piece.inputDomain().equals(endpoint.record().failureDomain());
+	}
+
+	private StageCall take(Endpoint endpoint, long freeBytes) {
 		List<Piece> pieces = new ArrayList<>();
-		long bytes = 0;
-		for (Iterator<Piece> i = this.waiting.iterator(); i.hasNext() && pieces.size() < this.capacity.batch();) {
+		long leftBytes = take(this.waiting, endpoint, freeBytes, pieces);
+		leftBytes = take(this.late, endpoint, leftBytes, pieces);
+		room(endpoint).callStarted(freeBytes - leftBytes);
+		return new StageCall(endpoint, List.copyOf(pieces), expectedMs(pieces.size()));
+	}
+
+	// Pieces whose inputs lie in the endpoint's domain share its calls, others fill them
+	// up.
+	private long take(TreeSet<Piece> from, Endpoint endpoint, long freeBytes, List<Piece> pieces) {
+		long leftBytes = take(from, endpoint, true, freeBytes, pieces);
+		return take(from, endpoint, false, leftBytes, pieces);
+	}
+
+	private long take(TreeSet<Piece> from, Endpoint endpoint, boolean near, long freeBytes, List<Piece> pieces) {
+		long leftBytes = freeBytes;
+		for (Iterator<Piece> i = from.iterator(); i.hasNext() && pieces.size() < this.capacity.batch();) {
 			Piece piece = i.next();
-			if (bytes + piece.resultBytes() <= freeBytes) {
+			if (isNear(piece, endpoint) == near && piece.resultBytes() <= leftBytes) {
 				pieces.add(piece);
-				bytes += piece.resultBytes();
+				leftBytes -= piece.resultBytes();
 				i.remove();
 			}
 		}
-		room(endpoint).callStarted(bytes);
-		return new StageCall(endpoint, List.copyOf(pieces), expectedMs(pieces.size()));
+		return leftBytes;
 	}
 
 	/**
@@ -164,7 +214,7 @@
 	}
 
 	/**
-	 * Records that a result is no longer needed.
+	 * Records that a result no longer takes up room.
 	 * @param handle the name of the result
 	 */
 	public void release(String handle) {
--- a/core/src/main/java/org/fulmargap/batch/Piece.java
+++ b/core/src/main/java/org/fulmargap/batch/Piece.java
@@ -11,12 +11,14 @@
  * @param segment the index of the piece in the stage
  * @param chunkKey the key of the request's input, or an empty text if it has inputs
  * @param inputs the results of earlier stages, or an empty list
+ * @param inputDomain the failure domain where most of the inputs lie, or an empty text
+ * @param priority the rank of the request; 0 is the most urgent
  * @param dueAtMs when the piece should be done, in milliseconds
  * @param expiresAtMs when nobody needs the piece any more, in milliseconds
  * @param resultBytes the approximate size of the result in bytes
  */
 public record Piece(long ticket, String attemptId, int stage, int segment, String chunkKey, List<String> inputs,
-		long dueAtMs, long expiresAtMs, long resultBytes) {
+		String inputDomain, int priority, long dueAtMs, long expiresAtMs, long resultBytes) {
 
 	/**
 	 * Creates a piece.
--- a/core/src/main/java/org/fulmargap/placement/Placement.java
+++ b/core/src/main/java/org/fulmargap/placement/Placement.java
@@ -30,7 +30,13 @@
 	private static final double FAILURE_MS = 1_000;
 
 	/** The weight of the bytes of inputs that would cross domains, in bytes a ms. */
-	private static final double REMOTE_BYTES_PER_MS = 30_000;
+	private static final double REMOTE_BYTES_PER_MS = 20_000;
+
+	/**
+	 * How much a prompt token that must be read again counts against one that waits: it
+	 * also costs the other requests of the engine time.
+	 */
+	private static final double UNREAD_WEIGHT = 3;
 
 	/** The tie-break by hash of the shared prompt part spans this time, in ms. */
 	private static final double HASH_SPREAD_MS = 40;
@@ -101,7 +107,7 @@
 
 	private static double engineMs(Endpoint endpoint, Prompt prompt, long nowMs) {
 		int unread = prompt.promptTokens() - Math.min(prompt.promptTokens(), endpoint.cachedTokens(prompt));
-		double readMs = (unread + endpoint.prefillTokens(nowMs)) / PREFILL_TOKENS_PER_MS;
+		double readMs = (unread * UNREAD_WEIGHT + endpoint.prefillTokens(nowMs)) / PREFILL_TOKENS_PER_MS;
 		double spread = hash(prompt.affinityKey() + '@' + endpoint.record().id());
 		return readMs + endpoint.inFlight(nowMs) * DECODE_MS_PER_REQUEST + spread * HASH_SPREAD_MS;
 	}
--- /dev/null
+++ b/core/src/test/java/org/fulmargap/batch/BatchFormerTests.java
@@ -0,0 +1,158 @@
+package org.fulmargap.batch;
+
+import java.util.List;
+
+import org.fulmargap.catalog.StageCapacity;
+import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.Endpoints;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link BatchFormer}.
+ */
+class BatchFormerTests {
+
+	private static final long FAR_MS = 100_000;
+
+	private final StageCapacity capacity = new StageCapacity(1, 2, 4, 200, 10, 1_000, 4_000);
+
+	private final BatchFormer former = new BatchFormer(this.capacity);
+
+	private final Endpoint near = Endpoints.ready("near", "a");
+
+	private final Endpoint far = Endpoints.ready("far", "b");
+
+	private long tickets;
+
+	private Piece piece(String request, int priority, long dueAtMs, long bytes, String domain) {
+		this.tickets++;
+		return new Piece(this.tickets, request, 0, 0, "key", List.of(), domain, priority, dueAtMs, FAR_MS, bytes);
+	}
+
+	private Piece add(String request, int priority, long dueAtMs) {
+		Piece piece = piece(request, priority, dueAtMs, 10, "");
+		this.former.add(piece);
+		return piece;
+	}
+
+	@Nested
+	class Sharing {
+
+		@Test
+		void piecesOfSeveralRequestsShareACall() {
+			add("one", 0, 1_000);
+			add("two", 0, 1_100);
+			StageCall call = BatchFormerTests.this.former.next(List.of(BatchFormerTests.this.near), 0).orElseThrow();
+			assertThat(call.pieces()).extracting(Piece::attemptId).containsExactly("one", "two");
+			assertThat(call.expectedMs()).isEqualTo(220);
+		}
+
+		@Test
+		void anEndpointGetsItsNextCallWhenTheOneBeforeIsDone() {
+			List<Endpoint> endpoints = List.of(BatchFormerTests.this.near);
+			add("one", 0, 1_000);
+			StageCall first = BatchFormerTests.this.former.next(endpoints, 0).orElseThrow();
+			add("two", 0, 1_000);
+			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isEmpty();
+			BatchFormerTests.this.former.ended(first);
+			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isPresent();
+		}
+
+		@Test
+		void aCallHoldsNoMorePiecesThanTheEndpointTakes() {
+			for (int i = 0; i < 6; i++) {
+				add("request" + i, 0, 1_000);
+			}
+			StageCall call = BatchFormerTests.this.former.next(List.of(BatchFormerTests.this.near), 0).orElseThrow();
+			assertThat(call.pieces()).hasSize(4);
+			assertThat(BatchFormerTests.this.former.waitingCount()).isEqualTo(2);
+		}
+
+	}
+
+	@Nested
+	class Order {
+
+		@Test
+		void moreUrgentRequestsGoFirst() {
+			for (int i = 0; i < 4; i++) {
+				add("plain" + i, 2, 1_000);
+			}
+			add("urgent", 0, 1_200);
+			StageCall call = BatchFormerTests.this.former.next(List.of(BatchFormerTests.this.near), 0).orElseThrow();
+			assertThat(call.pieces().get(0).attemptId()).isEqualTo("urgent");
+		}
+
+		@Test
+		void piecesThatAreLateWaitBehindThoseThatCanBeInTime() {
+			for (int i = 0; i < 4; i++) {
+				add("late" + i, 0, 100);
+			}
+			add("intime", 2, 900);
+			BatchFormerTests.this.former.expire(0);
+			StageCall call = BatchFormerTests.this.former.next(List.of(BatchFormerTests.this.near), 0).orElseThrow();
+			assertThat(call.pieces().get(0).attemptId()).isEqualTo("intime");
+			assertThat(call.pieces()).hasSize(4);
+		}
+
+		@Test
+		void piecesThatNobodyCanUseAnyMoreAreRemoved() {
+			Piece piece = add("one", 0, 1_000);
+			assertThat(BatchFormerTests.this.former.expire(FAR_MS - 100)).containsExactly(piece);
+			assertThat(BatchFormerTests.this.former.waitingCount()).isZero();
+		}
+
+	}
+
+	@Nested
+	class Room {
+
+		@Test
+		void resultsTakeUpRoomUntilTheyAreReleased() {
+			List<Endpoint> endpoints = List.of(BatchFormerTests.this.near);
+			BatchFormerTests.this.former.add(piece("one", 0, 1_000, 900, ""));
+			StageCall call = BatchFormerTests.this.former.next(endpoints, 0).orElseThrow();
+			BatchFormerTests.this.former.ended(call);
+			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "handle", 900, 0);
+			BatchFormerTests.this.former.add(piece("two", 0, 1_000, 200, ""));
+			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isEmpty();
+			BatchFormerTests.this.former.release("handle");
+			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isPresent();
+		}
+
+		@Test
+		void resultsExpire() {
+			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "handle", 1_000, 0);
+			BatchFormerTests.this.former.add(piece("two", 0, 9_000, 200, ""));
+			assertThat(BatchFormerTests.this.former.next(List.of(BatchFormerTests.this.near), 3_999)).isEmpty();
+			assertThat(BatchFormerTests.this.former.next(List.of(BatchFormerTests.this.near), 4_000)).isPresent();
+		}
+
+	}
+
+	@Nested
+	class Domains {
+
+		@Test
+		void theEndpointBesideTheInputsIsChosen() {
+			BatchFormerTests.this.former.add(piece("one", 0, 1_000, 10, "b"));
+			List<Endpoint> endpoints = List.of(BatchFormerTests.this.near, BatchFormerTests.this.far);
+			assertThat(BatchFormerTests.this.former.next(endpoints, 0).orElseThrow().endpoint())
+				.isSameAs(BatchFormerTests.this.far);
+		}
+
+		@Test
+		void piecesWithInputsElsewhereFillTheCallUp() {
+			BatchFormerTests.this.former.add(piece("first", 0, 1_000, 10, "a"));
+			BatchFormerTests.this.former.add(piece("second", 0, 1_010, 10, "b"));
+			BatchFormerTests.this.former.add(piece("third", 0, 1_020, 10, "a"));
+			StageCall call = BatchFormerTests.this.former.next(List.of(BatchFormerTests.this.near), 0).orElseThrow();
+			assertThat(call.pieces()).extracting(Piece::attemptId).containsExactly("first", "third", "second");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/fulmargap/batch/StageLoadTests.java
@@ -0,0 +1,184 @@
+package org.fulmargap.batch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.fulmargap.catalog.StageCapacity;
+import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.Endpoints;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Plays the load of a stage service from the users' sheets in virtual time and checks
+ * what callers get: {@code chain-sync} with four endpoints, 17 pieces a call, requests of
+ * six pieces each.
+ */
+class StageLoadTests {
+
+	private static final StageCapacity CHAIN_SYNC = new StageCapacity(1, 2, 17, 200, 10.1176, 2_295_000, 4_000);
+
+	private static final int ENDPOINTS = 4;
+
+	private static final int PIECES = 6;
+
+	private static final long PLAY_MS = 30_000;
+
+	/** When the stage should be done, in milliseconds after the request's arrival. */
+	private static final long DUE_MS = 900;
+
+	private static final long EXPIRES_MS = 4_000;
+
+	@Test
+	void anAverageDayIsServedInTime() {
+		Result result = play(16, 0.5, false);
+		assertThat(result.inTimeShare(0)).isGreaterThan(0.98);
+		assertThat(result.inTimeShare(2)).isGreaterThan(0.98);
+	}
+
+	@Test
+	void callsOfOneRequestEachCannotServeABurstThatSharedCallsServe() {
+		// Calls of one request each: at most four in 261 ms, or 15.3 a second.
+		assertThat(play(28, 0.5, true).inTimeShare()).isLessThan(0.6);
+		assertThat(play(28, 0.5, false).inTimeShare()).isGreaterThan(0.95);
+	}
+
+	@Test
+	void urgentRequestsStayInTimeInAnOverload() {
+		Result result = play(40, 0.5, false);
+		assertThat(result.inTimeShare(0)).isGreaterThan(0.9);
+		assertThat(result.servedShare(2)).isGreaterThan(0.25);
+	}
+
+	@Test
+	void anOverloadWithoutUrgentRequestsStillServesItsShareInTime() {
+		// 183 pieces a second are the most that four endpoints can do: 30.5 requests.
+		assertThat(play(40, 0, false).inTimeShare()).isGreaterThan(0.5);
+	}
+
+	private static Result play(double requestsPerSecond, double urgentShare, boolean alone) {
+		Random random = new Random(7);
+		BatchFormer former = new BatchFormer(CHAIN_SYNC);
+		List<Endpoint> endpoints = new ArrayList<>();
+		for (int i = 0; i < ENDPOINTS; i++) {
+			endpoints.add(Endpoints.ready("endpoint" + i, "a"));
+		}
+		PriorityQueue<Running> running = new PriorityQueue<>(Comparator.comparingDouble(Running::endsAtMs));
+		Map<String, Request> requests = new HashMap<>();
+		Result result = new Result();
+		double nextArrivalMs = 0;
+		long ticket = 0;
+		double nowMs = 0;
+		while (nowMs < PLAY_MS) {
+			nowMs = (running.isEmpty()) ? nextArrivalMs : Math.min(nextArrivalMs, running.peek().endsAtMs());
+			if (nowMs >= nextArrivalMs) {
+				int priority = (random.nextDouble() < urgentShare) ? 0 : 2;
+				Request request = new Request("request" + requests.size(), priority, (long) nowMs);
+				requests.put(request.id, request);
+				result.arrived(request);
+				for (int i = 0; i < PIECES; i++) {
+					ticket++;
+					former.add(new Piece(ticket, request.id, 1, i, "key", List.of(), "", priority,
+							(long) nowMs + DUE_MS, (long) nowMs + EXPIRES_MS, 60_000));
+				}
+				nextArrivalMs = nowMs - Math.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
+			}
+			while (!running.isEmpty() && running.peek().endsAtMs() <= nowMs) {
+				Running done = running.poll();
+				former.ended(done.call());
+				for (Piece piece : done.call().pieces()) {
+					result.done(requests.get(piece.attemptId()), (long) nowMs);
+				}
+			}
+			former.expire((long) nowMs);
+			start(former, endpoints, running, nowMs, alone);
+		}
+		return result;
+	}
+
+	private static void start(BatchFormer former, List<Endpoint> endpoints, PriorityQueue<Running> running,
+			double nowMs, boolean alone) {
+		var call = former.next(endpoints, (long) nowMs);
+		while (call.isPresent()) {
+			StageCall next = call.get();
+			if (alone) {
+				next = firstRequestOnly(former, next);
+			}
+			running.add(new Running(next, nowMs + former.expectedMs(next.pieces().size())));
+			call = former.next(endpoints, (long) nowMs);
+		}
+	}
+
+	// The naive way: a call holds the pieces of one request.
+	private static StageCall firstRequestOnly(BatchFormer former, StageCall call) {
+		String id = call.pieces().get(0).attemptId();
+		List<Piece> own = call.pieces().stream().filter((piece) -> piece.attemptId().equals(id)).toList();
+		call.pieces().stream().filter((piece) -> !own.contains(piece)).forEach(former::add);
+		return new StageCall(call.endpoint(), own, call.expectedMs());
+	}
+
+	private record Running(StageCall call, double endsAtMs) {
+	}
+
+	private static final class Request {
+
+		private final String id;
+
+		private final int priority;
+
+		private final long arrivedAtMs;
+
+		private int left = PIECES;
+
+		private Request(String id, int priority, long arrivedAtMs) {
+			this.id = id;
+			this.priority = priority;
+			this.arrivedAtMs = arrivedAtMs;
+		}
+
+	}
+
+	private static final class Result {
+
+		private final int[] asked = new int[3];
+
+		private final int[] served = new int[3];
+
+		private final int[] inTime = new int[3];
+
+		private void arrived(Request request) {
+			// Requests that can't end before the play does say nothing.
+			if (request.arrivedAtMs < PLAY_MS - EXPIRES_MS) {
+				this.asked[request.priority]++;
+			}
+		}
+
+		private void done(Request request, long nowMs) {
+			request.left--;
+			if (request.left == 0 && request.arrivedAtMs < PLAY_MS - EXPIRES_MS) {
+				this.served[request.priority]++;
+				this.inTime[request.priority] += (nowMs - request.arrivedAtMs <= DUE_MS) ? 1 : 0;
+			}
+		}
+
+		private double inTimeShare(int priority) {
+			return this.inTime[priority] / (double) Math.max(1, this.asked[priority]);
+		}
+
+		private double servedShare(int priority) {
+			return this.served[priority] / (double) Math.max(1, this.asked[priority]);
+		}
+
+		private double inTimeShare() {
+			return (this.inTime[0] + this.inTime[2]) / (double) Math.max(1, this.asked[0] + this.asked[2]);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/fulmargap/placement/Endpoints.java
@@ -0,0 +1,35 @@
+package org.fulmargap.placement;
+
+/**
+ * Endpoints for tests.
+ */
+public final class Endpoints {
+
+	private Endpoints() {
+	}
+
+	/**
+	 * Creates an endpoint that is ready.
+	 * @param id its name
+	 * @param domain its failure domain
+	 * @return the endpoint
+	 */
+	public static Endpoint ready(String id, String domain) {
+		return new Endpoint(record(id, domain, false, 0), 0);
+	}
+
+	/**
+	 * Creates an endpoint that is cold.
+	 * @param id its name
+	 * @param coldForMs how long it stays cold, in milliseconds
+	 * @return the endpoint
+	 */
+	public static Endpoint cold(String id, long coldForMs) {
+		return new Endpoint(record(id, "a", false, coldForMs), 0);
+	}
+
+	static EndpointRecord record(String id, String domain, boolean draining, long coldForMs) {
+		return new EndpointRecord(id, "service", "10.0.0.1:80", domain, draining, coldForMs, 1);
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -96,6 +96,7 @@
 			.packInt(piece.segment())
 			.packString(piece.chunkKey());
 		writeTexts(out, piece.inputs());
+		out.packString(piece.inputDomain()).packInt(piece.priority());
 		out.packLong(piece.dueAtMs() - nowMs).packLong(piece.expiresAtMs() - nowMs).packLong(piece.resultBytes());
 	}
 
@@ -150,7 +151,8 @@
 		List<Piece> pieces = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
 			pieces.add(new Piece(in.unpackLong(), in.unpackString(), in.unpackInt(), in.unpackInt(), in.unpackString(),
-					readTexts(in), nowMs + in.unpackLong(), nowMs + in.unpackLong(), in.unpackLong()));
+					readTexts(in), in.unpackString(), in.unpackInt(), nowMs + in.unpackLong(), nowMs + in.unpackLong(),
+					in.unpackLong()));
 		}
 		return new PeerMessage.Pieces(service, pieces);
 	}
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -135,8 +135,13 @@
 		long timeMs = (request.timeLeftMs() >= 0) ? Math.min(request.timeLeftMs(), route.timeoutMs())
 				: route.timeoutMs();
 		this.endsAtMs = this.arrivedAtMs + timeMs;
-		this.stageRun = new StageRun(services.stages(), route, request, this.arrivedAtMs + route.objectiveMs(),
-				this.endsAtMs, this);
+		this.stageRun = new StageRun(services.stages(), route, request, priority(),
+				this.arrivedAtMs + route.objectiveMs(), this.endsAtMs, this);
+	}
+
+	private int priority() {
+		boolean ofAccount = this.account != null && this.account.priority() >= 0;
+		return (ofAccount) ? this.account.priority() : this.route.priority();
 	}
 
 	void start() {
@@ -406,8 +411,10 @@
 			});
 			String lastEventId = (flow.events != null) ? flow.events.lastEventId() : null;
 			String accountName = (flow.account != null) ? flow.account.name() : null;
-			for (Header header : EndpointHeaders.encode(new EndpointRequest(this.endpoint.record().id(),
-					flow.endsAtMs - nowMs, accountName, priority(), flow.stageRun.finalHandles(), lastEventId))) {
+			for (Header header : EndpointHeaders
+				.encode(new EndpointRequest(this.endpoint.record().id(), flow.endsAtMs - nowMs, accountName,
+						(flow.service.engine() != null) ? Math.min(LOWEST_PRIORITY, flow.priority()) : -1,
+						flow.stageRun.finalHandles(), lastEventId))) {
 				http.headers().set(header.name(), header.value());
 			}
 			if (flow.body.isReadable() || flow.headers.contains(HttpHeaderNames.CONTENT_LENGTH)
@@ -417,15 +424,6 @@
 			return http;
 		}
 
-		private int priority() {
-			RequestFlow flow = RequestFlow.this;
-			if (flow.service.engine() == null) {
-				return -1;
-			}
-			boolean ofAccount = flow.account != null && flow.account.priority() >= 0;
-			return Math.min(LOWEST_PRIORITY, (ofAccount) ? flow.account.priority() : flow.route.priority());
-		}
-
 		@Override
 		public String attemptId() {
 			return RequestFlow.this.request.attemptId();
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -1,8 +1,10 @@
 package org.fulmargap.entry.request;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.fulmargap.batch.Piece;
@@ -32,6 +34,8 @@
 
 	private final CallerRequest request;
 
+	private final int priority;
+
 	private final long dueAtMs;
 
 	private final long expiresAtMs;
@@ -49,15 +53,17 @@
 	 * @param client runs pieces
 	 * @param route the route
 	 * @param request what the caller asks for
+	 * @param priority the rank of the request; 0 is the most urgent
 	 * @param dueAtMs when the first event is due, in milliseconds
 	 * @param expiresAtMs when the request is given up, in milliseconds
 	 * @param listener hears the end
 	 */
-	StageRun(StageClient client, Route route, CallerRequest request, long dueAtMs, long expiresAtMs,
+	StageRun(StageClient client, Route route, CallerRequest request, int priority, long dueAtMs, long expiresAtMs,
 			Listener listener) {
 		this.client = client;
 		this.route = route;
 		this.request = request;
+		this.priority = priority;
 		this.dueAtMs = dueAtMs;
 		this.expiresAtMs = expiresAtMs;
 		this.listener = listener;
@@ -73,7 +79,8 @@
 	private void advance() {
 		for (int i = 0; i < this.stages.size(); i++) {
 			Stage stage = this.stages.get(i);
-			if (!stage.started && stage.spec.after().stream().allMatch((index) -> this.stages.get(index).isDone())) {
+			boolean ready = stage.spec.after().stream().allMatch((index) -> this.stages.get(index).isDone());
+			if (!stage.started && ready && !isEarly(i)) {
 				stage.started = true;
 				submit(i, stage);
 			}
@@ -84,21 +91,46 @@
 		}
 	}
 
+	// A result that is made long before it is needed takes up room meanwhile: a stage
+	// waits
+	// until no other stage has more stages behind it.
+	private boolean isEarly(int index) {
+		long behind = followers(index);
+		for (int i = 0; i < this.stages.size(); i++) {
+			Stage other = this.stages.get(i);
+			if (other.outcomes.length > 0 && !other.isDone() && followers(i) > behind) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private void submit(int index, Stage stage) {
 		List<String> inputs = new ArrayList<>();
 		stage.spec.after().forEach((before) -> this.stages.get(before).addHandles(inputs));
 		String key = (stage.spec.after().isEmpty()) ? this.request.chunkKey() : "";
+		String inputDomain = inputDomain(stage);
 		long stageDueAtMs = this.dueAtMs - FIRST_EVENT_MS - followers(index) * STAGE_MS;
 		for (int segment = 0; segment < stage.outcomes.length; segment++) {
 			long ticket = this.client.newTicket();
 			int place = segment;
 			this.waiting.add(ticket);
-			Piece piece = new Piece(ticket, this.request.attemptId(), index, segment, key, inputs, stageDueAtMs,
-					this.expiresAtMs, stage.spec.resultBytes());
+			Piece piece = new Piece(ticket, this.request.attemptId(), index, segment, key, inputs, inputDomain,
+					this.priority, stageDueAtMs, this.expiresAtMs, stage.spec.resultBytes());
 			this.client.submit(stage.spec.service(), piece, (outcome) -> finished(stage, place, outcome));
 		}
 	}
 
+	private String inputDomain(Stage stage) {
+		Map<String, Integer> counts = new HashMap<>();
+		for (int before : stage.spec.after()) {
+			for (PieceOutcome outcome : this.stages.get(before).outcomes) {
+				counts.merge(outcome.failureDomain(), 1, Integer::sum);
+			}
+		}
+		return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse("");
+	}
+
 	private long followers(int index) {
 		long most = 0;
 		for (int i = index + 1; i < this.stages.size(); i++) {
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -133,7 +133,7 @@
 		String owner = this.peers.inCharge(service);
 		if (owner.equals(this.peers.ownName())
 				|| !this.peers.send(owner, new PeerMessage.Release(service, List.copyOf(handles)))) {
-			this.desk.release(service, handles);
+			this.desk.release(handles);
 		}
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
@@ -56,7 +56,7 @@
 	private static final long TICK_MS = 50;
 
 	/** How long results that are given up are gathered, in milliseconds. */
-	private static final long FREE_DELAY_MS = 30;
+	private static final long FREE_DELAY_MS = 8;
 
 	private final EventLoop loop;
 
@@ -123,22 +123,22 @@
 
 	/**
 	 * Gives up results.
-	 * @param service the service of their stage
 	 * @param handles the names of the results
 	 */
-	public void release(String service, List<String> handles) {
-		Lane lane = this.lanes.get(service);
+	public void release(List<String> handles) {
 		for (String handle : handles) {
-			if (lane != null) {
-				lane.former.release(handle);
-			}
 			String address = handle.substring(0, Math.max(0, handle.indexOf('/')));
 			if (this.freedByAddress.isEmpty()) {
 				this.loop.schedule(this::sendFreed, FREE_DELAY_MS, TimeUnit.MILLISECONDS);
 			}
 			this.freedByAddress.computeIfAbsent(address, (key) -> new ArrayList<>()).add(handle);
 		}
-		if (lane != null) {
+	}
+
+	// The room is free when the endpoint says so, not before.
+	private void freed(List<String> handles) {
+		for (Lane lane : this.lanes.values()) {
+			handles.forEach(lane.former::release);
 			lane.pumpSoon();
 		}
 	}
@@ -150,7 +150,7 @@
 			if (!address.isEmpty()) {
 				this.pool.send(address,
 						StageRequests.post(address, StageCalls.FREE_PATH, StageCalls.encodeFree(handles), null),
-						new IgnoredCall());
+						new FreeCall(handles));
 			}
 		});
 	}
@@ -226,7 +226,13 @@
 				entry.outcome.accept(outcome);
 			}
 			else if (outcome.isDone()) {
-				release(this.service, List.of(outcome.handle()));
+				release(List.of(outcome.handle()));
+			}
+		}
+
+		private void waitAgain(Piece piece) {
+			if (this.entries.containsKey(piece)) {
+				this.former.add(piece);
 			}
 		}
 
@@ -359,6 +365,10 @@
 			if (result.failure() == PieceResult.Failure.LATE || result.failure() == PieceResult.Failure.INPUT_GONE) {
 				this.lane.finish(piece, PieceOutcome.failed(piece.ticket()));
 			}
+			else if (result.failure() == PieceResult.Failure.NO_ROOM) {
+				endpoint.refused(nowMs + FULL_PAUSE_MS);
+				this.lane.waitAgain(piece);
+			}
 			else {
 				this.lane.again(piece, true, nowMs);
 			}
@@ -397,9 +407,15 @@
 	}
 
 	/**
-	 * A call whose answer changes nothing: results that are not given up expire.
+	 * A call that gives up results. When it fails they expire.
 	 */
-	private static final class IgnoredCall implements EndpointCall {
+	private final class FreeCall implements EndpointCall {
+
+		private final List<String> handles;
+
+		private FreeCall(List<String> handles) {
+			this.handles = handles;
+		}
 
 		@Override
 		public String attemptId() {
@@ -408,17 +424,17 @@
 
 		@Override
 		public void answered(EndpointAnswer answer, HttpResponse head) {
-			// Nothing depends on the answer.
+			// That the call ends is enough.
 		}
 
 		@Override
 		public void received(ByteBuf content) {
-			// Nothing depends on the answer.
+			// The body says nothing.
 		}
 
 		@Override
 		public void ended() {
-			// Nothing depends on the answer.
+			freed(this.handles);
 		}
 
 		@Override
