--- a/core/src/main/java/org/fulmargap/batch/BatchFormer.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchFormer.java
@@ -86,35 +86,40 @@
 	}
 
 	/**
-	 * Removes the pieces that nobody can use any more when a call that begins now ends,
-	 * and puts the late ones behind the others.
+	 * Removes the pieces that can't be done any more while somebody can use them,
+	 * counting the pieces before them, and puts the late ones behind the others.
+	 * @param endpoints the number of endpoints that work
 	 * @param nowMs the present time in milliseconds
 	 * @return the removed pieces
 	 */
-	public List<Piece> expire(long nowMs) {
-		List<Piece> expired = new ArrayList<>();
-		long doneAtMs = nowMs + (long) expectedMs(1);
-		expire(this.waiting, doneAtMs, expired);
-		expire(this.late, doneAtMs, expired);
+	public List<Piece> expire(int endpoints, long nowMs) {
 		// While many pieces wait, calls are full and take longer.
-		long fullAtMs = nowMs + (long) expectedMs(Math.min(this.capacity.batch(), Math.max(1, waitingCount())));
+		double callMs = expectedMs(Math.min(this.capacity.batch(), Math.max(1, waitingCount())));
 		for (Iterator<Piece> i = this.waiting.iterator(); i.hasNext();) {
 			Piece piece = i.next();
-			if (fullAtMs > piece.dueAtMs()) {
+			if (nowMs + callMs > piece.dueAtMs()) {
 				this.late.add(piece);
 				i.remove();
 			}
 		}
+		List<Piece> expired = new ArrayList<>();
+		expire(this.waiting, endpoints, nowMs + callMs, 0, expired);
+		expire(this.late, endpoints, nowMs + callMs, this.waiting.size(), expired);
 		return expired;
 	}
 
-	private static void expire(TreeSet<Piece> pieces, long doneAtMs, List<Piece> expired) {
+	private void expire(TreeSet<Piece> pieces, int endpoints, double doneAtMs, int before, List<Piece> expired) {
+		double pieceMs = expectedMs(this.capacity.batch()) / this.capacity.batch() / Math.max(1, endpoints);
+		int place = before;
 		for (Iterator<Piece> i = pieces.iterator(); i.hasNext();) {
 			Piece piece = i.next();
-			if (doneAtMs > piece.expiresAtMs()) {
+			if (doneAtMs + place * pieceMs > piece.expiresAtMs()) {
 				expired.add(piece);
 				i.remove();
 			}
+			else {
+				place++;
+			}
 		}
 	}
 
--- a/core/src/main/java/org/fulmargap/catalog/Route.java
+++ b/core/src/main/java/org/fulmargap/catalog/Route.java
@@ -13,6 +13,8 @@
  * @param kind what may be repeated
  * @param timeoutMs the longest time that a request may be kept waiting, in milliseconds
  * @param objectiveMs the time within which an answer is on time, in milliseconds
+ * @param pauseMs the longest pause between events of a stream that is on time, in
+ * milliseconds; 0 if not stated
  * @param priority the rank of the route; 0 is the most urgent
  * @param services the services that run its requests
  * @param maxAttempts the highest number of endpoints on which one request may run
@@ -21,8 +23,17 @@
  * @param resumable whether a broken stream may go on at another endpoint
  */
 public record Route(String name, String host, String pathPrefix, RouteKind kind, long timeoutMs, long objectiveMs,
-		int priority, List<WeightedService> services, int maxAttempts, List<StageSpec> stages, boolean anonymous,
-		boolean resumable) {
+		long pauseMs, int priority, List<WeightedService> services, int maxAttempts, List<StageSpec> stages,
+		boolean anonymous, boolean resumable) {
+
+	/** Callers wait at least this long for an event of a stream, in milliseconds. */
+	private static final long LEAST_PATIENCE_MS = 2_000;
+
+	/** Callers wait for an event of a stream for the objective times this. */
+	private static final long PATIENCE_OBJECTIVES = 4;
+
+	/** Callers wait for an event of a stream for the longest good pause times this. */
+	private static final long PATIENCE_PAUSES = 8;
 
 	/**
 	 * Creates a route.
@@ -43,6 +54,18 @@
 		return this.kind.isRepeatable(this.resumable);
 	}
 
+	/**
+	 * Returns how long a caller waits for the first event, or for the answer.
+	 * @return the time in milliseconds
+	 */
+	public long patienceMs() {
+		if (!this.kind.isStreaming()) {
+			return this.timeoutMs;
+		}
+		long longestMs = Math.max(this.objectiveMs * PATIENCE_OBJECTIVES, this.pauseMs * PATIENCE_PAUSES);
+		return Math.min(this.timeoutMs, Math.max(LEAST_PATIENCE_MS, longestMs));
+	}
+
 	/**
 	 * Chooses the service of one request.
 	 * @param draw a number that is evenly distributed over requests
--- a/core/src/test/java/org/fulmargap/batch/BatchFormerTests.java
+++ b/core/src/test/java/org/fulmargap/batch/BatchFormerTests.java
@@ -92,7 +92,7 @@
 				add("late" + i, 0, 100);
 			}
 			add("intime", 2, 900);
-			BatchFormerTests.this.former.expire(0);
+			BatchFormerTests.this.former.expire(1, 0);
 			StageCall call = BatchFormerTests.this.former.next(List.of(BatchFormerTests.this.near), 0).orElseThrow();
 			assertThat(call.pieces().get(0).attemptId()).isEqualTo("intime");
 			assertThat(call.pieces()).hasSize(4);
@@ -101,12 +101,38 @@
 		@Test
 		void piecesThatNobodyCanUseAnyMoreAreRemoved() {
 			Piece piece = add("one", 0, 1_000);
-			assertThat(BatchFormerTests.this.former.expire(FAR_MS - 100)).containsExactly(piece);
+			assertThat(BatchFormerTests.this.former.expire(1, FAR_MS - 100)).containsExactly(piece);
 			assertThat(BatchFormerTests.this.former.waitingCount()).isZero();
 		}
 
 	}
 
+	@Nested
+	class Hopeless {
+
+		// One endpoint does four pieces in 240 ms: 20 pieces before the last one take 1.2
+		// s.
+		@Test
+		void aPieceBehindMoreThanCanBeDoneInTimeIsRefusedAtOnce() {
+			for (int i = 0; i < 20; i++) {
+				add("before" + i, 0, 50_000);
+			}
+			Piece hopeless = new Piece(99, "hopeless", 0, 0, "key", List.of(), "", 2, 50_100, 1_000, 10);
+			BatchFormerTests.this.former.add(hopeless);
+			assertThat(BatchFormerTests.this.former.expire(1, 0)).containsExactly(hopeless);
+		}
+
+		@Test
+		void moreEndpointsGiveItAChance() {
+			for (int i = 0; i < 20; i++) {
+				add("before" + i, 0, 50_000);
+			}
+			BatchFormerTests.this.former.add(new Piece(99, "last", 0, 0, "key", List.of(), "", 2, 50_100, 1_000, 10));
+			assertThat(BatchFormerTests.this.former.expire(3, 0)).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class Room {
 
--- a/core/src/test/java/org/fulmargap/batch/StageLoadTests.java
+++ b/core/src/test/java/org/fulmargap/batch/StageLoadTests.java
@@ -96,7 +96,7 @@
 					result.done(requests.get(piece.attemptId()), (long) nowMs);
 				}
 			}
-			former.expire((long) nowMs);
+			former.expire(ENDPOINTS, (long) nowMs);
 			start(former, endpoints, running, nowMs, alone);
 		}
 		return result;
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -188,6 +188,11 @@
 			.ifPresent((service) -> endpoint.peerSent(sent.prompt(), service.engine().cacheTokens()));
 	}
 
+	@Override
+	public void peerDraining(String peer) {
+		this.stages.peerDraining(peer);
+	}
+
 	@Override
 	public void peerLost(String peer) {
 		this.stages.peerLost(peer);
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -39,7 +39,9 @@
 			out.packInt(Type.HELLO.ordinal()).packString(hello.vm()).packLong(hello.startedAtMs());
 		}
 		else if (message instanceof PeerMessage.Heartbeat heartbeat) {
-			out.packInt(Type.HEARTBEAT.ordinal()).packBoolean(heartbeat.draining());
+			out.packInt(Type.HEARTBEAT.ordinal())
+				.packBoolean(heartbeat.draining())
+				.packBoolean(heartbeat.hearsReceiver());
 			out.packArrayHeader(heartbeat.loads().size());
 			for (PeerMessage.Load load : heartbeat.loads()) {
 				out.packString(load.endpoint()).packInt(load.inFlight()).packLong(load.prefillTokens());
@@ -129,11 +131,12 @@
 
 	private static PeerMessage.Heartbeat readHeartbeat(MessageUnpacker in) throws IOException {
 		boolean draining = in.unpackBoolean();
+		boolean hearsReceiver = in.unpackBoolean();
 		List<PeerMessage.Load> loads = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
 			loads.add(new PeerMessage.Load(in.unpackString(), in.unpackInt(), in.unpackLong()));
 		}
-		return new PeerMessage.Heartbeat(draining, loads);
+		return new PeerMessage.Heartbeat(draining, hearsReceiver, loads);
 	}
 
 	private static Prompt readPrompt(MessageUnpacker in) throws IOException {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -24,9 +24,11 @@
 	 * The sender is alive and has requests in flight.
 	 *
 	 * @param draining whether the sender is about to leave
+	 * @param hearsReceiver whether the sender hears the receiver; a connection can go
+	 * silent without being closed, which only the other end notices
 	 * @param loads what it has in flight, only for endpoints with load
 	 */
-	record Heartbeat(boolean draining, List<Load> loads) implements PeerMessage {
+	record Heartbeat(boolean draining, boolean hearsReceiver, List<Load> loads) implements PeerMessage {
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -11,6 +11,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -221,9 +222,9 @@
 		long nowMs = this.clockMs.getAsLong();
 		boolean slept = nowMs - this.lastTickAtMs > LOST_AFTER_MS;
 		this.lastTickAtMs = nowMs;
-		PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(this.draining, this.listener.loads());
+		List<PeerMessage.Load> loads = this.listener.loads();
 		for (Peer peer : List.copyOf(this.peers.values())) {
-			peer.send(heartbeat);
+			peer.send(new PeerMessage.Heartbeat(this.draining, peer.alive, loads));
 			// After a pause of this process, what the peers sent meanwhile is read first.
 			if (!slept && peer.alive && nowMs - peer.heardAtMs > LOST_AFTER_MS) {
 				peer.lose("silent");
@@ -237,6 +238,7 @@
 		long nowMs = this.clockMs.getAsLong();
 		if (message instanceof PeerMessage.Hello hello) {
 			receiver.peer = this.peers.computeIfAbsent(hello.vm(), (name) -> new Peer(name));
+			receiver.peer.receiver = receiver;
 			receiver.peer.greeted(hello, nowMs);
 			return;
 		}
@@ -245,9 +247,8 @@
 			return;
 		}
 		peer.heard(nowMs);
-		if (message instanceof PeerMessage.Heartbeat heartbeat && heartbeat.draining() && !peer.draining) {
-			peer.draining = true;
-			peer.lose("draining");
+		if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			peer.heard(heartbeat, nowMs);
 		}
 		this.listener.received(peer.name, message);
 	}
@@ -271,6 +272,10 @@
 
 		private long peerStartedAtMs;
 
+		private long connectedAtMs;
+
+		private Receiver receiver;
+
 		private boolean alive;
 
 		private boolean draining;
@@ -318,9 +323,10 @@
 
 		private void connected(Channel opened) {
 			this.channel = opened;
+			this.connectedAtMs = PeerNetwork.this.clockMs.getAsLong();
 			this.reconnectMs = RECONNECT_MS;
 			send(new PeerMessage.Hello(PeerNetwork.this.ownName, PeerNetwork.this.startedAtMs));
-			send(new PeerMessage.Heartbeat(PeerNetwork.this.draining, PeerNetwork.this.listener.loads()));
+			send(new PeerMessage.Heartbeat(PeerNetwork.this.draining, this.alive, PeerNetwork.this.listener.loads()));
 		}
 
 		private void disconnected(Channel closed) {
@@ -347,7 +353,7 @@
 				return false;
 			}
 			byte[] frame = PeerCodec.encode(message, PeerNetwork.this.clockMs.getAsLong());
-			this.channel.writeAndFlush(io.netty.buffer.Unpooled.wrappedBuffer(frame));
+			this.channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
 			return true;
 		}
 
@@ -370,6 +376,20 @@
 			}
 		}
 
+		private void heard(PeerMessage.Heartbeat heartbeat, long nowMs) {
+			if (heartbeat.draining() && !this.draining) {
+				this.draining = true;
+				EventLog.state("peer_draining").with("peer", this.name).write();
+				PeerNetwork.this.listener.peerDraining(this.name);
+			}
+			boolean unheard = !heartbeat.hearsReceiver() && isConnected() && nowMs - this.connectedAtMs > LOST_AFTER_MS;
+			if (unheard) {
+				lose("deaf");
+				disconnect();
+				connect();
+			}
+		}
+
 		private void lose(String reason) {
 			if (this.alive) {
 				EventLog.state("peer_lost")
@@ -429,6 +449,14 @@
 			received(this, PeerCodec.decode(ByteBufUtil.getBytes(frame), PeerNetwork.this.clockMs.getAsLong()));
 		}
 
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			if (this.peer != null && this.peer.receiver == this) {
+				this.peer.receiver = null;
+				this.peer.lose("closed");
+			}
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 			EventLog.state("peer_frame_refused").with("cause", cause).write();
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -136,7 +136,7 @@
 				: route.timeoutMs();
 		this.endsAtMs = this.arrivedAtMs + timeMs;
 		this.stageRun = new StageRun(services.stages(), route, request, priority(),
-				this.arrivedAtMs + route.objectiveMs(), this.endsAtMs, this);
+				this.arrivedAtMs + route.objectiveMs(), this.arrivedAtMs + Math.min(timeMs, route.patienceMs()), this);
 	}
 
 	private int priority() {
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -110,13 +110,14 @@
 		stage.spec.after().forEach((before) -> this.stages.get(before).addHandles(inputs));
 		String key = (stage.spec.after().isEmpty()) ? this.request.chunkKey() : "";
 		String inputDomain = inputDomain(stage);
-		long stageDueAtMs = this.dueAtMs - FIRST_EVENT_MS - followers(index) * STAGE_MS;
+		long behindMs = FIRST_EVENT_MS + followers(index) * STAGE_MS;
+		long stageDueAtMs = this.dueAtMs - behindMs;
 		for (int segment = 0; segment < stage.outcomes.length; segment++) {
 			long ticket = this.client.newTicket();
 			int place = segment;
 			this.waiting.add(ticket);
 			Piece piece = new Piece(ticket, this.request.attemptId(), index, segment, key, inputs, inputDomain,
-					this.priority, stageDueAtMs, this.expiresAtMs, stage.spec.resultBytes());
+					this.priority, stageDueAtMs, this.expiresAtMs - behindMs, stage.spec.resultBytes());
 			this.client.submit(stage.spec.service(), piece, (outcome) -> finished(stage, place, outcome));
 		}
 	}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
@@ -188,14 +188,21 @@
 		private void pump() {
 			this.pumpPlanned = false;
 			long nowMs = StageDesk.this.clockMs.getAsLong();
-			for (Piece late : this.former.expire(nowMs)) {
-				StageDesk.this.metrics.count("pieces_expired");
-				finish(late, PieceOutcome.failed(late.ticket()));
-			}
 			if (this.former.waitingCount() == 0) {
 				return;
 			}
 			List<Endpoint> open = StageDesk.this.view.directory().open(this.service, nowMs);
+			for (Piece late : this.former.expire(open.size(), nowMs)) {
+				StageDesk.this.metrics.count("pieces_expired");
+				EventLog.request("piece_expired", late.attemptId())
+					.with("service", this.service)
+					.with("stage", late.stage())
+					.with("waiting", this.former.waitingCount())
+					.with("endpoints", open.size())
+					.with("left_ms", late.expiresAtMs() - nowMs)
+					.write();
+				finish(late, PieceOutcome.failed(late.ticket()));
+			}
 			Optional<StageCall> next = this.former.next(open, nowMs);
 			while (next.isPresent()) {
 				send(next.get(), nowMs);
