Refuse requests at once whose stages can't be done within their objective

Change: VMs tell each other the stage pieces that admitted requests still need; a new request whose stages would be done later than its objective is refused at once and asked back when the queue is short. Callers that come back are due from their first request.

--- a/core/src/main/java/org/fulmargap/batch/BatchFormer.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchFormer.java
@@ -27,6 +27,14 @@
 	/** How much earlier a piece is due for each rank of its request, in milliseconds. */
 	private static final long RANK_MS = 600;
 
+	/**
+	 * How much larger results may be than the configuration says, which is approximate.
+	 */
+	private static final double SIZE_MARGIN = 1.05;
+
+	/** A call is chosen among the most urgent pieces: this many times its size. */
+	private static final double CANDIDATE_BATCHES = 1.5;
+
 	private static final Comparator<Piece> MOST_URGENT = Comparator.comparingLong(BatchFormer::urgencyMs)
 		.thenComparing(Piece::attemptId)
 		.thenComparingInt(Piece::stage)
@@ -138,7 +146,7 @@
 		long bestFreeBytes = 0;
 		for (Endpoint endpoint : endpoints) {
 			StageRoom room = room(endpoint);
-			long freeBytes = this.capacity.roomBytes() - room.usedBytes(nowMs);
+			long freeBytes = (long) (this.capacity.roomBytes() / SIZE_MARGIN) - room.usedBytes(nowMs);
 			boolean usable = !endpoint.isSuspended(nowMs) && room.callsInFlight() < this.capacity.slots()
 					&& freeBytes >= first.resultBytes();
 			if (usable && (best == null || isBetter(first, endpoint, freeBytes, best, bestFreeBytes))) {
@@ -163,28 +171,36 @@
 	}
 
 	private StageCall take(Endpoint endpoint, long freeBytes) {
+		List<Piece> candidates = candidates();
 		List<Piece> pieces = new ArrayList<>();
-		long leftBytes = take(this.waiting, endpoint, freeBytes, pieces);
-		leftBytes = take(this.late, endpoint, leftBytes, pieces);
+		// Pieces whose inputs lie beside the endpoint go first among the most urgent
+		// ones.
+		long leftBytes = take(candidates, endpoint, true, freeBytes, pieces);
+		leftBytes = take(candidates, endpoint, false, leftBytes, pieces);
+		pieces.forEach(this::remove);
 		room(endpoint).callStarted(freeBytes - leftBytes);
 		return new StageCall(endpoint, List.copyOf(pieces), expectedMs(pieces.size()));
 	}
 
-	// Pieces whose inputs lie in the endpoint's domain share its calls, others fill them
-	// up.
-	private long take(TreeSet<Piece> from, Endpoint endpoint, long freeBytes, List<Piece> pieces) {
-		long leftBytes = take(from, endpoint, true, freeBytes, pieces);
-		return take(from, endpoint, false, leftBytes, pieces);
+	private List<Piece> candidates() {
+		int most = (int) (this.capacity.batch() * CANDIDATE_BATCHES);
+		List<Piece> candidates = new ArrayList<>(most);
+		for (Iterator<Piece> i = this.waiting.iterator(); i.hasNext() && candidates.size() < most;) {
+			candidates.add(i.next());
+		}
+		for (Iterator<Piece> i = this.late.iterator(); i.hasNext() && candidates.size() < most;) {
+			candidates.add(i.next());
+		}
+		return candidates;
 	}
 
-	private long take(TreeSet<Piece> from, Endpoint endpoint, boolean near, long freeBytes, List<Piece> pieces) {
+	private long take(List<Piece> candidates, Endpoint endpoint, boolean near, long freeBytes, List<Piece> pieces) {
 		long leftBytes = freeBytes;
-		for (Iterator<Piece> i = from.iterator(); i.hasNext() && pieces.size() < this.capacity.batch();) {
-			Piece piece = i.next();
-			if (isNear(piece, endpoint) == near && piece.resultBytes() <= leftBytes) {
+		for (Piece piece : candidates) {
+			boolean fits = pieces.size() < this.capacity.batch() && piece.resultBytes() <= leftBytes;
+			if (fits && isNear(piece, endpoint) == near) {
 				pieces.add(piece);
 				leftBytes -= piece.resultBytes();
-				i.remove();
 			}
 		}
 		return leftBytes;
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/batch/CommittedWork.java
@@ -0,0 +1,96 @@
+package org.fulmargap.batch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The pieces that admitted requests still need of each stage service, those of stages
+ * that have not begun included: of this VM and, from their heartbeats, of its peers.
+ * Confined to one thread.
+ */
+public final class CommittedWork {
+
+	/** Requests of lower rank count like those of the lowest rank that is told apart. */
+	public static final int RANKS = 4;
+
+	/** A peer's report counts for this time, in milliseconds: a few heartbeats. */
+	private static final long REPORT_LIFETIME_MS = 1_500;
+
+	private final Map<String, int[]> own = new HashMap<>();
+
+	private final Map<String, Report> reports = new HashMap<>();
+
+	/**
+	 * Records pieces that were admitted.
+	 * @param service the service
+	 * @param rank the rank of their request
+	 * @param pieces the number of pieces
+	 */
+	public void add(String service, int rank, int pieces) {
+		int[] byRank = this.own.computeIfAbsent(service, (name) -> new int[RANKS]);
+		byRank[index(rank)] += pieces;
+	}
+
+	/**
+	 * Records pieces that are done or no longer needed.
+	 * @param service the service
+	 * @param rank the rank of their request
+	 * @param pieces the number of pieces
+	 */
+	public void remove(String service, int rank, int pieces) {
+		add(service, rank, -pieces);
+	}
+
+	/**
+	 * Returns this VM's pieces, for heartbeats.
+	 * @return the pieces by rank, by service
+	 */
+	public Map<String, int[]> own() {
+		Map<String, int[]> copy = new HashMap<>();
+		this.own.forEach((service, byRank) -> copy.put(service, byRank.clone()));
+		return copy;
+	}
+
+	/**
+	 * Takes over a peer's report.
+	 * @param peer the name of the peer
+	 * @param pieces its pieces by rank, by service
+	 * @param nowMs the present time in milliseconds
+	 */
+	public void reported(String peer, Map<String, int[]> pieces, long nowMs) {
+		this.reports.put(peer, new Report(Map.copyOf(pieces), nowMs));
+	}
+
+	/**
+	 * Returns the pieces that go before those of a new request.
+	 * @param service the service
+	 * @param rank the rank of the new request
+	 * @param nowMs the present time in milliseconds
+	 * @return the number of pieces of all VMs that are as urgent or more urgent
+	 */
+	public int before(String service, int rank, long nowMs) {
+		int sum = sum(this.own.get(service), rank);
+		for (Report report : this.reports.values()) {
+			if (nowMs - report.reportedAtMs() < REPORT_LIFETIME_MS) {
+				sum += sum(report.pieces().get(service), rank);
+			}
+		}
+		return sum;
+	}
+
+	private static int sum(int[] byRank, int rank) {
+		int sum = 0;
+		for (int i = 0; byRank != null && i <= index(rank); i++) {
+			sum += byRank[i];
+		}
+		return sum;
+	}
+
+	private static int index(int rank) {
+		return Math.max(0, Math.min(RANKS - 1, rank));
+	}
+
+	private record Report(Map<String, int[]> pieces, long reportedAtMs) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmargap/batch/PipelineEstimate.java
@@ -0,0 +1,56 @@
+package org.fulmargap.batch;
+
+import java.util.List;
+
+import org.fulmargap.catalog.StageCapacity;
+
+/**
+ * Estimates when the stages of a new request would be done. On days of high load one
+ * service is the bottleneck: the request waits there for the pieces before it, and spends
+ * the time of one call in each of its stages.
+ */
+public final class PipelineEstimate {
+
+	/** The part of a full batch that a usual call holds. */
+	private static final double USUAL_BATCH_SHARE = 0.5;
+
+	private PipelineEstimate() {
+	}
+
+	/**
+	 * Estimates the time.
+	 * @param stages the stages in which the request has pieces
+	 * @return the time in milliseconds
+	 */
+	public static double stagesMs(List<StageLoad> stages) {
+		double longestWaitMs = 0;
+		double callsMs = 0;
+		for (StageLoad stage : stages) {
+			longestWaitMs = Math.max(longestWaitMs, stage.waitMs());
+			callsMs = Math.max(callsMs, stage.depth() * stage.usualCallMs());
+		}
+		return longestWaitMs + callsMs;
+	}
+
+	/**
+	 * The load of the service of one stage.
+	 *
+	 * @param capacity what one endpoint can take
+	 * @param endpoints the endpoints that work
+	 * @param piecesBefore the pieces that go before those of the request
+	 * @param depth the stages on the longest way to the end of this one, itself included
+	 */
+	public record StageLoad(StageCapacity capacity, int endpoints, int piecesBefore, int depth) {
+
+		private double waitMs() {
+			double fullMs = this.capacity.callMs() + this.capacity.batch() * this.capacity.pieceMs();
+			return this.piecesBefore * fullMs / this.capacity.batch() / Math.max(1, this.endpoints);
+		}
+
+		private double usualCallMs() {
+			return this.capacity.callMs() + this.capacity.batch() * USUAL_BATCH_SHARE * this.capacity.pieceMs();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/fulmargap/batch/CommittedWorkTests.java
@@ -0,0 +1,54 @@
+package org.fulmargap.batch;
+
+import java.util.List;
+import java.util.Map;
+
+import org.fulmargap.catalog.StageCapacity;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link CommittedWork} and {@link PipelineEstimate}.
+ */
+class CommittedWorkTests {
+
+	private final CommittedWork work = new CommittedWork();
+
+	@Test
+	void piecesOfAllVmsGoBeforeANewRequest() {
+		this.work.add("service", 0, 5);
+		this.work.reported("peer", Map.of("service", new int[] { 1, 2, 0, 0 }), 0);
+		assertThat(this.work.before("service", 1, 10)).isEqualTo(8);
+	}
+
+	@Test
+	void lessUrgentPiecesDoNot() {
+		this.work.add("service", 2, 5);
+		assertThat(this.work.before("service", 1, 0)).isZero();
+		assertThat(this.work.before("service", 9, 0)).isEqualTo(5);
+	}
+
+	@Test
+	void aSilentPeersReportIsForgotten() {
+		this.work.reported("peer", Map.of("service", new int[] { 4, 0, 0, 0 }), 0);
+		assertThat(this.work.before("service", 0, 5_000)).isZero();
+	}
+
+	@Test
+	void finishedPiecesNoLongerCount() {
+		this.work.add("service", 0, 5);
+		this.work.remove("service", 0, 5);
+		assertThat(this.work.before("service", 0, 0)).isZero();
+	}
+
+	@Test
+	void theBottleneckAndOneCallOfEachStageMakeTheEstimate() {
+		StageCapacity capacity = new StageCapacity(1, 2, 10, 200, 10, 1_000, 4_000);
+		double stagesMs = PipelineEstimate.stagesMs(List.of(new PipelineEstimate.StageLoad(capacity, 2, 100, 1),
+				new PipelineEstimate.StageLoad(capacity, 2, 40, 2)));
+		// 100 pieces at 2 endpoints that do 10 in 300 ms, and two calls of 250 ms.
+		assertThat(stagesMs).isEqualTo(1_500 + 500);
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
@@ -9,11 +10,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.fulmargap.batch.CommittedWork;
 import org.fulmargap.entry.caller.CallerServer;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.peer.PeerListener;
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.entry.request.CallerTimes;
 import org.fulmargap.entry.request.RequestRouter;
 import org.fulmargap.entry.request.RequestServices;
 import org.fulmargap.entry.request.ServiceTimes;
@@ -41,7 +44,7 @@
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	/** How long new requests are still taken after SIGTERM, in milliseconds. */
-	private static final long NOTICE_MS = 2_500;
+	private static final long NOTICE_MS = 2_400;
 
 	/** The last part of the time to stop, which is left for the exit, in milliseconds. */
 	private static final long EXIT_MARGIN_MS = 700;
@@ -64,10 +67,14 @@
 
 	private final CrashQuarantine quarantine = new CrashQuarantine(MAX_FINGERPRINTS);
 
+	private final CommittedWork committed = new CommittedWork();
+
 	private final PeerNetwork peers;
 
 	private final StageClient stages;
 
+	private final RequestRouter router;
+
 	private final CallerServer callers;
 
 	private final StoreClient store;
@@ -88,9 +95,10 @@
 				this.metrics);
 		this.stages = new StageClient(this.loop, desk, this.peers);
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
-				new Placement(settings.failureDomain()), retries, this.quarantine, pool, this.stages, this.peers,
-				new ServiceTimes(), this.metrics);
-		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, new RequestRouter(services));
+				new Placement(settings.failureDomain()), retries, this.quarantine, pool, this.stages, this.committed,
+				this.peers, new ServiceTimes(), new CallerTimes(), this.metrics);
+		this.router = new RequestRouter(services);
+		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, this.router);
 		this.store = new StoreClient(settings.storeAddress());
 		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers);
 	}
@@ -128,12 +136,16 @@
 			this.callers.drain();
 			this.peers.drain();
 		});
+		Thread.sleep(NOTICE_MS);
+		this.loop.execute(() -> {
+			this.router.refuseNew();
+			this.callers.closeUnused();
+		});
 		long limitMs = this.settings.graceMs() - EXIT_MARGIN_MS;
 		boolean busy = true;
 		while (busy && this.clockMs.getAsLong() - beganAtMs < limitMs) {
 			Thread.sleep(POLL_MS);
-			long ageMs = this.clockMs.getAsLong() - beganAtMs;
-			busy = ageMs < NOTICE_MS || busyConnections() > 0;
+			busy = busyConnections() > 0;
 		}
 		EventLog.state("stopped")
 			.with("vm", this.settings.vm())
@@ -170,6 +182,7 @@
 	}
 
 	private void reported(String peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
+		this.committed.reported(peer, heartbeat.committedPieces(), nowMs);
 		for (Endpoint endpoint : this.view.directory().all()) {
 			endpoint.reported(peer, new PeerLoad(0, 0, nowMs));
 		}
@@ -198,6 +211,11 @@
 		this.stages.peerLost(peer);
 	}
 
+	@Override
+	public Map<String, int[]> committedPieces() {
+		return this.committed.own();
+	}
+
 	@Override
 	public List<PeerMessage.Load> loads() {
 		List<PeerMessage.Load> loads = new ArrayList<>();
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.fulmargap.batch.Piece;
 import org.fulmargap.entry.stage.PieceOutcome;
@@ -46,6 +48,7 @@
 			for (PeerMessage.Load load : heartbeat.loads()) {
 				out.packString(load.endpoint()).packInt(load.inFlight()).packLong(load.prefillTokens());
 			}
+			writeCommitted(out, heartbeat.committedPieces());
 		}
 		else if (message instanceof PeerMessage.PromptSent sent) {
 			out.packInt(Type.PROMPT_SENT.ordinal()).packString(sent.endpoint());
@@ -84,6 +87,29 @@
 		}
 	}
 
+	private static void writeCommitted(MessageBufferPacker out, Map<String, int[]> committed) throws IOException {
+		out.packMapHeader(committed.size());
+		for (Map.Entry<String, int[]> service : committed.entrySet()) {
+			out.packString(service.getKey()).packArrayHeader(service.getValue().length);
+			for (int pieces : service.getValue()) {
+				out.packInt(pieces);
+			}
+		}
+	}
+
+	private static Map<String, int[]> readCommitted(MessageUnpacker in) throws IOException {
+		Map<String, int[]> committed = new HashMap<>();
+		for (int i = in.unpackMapHeader(); i > 0; i--) {
+			String service = in.unpackString();
+			int[] byRank = new int[readSize(in)];
+			for (int rank = 0; rank < byRank.length; rank++) {
+				byRank[rank] = in.unpackInt();
+			}
+			committed.put(service, byRank);
+		}
+		return committed;
+	}
+
 	private static void writePrompt(MessageBufferPacker out, Prompt prompt) throws IOException {
 		out.packInt(prompt.promptTokens()).packInt(prompt.maxOutputTokens()).packArrayHeader(prompt.parts().size());
 		for (PromptPart part : prompt.parts()) {
@@ -136,7 +162,7 @@
 		for (int i = readSize(in); i > 0; i--) {
 			loads.add(new PeerMessage.Load(in.unpackString(), in.unpackInt(), in.unpackLong()));
 		}
-		return new PeerMessage.Heartbeat(draining, hearsReceiver, loads);
+		return new PeerMessage.Heartbeat(draining, hearsReceiver, loads, readCommitted(in));
 	}
 
 	private static Prompt readPrompt(MessageUnpacker in) throws IOException {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry.peer;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * Hears the other entry VMs.
@@ -32,4 +33,10 @@
 	 */
 	List<PeerMessage.Load> loads();
 
+	/**
+	 * Returns the pieces that this VM's requests still need, for heartbeats.
+	 * @return the pieces by rank, by service
+	 */
+	Map<String, int[]> committedPieces();
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry.peer;
 
 import java.util.List;
+import java.util.Map;
 
 import org.fulmargap.batch.Piece;
 import org.fulmargap.entry.stage.PieceOutcome;
@@ -27,8 +28,10 @@
 	 * @param hearsReceiver whether the sender hears the receiver; a connection can go
 	 * silent without being closed, which only the other end notices
 	 * @param loads what it has in flight, only for endpoints with load
+	 * @param committedPieces the pieces that its requests still need, by rank, by service
 	 */
-	record Heartbeat(boolean draining, boolean hearsReceiver, List<Load> loads) implements PeerMessage {
+	record Heartbeat(boolean draining, boolean hearsReceiver, List<Load> loads,
+			Map<String, int[]> committedPieces) implements PeerMessage {
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -223,8 +223,9 @@
 		boolean slept = nowMs - this.lastTickAtMs > LOST_AFTER_MS;
 		this.lastTickAtMs = nowMs;
 		List<PeerMessage.Load> loads = this.listener.loads();
+		Map<String, int[]> committed = this.listener.committedPieces();
 		for (Peer peer : List.copyOf(this.peers.values())) {
-			peer.send(new PeerMessage.Heartbeat(this.draining, peer.alive, loads));
+			peer.send(new PeerMessage.Heartbeat(this.draining, peer.alive, loads, committed));
 			// After a pause of this process, what the peers sent meanwhile is read first.
 			if (!slept && peer.alive && nowMs - peer.heardAtMs > LOST_AFTER_MS) {
 				peer.lose("silent");
@@ -326,7 +327,8 @@
 			this.connectedAtMs = PeerNetwork.this.clockMs.getAsLong();
 			this.reconnectMs = RECONNECT_MS;
 			send(new PeerMessage.Hello(PeerNetwork.this.ownName, PeerNetwork.this.startedAtMs));
-			send(new PeerMessage.Heartbeat(PeerNetwork.this.draining, this.alive, PeerNetwork.this.listener.loads()));
+			PeerListener own = PeerNetwork.this.listener;
+			send(new PeerMessage.Heartbeat(PeerNetwork.this.draining, this.alive, own.loads(), own.committedPieces()));
 		}
 
 		private void disconnected(Channel closed) {
--- a/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -7,7 +7,7 @@
 public enum Refusal {
 
 	/** This VM knows no configuration yet. */
-	NO_CONFIGURATION(503, 0.5),
+	NO_CONFIGURATION(503, 500),
 
 	/** No route matches. */
 	NO_ROUTE(404, 0),
@@ -15,17 +15,23 @@
 	/** The API key is missing or unknown. */
 	UNKNOWN_KEY(401, 0),
 
+	/** This VM is about to stop and could not finish the request. */
+	STOPPING(503, 50),
+
 	/** The request has crashed several endpoints. */
-	QUARANTINED(503, 30),
+	QUARANTINED(503, 30_000),
 
 	/** No endpoint can take the request now. */
-	NO_ENDPOINT(503, 0.3),
+	NO_ENDPOINT(503, 300),
+
+	/** The stages of the requests before it take longer than the caller waits. */
+	OVERLOADED(503, 1_500),
 
 	/** A stage could not be done. */
-	STAGE_FAILED(503, 0.3),
+	STAGE_FAILED(503, 1_500),
 
 	/** There is not enough time left to run the request. */
-	TOO_LATE(503, 0.5),
+	TOO_LATE(503, 500),
 
 	/** The request was sent and may have run. */
 	OUTCOME_UNKNOWN(502, 0),
@@ -35,19 +41,19 @@
 
 	private final int status;
 
-	private final double retryAfterSeconds;
+	private final long returnAfterMs;
 
-	Refusal(int status, double retryAfterSeconds) {
+	Refusal(int status, long returnAfterMs) {
 		this.status = status;
-		this.retryAfterSeconds = retryAfterSeconds;
+		this.returnAfterMs = returnAfterMs;
 	}
 
 	int status() {
 		return this.status;
 	}
 
-	double retryAfterSeconds() {
-		return this.retryAfterSeconds;
+	long returnAfterMs() {
+		return this.returnAfterMs;
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import org.fulmargap.batch.PipelineAdmission;
 import org.fulmargap.catalog.Catalog;
 import org.fulmargap.catalog.ClientAccount;
 import org.fulmargap.catalog.Route;
@@ -52,7 +54,12 @@
 	/**
 	 * The share of the time left after which a refused caller may return at the latest.
 	 */
-	private static final double RETRY_AFTER_SHARE = 0.3;
+	private static final double RETRY_AFTER_SHARE = 0.25;
+
+	/**
+	 * How far the times at which refused callers return lie apart, as a share of them.
+	 */
+	private static final double SPREAD = 0.5;
 
 	/** The lowest rank that an engine knows. */
 	private static final int LOWEST_PRIORITY = 9;
@@ -87,6 +94,8 @@
 
 	private final ByteBuf body;
 
+	private final Catalog catalog;
+
 	private final Route route;
 
 	private final ServiceSpec service;
@@ -99,6 +108,8 @@
 
 	private final long endsAtMs;
 
+	private final long elapsedMs;
+
 	private final StageRun stageRun;
 
 	private final Set<String> usedEndpoints = new HashSet<>();
@@ -126,6 +137,7 @@
 		this.uri = http.uri();
 		this.headers = http.headers();
 		this.body = http.content().retain();
+		this.catalog = catalog;
 		this.route = route;
 		String serviceName = route.service(request.attemptId().hashCode());
 		this.service = catalog.services().getOrDefault(serviceName, new ServiceSpec(serviceName, 0, 0, null, null));
@@ -135,8 +147,23 @@
 		long timeMs = (request.timeLeftMs() >= 0) ? Math.min(request.timeLeftMs(), route.timeoutMs())
 				: route.timeoutMs();
 		this.endsAtMs = this.arrivedAtMs + timeMs;
-		this.stageRun = new StageRun(services.stages(), route, request, priority(),
-				this.arrivedAtMs + route.objectiveMs(), this.arrivedAtMs + Math.min(timeMs, route.patienceMs()), this);
+		this.elapsedMs = services.callerTimes().elapsedMs(route.name(), request.timeLeftMs());
+		this.stageRun = new StageRun(services.stages(), services.committed(), route, request, engineDomain(),
+				priority(), this.arrivedAtMs - this.elapsedMs + route.objectiveMs(),
+				this.arrivedAtMs + Math.min(timeMs, route.patienceMs()), this);
+	}
+
+	private String engineDomain() {
+		if (this.service.engine() == null || this.route.stages().isEmpty()) {
+			return "";
+		}
+		long nowMs = this.arrivedAtMs;
+		Placement.Demand demand = new Placement.Demand(this.request.prompt(), List.of());
+		return this.services.placement()
+			.choose(this.services.view().directory().open(this.service.name(), nowMs), Set.of(), this.service, demand,
+					this.services.peers().vmCount(), nowMs)
+			.map((choice) -> choice.endpoint().record().failureDomain())
+			.orElse("");
 	}
 
 	private int priority() {
@@ -148,7 +175,25 @@
 		this.endTimer = this.services.loop()
 			.schedule(this::timeOver, this.endsAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
 		this.services.retries().firstRequest(this.service.name());
-		this.stageRun.start();
+		if (isAdmitted()) {
+			this.stageRun.start();
+		}
+	}
+
+	private boolean isAdmitted() {
+		double stagesMs = this.stageRun.estimateMs(this.services.view(), this.catalog, this.arrivedAtMs);
+		long patienceMs = Math.min(this.endsAtMs - this.arrivedAtMs, this.route.patienceMs());
+		PipelineAdmission.Decision decision = PipelineAdmission.decide(stagesMs, this.route.objectiveMs(), patienceMs);
+		if (!decision.admitted()) {
+			EventLog.request("not_admitted", this.request.attemptId())
+				.with("stages_ms", Math.round(stagesMs))
+				.with("objective_ms", this.route.objectiveMs())
+				.with("elapsed_ms", this.elapsedMs)
+				.with("rank", priority())
+				.write();
+			refuse(Refusal.OVERLOADED, decision.returnAfterMs());
+		}
+		return decision.admitted();
 	}
 
 	@Override
@@ -215,6 +260,10 @@
 	}
 
 	private void refuse(Refusal refusal) {
+		refuse(refusal, refusal.returnAfterMs());
+	}
+
+	private void refuse(Refusal refusal, long returnAfterMs) {
 		if (this.over) {
 			return;
 		}
@@ -234,22 +283,23 @@
 			return;
 		}
 		finish();
-		answer(this.exchange, refusal, leftMs);
+		answer(this.exchange, refusal, returnAfterMs, leftMs);
 	}
 
 	/**
 	 * Answers a request that no endpoint answers.
 	 * @param exchange the request
 	 * @param refusal why
+	 * @param returnAfterMs when the caller may come back, in milliseconds; 0 for never
 	 * @param leftMs how long the caller still waits, in milliseconds
 	 */
-	static void answer(CallerExchange exchange, Refusal refusal, long leftMs) {
+	static void answer(CallerExchange exchange, Refusal refusal, long returnAfterMs, long leftMs) {
 		HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-		if (refusal.retryAfterSeconds() > 0) {
+		if (returnAfterMs > 0) {
 			// Callers that were refused together come back at different times.
-			double spread = 0.5 + ThreadLocalRandom.current().nextDouble();
-			double seconds = Math.min(refusal.retryAfterSeconds() * spread, leftMs * RETRY_AFTER_SHARE / MS_PER_SECOND);
-			headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
+			double spread = 1 - SPREAD / 2 + SPREAD * ThreadLocalRandom.current().nextDouble();
+			double afterMs = Math.min(returnAfterMs, leftMs * RETRY_AFTER_SHARE) * spread;
+			headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", afterMs / MS_PER_SECOND));
 		}
 		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 		ByteBuf body = Unpooled.copiedBuffer("{\"error\":\"" + refusal.name() + "\"}", StandardCharsets.UTF_8);
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry.request;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.zip.CRC32;
 
@@ -24,6 +25,8 @@
 
 	private final RequestServices services;
 
+	private boolean refusing;
+
 	/**
 	 * Creates a router.
 	 * @param services what requests share
@@ -32,10 +35,21 @@
 		this.services = services;
 	}
 
+	/**
+	 * Refuses all further requests, so that callers turn to another VM before this one
+	 * stops.
+	 */
+	public void refuseNew() {
+		this.refusing = true;
+	}
+
 	@Override
 	public CallerListener handle(FullHttpRequest http, CallerExchange exchange) {
 		CallerRequest request = CallerHeaders.decode((name) -> http.headers().get(name));
 		this.services.metrics().count("requests");
+		if (this.refusing) {
+			return refuse(http, exchange, request, Refusal.STOPPING);
+		}
 		Optional<Catalog> catalog = this.services.view().catalog();
 		if (catalog.isEmpty() || !this.services.view().isComplete()) {
 			return refuse(http, exchange, request, Refusal.NO_CONFIGURATION);
@@ -69,9 +83,9 @@
 			.with("reason", refusal)
 			.with("config_version", this.services.view().catalog().map(Catalog::version).orElse(0L))
 			.write();
-		this.services.metrics().count("refused_" + refusal.name().toLowerCase(java.util.Locale.ROOT));
+		this.services.metrics().count("refused_" + refusal.name().toLowerCase(Locale.ROOT));
 		http.release();
-		RequestFlow.answer(exchange, refusal, Math.max(0, request.timeLeftMs()));
+		RequestFlow.answer(exchange, refusal, refusal.returnAfterMs(), Math.max(0, request.timeLeftMs()));
 		return null;
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -3,6 +3,7 @@
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
+import org.fulmargap.batch.CommittedWork;
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.endpoint.EndpointPool;
@@ -23,13 +24,15 @@
  * @param quarantine requests that crash endpoints
  * @param pool connections to endpoints
  * @param stages runs stages
+ * @param committed the pieces that admitted requests still need
  * @param peers the other entry VMs
  * @param times usual times of services
+ * @param callerTimes the time that callers give their requests
  * @param metrics counters and latencies
  */
 public record RequestServices(EventLoop loop, LongSupplier clockMs, StoreView view, Placement placement,
-		RetryAllowance retries, CrashQuarantine quarantine, EndpointPool pool, StageClient stages, PeerNetwork peers,
-		ServiceTimes times, EntryMetrics metrics) {
+		RetryAllowance retries, CrashQuarantine quarantine, EndpointPool pool, StageClient stages,
+		CommittedWork committed, PeerNetwork peers, ServiceTimes times, CallerTimes callerTimes, EntryMetrics metrics) {
 
 	long nowMs() {
 		return this.clockMs.getAsLong();
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -7,9 +7,14 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.fulmargap.batch.CommittedWork;
 import org.fulmargap.batch.Piece;
+import org.fulmargap.batch.PipelineEstimate;
+import org.fulmargap.catalog.Catalog;
 import org.fulmargap.catalog.Route;
+import org.fulmargap.catalog.ServiceSpec;
 import org.fulmargap.catalog.StageSpec;
+import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.stage.PieceOutcome;
 import org.fulmargap.entry.stage.StageClient;
 import org.fulmargap.placement.Placement;
@@ -28,12 +33,19 @@
 	 */
 	private static final long FIRST_EVENT_MS = 150;
 
+	/** Results from this size on are made beside their user, in bytes. */
+	private static final long LARGE_RESULT_BYTES = 500_000;
+
 	private final StageClient client;
 
+	private final CommittedWork committed;
+
 	private final Route route;
 
 	private final CallerRequest request;
 
+	private final String engineDomain;
+
 	private final int priority;
 
 	private final long dueAtMs;
@@ -51,18 +63,23 @@
 	/**
 	 * Creates a run.
 	 * @param client runs pieces
+	 * @param committed the pieces that admitted requests still need
 	 * @param route the route
 	 * @param request what the caller asks for
+	 * @param engineDomain the failure domain of the engine that will probably run the
+	 * request, or an empty text
 	 * @param priority the rank of the request; 0 is the most urgent
 	 * @param dueAtMs when the first event is due, in milliseconds
 	 * @param expiresAtMs when the request is given up, in milliseconds
 	 * @param listener hears the end
 	 */
-	StageRun(StageClient client, Route route, CallerRequest request, int priority, long dueAtMs, long expiresAtMs,
-			Listener listener) {
+	StageRun(StageClient client, CommittedWork committed, Route route, CallerRequest request, String engineDomain,
+			int priority, long dueAtMs, long expiresAtMs, Listener listener) {
 		this.client = client;
+		this.committed = committed;
 		this.route = route;
 		this.request = request;
+		this.engineDomain = engineDomain;
 		this.priority = priority;
 		this.dueAtMs = dueAtMs;
 		this.expiresAtMs = expiresAtMs;
@@ -72,7 +89,40 @@
 		}
 	}
 
+	/**
+	 * Estimates when the stages would be done, given the requests before this one.
+	 * @param view what the platform's store holds
+	 * @param catalog the configuration
+	 * @param nowMs the present time in milliseconds
+	 * @return the time from now in milliseconds
+	 */
+	double estimateMs(StoreView view, Catalog catalog, long nowMs) {
+		List<PipelineEstimate.StageLoad> loads = new ArrayList<>();
+		for (int i = 0; i < this.stages.size(); i++) {
+			Stage stage = this.stages.get(i);
+			ServiceSpec service = catalog.services().get(stage.spec.service());
+			if (stage.outcomes.length > 0 && service != null && service.stage() != null) {
+				int endpoints = view.directory().open(service.name(), nowMs).size();
+				int before = this.committed.before(service.name(), this.priority, nowMs);
+				loads.add(new PipelineEstimate.StageLoad(service.stage(), endpoints, before, depth(i)));
+			}
+		}
+		return PipelineEstimate.stagesMs(loads);
+	}
+
+	private int depth(int index) {
+		int most = 0;
+		for (int before : this.stages.get(index).spec.after()) {
+			most = Math.max(most, depth(before));
+		}
+		return most + ((this.stages.get(index).outcomes.length > 0) ? 1 : 0);
+	}
+
 	void start() {
+		this.stages.forEach((stage) -> {
+			stage.committed = stage.outcomes.length;
+			this.committed.add(stage.spec.service(), this.priority, stage.committed);
+		});
 		advance();
 	}
 
@@ -122,7 +172,12 @@
 		}
 	}
 
+	// Results that go to the request itself are best made beside the engine that will
+	// probably run it.
 	private String inputDomain(Stage stage) {
+		if (stage.spec.after().isEmpty()) {
+			return (stage.spec.resultBytes() >= LARGE_RESULT_BYTES) ? this.engineDomain : "";
+		}
 		Map<String, Integer> counts = new HashMap<>();
 		for (int before : stage.spec.after()) {
 			for (PieceOutcome outcome : this.stages.get(before).outcomes) {
@@ -158,6 +213,8 @@
 		}
 		stage.outcomes[place] = outcome;
 		stage.done++;
+		stage.committed--;
+		this.committed.remove(stage.spec.service(), this.priority, 1);
 		if (stage.isDone()) {
 			releaseInputs(stage);
 			advance();
@@ -222,7 +279,11 @@
 		this.over = true;
 		List.copyOf(this.waiting).forEach(this.client::withdraw);
 		this.waiting.clear();
-		this.stages.forEach(this::release);
+		this.stages.forEach((stage) -> {
+			this.committed.remove(stage.spec.service(), this.priority, stage.committed);
+			stage.committed = 0;
+			release(stage);
+		});
 	}
 
 	/**
@@ -244,6 +305,8 @@
 
 		private int done;
 
+		private int committed;
+
 		private boolean started;
 
 		private boolean released;
