--- a/entry/src/main/java/org/fulmargap/entry/EntryMain.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMain.java
@@ -12,6 +12,9 @@
  */
 public final class EntryMain {
 
+	/** The port of the metrics, as in the deploy file. */
+	private static final int METRICS_PORT = 9_464;
+
 	private static final int EXIT_BAD_SETTINGS = 2;
 
 	private EntryMain() {
@@ -33,7 +36,7 @@
 			System.exit(EXIT_BAD_SETTINGS);
 			return;
 		}
-		EntryVm vm = new EntryVm(settings);
+		EntryVm vm = new EntryVm(settings, METRICS_PORT);
 		Signal.handle(new Signal("TERM"), (signal) -> new Thread(() -> stop(vm), "stop").start());
 		Signal.handle(new Signal("HUP"), (signal) -> EventLog.state("reload").with("path", path).write());
 		vm.start();
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -36,9 +36,6 @@
  */
 public final class EntryVm implements AutoCloseable, PeerListener {
 
-	/** The port of the metrics, as in the deploy file. */
-	public static final int METRICS_PORT = 9_464;
-
 	private static final int MAX_FINGERPRINTS = 1_000;
 
 	private static final long NANOS_PER_MS = 1_000_000;
@@ -53,6 +50,8 @@
 
 	private final NodeSettings settings;
 
+	private final int metricsPort;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = (EventLoop) this.group.next();
@@ -84,9 +83,11 @@
 	/**
 	 * Creates an entry VM that serves nothing yet.
 	 * @param settings what the platform says of it
+	 * @param metricsPort where operators read its metrics
 	 */
-	public EntryVm(NodeSettings settings) {
+	public EntryVm(NodeSettings settings, int metricsPort) {
 		this.settings = settings;
+		this.metricsPort = metricsPort;
 		this.peers = new PeerNetwork(settings.vm(), System.currentTimeMillis(), this.loop, this.clockMs);
 		EndpointPool pool = new EndpointPool(this.loop, this.clockMs);
 		RetryAllowance retries = new RetryAllowance(settings.retryRatio(), settings.retrySlack(),
@@ -113,7 +114,7 @@
 		ReadinessServer readiness = new ReadinessServer(this.loop, this::isReady, this.metrics);
 		String address = this.settings.readinessAddress();
 		readiness.listen(this.settings.ip(), Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
-		readiness.listen(this.settings.ip(), METRICS_PORT);
+		readiness.listen(this.settings.ip(), this.metricsPort);
 		this.callers.listen(this.settings.callerAddress());
 		EventLog.state("started").with("vm", this.settings.vm()).with("domain", this.settings.failureDomain()).write();
 	}
--- /dev/null
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -0,0 +1,308 @@
+package org.fulmargap.entry;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+
+import org.fulmargap.platform.standin.CallerWire;
+import org.fulmargap.platform.standin.EndpointStandIn;
+import org.fulmargap.platform.standin.StoreStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link EntryVm} with stand-ins of the platform.
+ */
+class EntryVmTests {
+
+	private static final String ALL_EVENTS = "id: 0\ndata: token0\n\nid: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
+			+ "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n";
+
+	private Installation installation;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.installation = new Installation();
+	}
+
+	@AfterEach
+	void stop() {
+		this.installation.close();
+	}
+
+	private EndpointStandIn endpoint(String id, String service) throws IOException {
+		return this.installation.endpoint(id, service);
+	}
+
+	private void startVms(int count) throws IOException, InterruptedException {
+		for (int i = 0; i < count; i++) {
+			this.installation.vm("vm-" + i);
+		}
+		this.installation.awaitReady();
+	}
+
+	private HttpResponse<String> send(String path) throws IOException, InterruptedException {
+		return this.installation.send(this.installation.attempt(0, path));
+	}
+
+	@Nested
+	class PlainRequests {
+
+		@Test
+		void theAnswerOfAnEndpointIsPassedOnWithItsSeal() throws Exception {
+			EndpointStandIn core = endpoint("core-1", "core");
+			startVms(1);
+			HttpResponse<String> response = send("/read/x");
+			assertThat(response.statusCode()).isEqualTo(200);
+			assertThat(response.body()).isEqualTo("done by core-1");
+			assertThat(response.headers().firstValue(CallerWire.SEAL)).contains("seal-of-core-1");
+			assertThat(core.requests().get(0)).containsEntry(CallerWire.ACCOUNT, "chain")
+				.doesNotContainKey("authorization");
+		}
+
+		@Test
+		void anIdempotentRequestIsRepeatedElsewhereWhenItsAnswerIsLost() throws Exception {
+			endpoint("core-1", "core").fault(EndpointStandIn.Fault.LOSE_ANSWER);
+			EndpointStandIn good = endpoint("core-2", "core");
+			startVms(1);
+			assertThat(send("/read/x").statusCode()).isEqualTo(200);
+			assertThat(good.runs()).isEqualTo(1);
+		}
+
+		@Test
+		void aNonIdempotentRequestWhoseAnswerIsLostRunsOnceAndIsNotSaidNotToHaveRun() throws Exception {
+			EndpointStandIn one = endpoint("core-1", "core");
+			EndpointStandIn two = endpoint("core-2", "core");
+			one.fault(EndpointStandIn.Fault.LOSE_ANSWER);
+			two.fault(EndpointStandIn.Fault.LOSE_ANSWER);
+			startVms(1);
+			assertThat(send("/push/x").statusCode()).isEqualTo(502);
+			assertThat(one.runs() + two.runs()).isEqualTo(1);
+		}
+
+		@Test
+		void aNonIdempotentRequestGoesElsewhereWhenItsEndpointSaysItHasNotRun() throws Exception {
+			endpoint("core-1", "core").fault(EndpointStandIn.Fault.FULL);
+			EndpointStandIn good = endpoint("core-2", "core");
+			startVms(1);
+			assertThat(send("/push/x").statusCode()).isEqualTo(200);
+			assertThat(good.runs()).isEqualTo(1);
+		}
+
+		@Test
+		void theAnswerToAnotherRequestIsNotPassedOn() throws Exception {
+			endpoint("core-1", "core").fault(EndpointStandIn.Fault.CROSS_ANSWER);
+			startVms(1);
+			HttpResponse<String> response = send("/push/x");
+			assertThat(response.statusCode()).isIn(502, 504);
+			assertThat(response.body()).doesNotContain("done by");
+		}
+
+	}
+
+	@Nested
+	class Refusals {
+
+		@Test
+		void aVmWithoutConfigurationSaysThatTheRequestHasNotRun() throws Exception {
+			EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.DOWN);
+			EntryVmTests.this.installation.vm("vm-0");
+			assertThat(send("/read/x").statusCode()).isEqualTo(503);
+		}
+
+		@Test
+		void anUnknownRouteAndAnUnknownKeyAreToldApart() throws Exception {
+			endpoint("core-1", "core");
+			startVms(1);
+			assertThat(send("/none/x").statusCode()).isEqualTo(404);
+			assertThat(EntryVmTests.this.installation
+				.send(EntryVmTests.this.installation.attempt(0, "/read/x").setHeader("Authorization", "Token bad"))
+				.statusCode()).isEqualTo(401);
+		}
+
+		@Test
+		void aServiceWithoutEndpointsRefusesAtOnceAndSaysWhenToComeBack() throws Exception {
+			startVms(1);
+			long beganAtMs = System.currentTimeMillis();
+			HttpResponse<String> response = send("/push/x");
+			assertThat(response.statusCode()).isEqualTo(503);
+			assertThat(response.headers().firstValue("Retry-After")).isPresent();
+			assertThat(System.currentTimeMillis() - beganAtMs).isLessThan(300);
+		}
+
+		@Test
+		void aNewConfigurationIsInForceSoon() throws Exception {
+			endpoint("core-1", "core");
+			startVms(1);
+			assertThat(send("/late/x").statusCode()).isEqualTo(404);
+			EntryVmTests.this.installation.store()
+				.put(CallerWire.OPERATOR_TOPIC, "config",
+						CallerWire.CONFIG.formatted(2).replace("\"/read/\"", "\"/late/\""));
+			long beganAtMs = System.currentTimeMillis();
+			while (send("/late/x").statusCode() != 200) {
+				assertThat(System.currentTimeMillis() - beganAtMs).isLessThan(2_000);
+			}
+		}
+
+	}
+
+	@Nested
+	class Streams {
+
+		@Test
+		void aPipelineRunsItsStagesAndStreamsAllEvents() throws Exception {
+			EndpointStandIn engine = endpoint("pool-1", "pool");
+			EndpointStandIn stage = endpoint("stage-1", "stage");
+			startVms(1);
+			HttpResponse<String> response = EntryVmTests.this.installation
+				.send(EntryVmTests.this.installation.pipeline(0));
+			assertThat(response.statusCode()).isEqualTo(200);
+			assertThat(response.body()).isEqualTo(ALL_EVENTS);
+			assertThat(engine.runs()).isEqualTo(1);
+			assertThat(stage.piecesByCall()).containsExactly(2, 3);
+			Installation.await(() -> stage.heldResults() == 0);
+		}
+
+		@Test
+		void aBrokenStreamGoesOnElsewhereWithoutALostOrDoubledEvent() throws Exception {
+			endpoint("pool-1", "pool").fault(EndpointStandIn.Fault.BREAK_STREAM);
+			endpoint("pool-2", "pool").fault(EndpointStandIn.Fault.NONE);
+			endpoint("stage-1", "stage");
+			startVms(1);
+			for (int i = 0; i < 4; i++) {
+				HttpResponse<String> response = EntryVmTests.this.installation
+					.send(EntryVmTests.this.installation.pipeline(0));
+				assertThat(response.body()).isEqualTo(ALL_EVENTS);
+			}
+		}
+
+		@Test
+		void aCallerThatLeavesEndsTheWorkOfItsEndpoint() throws Exception {
+			EndpointStandIn engine = endpoint("pool-1", "pool");
+			endpoint("stage-1", "stage");
+			startVms(1);
+			engine.workMs(300);
+			CompletableFuture<HttpResponse<String>> left = EntryVmTests.this.installation
+				.sendAsync(EntryVmTests.this.installation.pipeline(0));
+			Installation.await(() -> engine.runs() == 1);
+			left.cancel(true);
+			Installation.await(() -> engine.brokenWrites() == 1);
+		}
+
+	}
+
+	@Nested
+	class SeveralVms {
+
+		@Test
+		void piecesOfRequestsAtSeveralVmsShareCalls() throws Exception {
+			endpoint("pool-1", "pool");
+			EndpointStandIn stage = endpoint("stage-1", "stage");
+			stage.workMs(150);
+			startVms(3);
+			Thread.sleep(1_500);
+			List<CompletableFuture<HttpResponse<String>>> responses = sendToAll(3);
+			for (CompletableFuture<HttpResponse<String>> response : responses) {
+				assertThat(response.get().body()).isEqualTo(ALL_EVENTS);
+			}
+			assertThat(stage.piecesByCall()).anyMatch((pieces) -> pieces > 3);
+			assertThat(stage.piecesByCall().size()).isLessThan(2 * responses.size());
+		}
+
+		@Test
+		void requestsOfAVmThatStopsAreFinished() throws Exception {
+			endpoint("pool-1", "pool");
+			EndpointStandIn stage = endpoint("stage-1", "stage");
+			stage.workMs(400);
+			EntryVm first = EntryVmTests.this.installation.vm("vm-0");
+			EntryVmTests.this.installation.vm("vm-1");
+			EntryVmTests.this.installation.vm("vm-2");
+			EntryVmTests.this.installation.awaitReady();
+			Thread.sleep(1_500);
+			List<CompletableFuture<HttpResponse<String>>> responses = sendToAll(1);
+			Installation.await(() -> !stage.piecesByCall().isEmpty());
+			first.drain();
+			for (CompletableFuture<HttpResponse<String>> response : responses) {
+				assertThat(response.get().body()).isEqualTo(ALL_EVENTS);
+			}
+		}
+
+		private List<CompletableFuture<HttpResponse<String>>> sendToAll(int vms)
+				throws InterruptedException, ExecutionException {
+			List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
+			for (int i = 0; i < 6; i++) {
+				responses
+					.add(EntryVmTests.this.installation.sendAsync(EntryVmTests.this.installation.pipeline(i % vms)));
+			}
+			return responses;
+		}
+
+	}
+
+	@Nested
+	class Endpoints {
+
+		@Test
+		void aDrainingEndpointGetsNothingAfterAShortTime() throws Exception {
+			EndpointStandIn leaving = endpoint("core-1", "core");
+			endpoint("core-2", "core");
+			startVms(1);
+			EntryVmTests.this.installation.store()
+				.put(CallerWire.ENDPOINT_TOPIC, "core-1", leaving.record("core", "a", "draining"));
+			Thread.sleep(1_500);
+			int before = leaving.runs();
+			for (int i = 0; i < 10; i++) {
+				assertThat(send("/read/x").statusCode()).isEqualTo(200);
+			}
+			assertThat(leaving.runs()).isEqualTo(before);
+		}
+
+		@Test
+		void anEndpointThatTookTheAddressOfAnotherIsRecognised() throws Exception {
+			EndpointStandIn core = endpoint("core-1", "core");
+			EntryVmTests.this.installation.store()
+				.put(CallerWire.ENDPOINT_TOPIC, "core-0", core.record("core", "a", "ready"));
+			startVms(1);
+			for (int i = 0; i < 6; i++) {
+				assertThat(send("/push/x").statusCode()).isEqualTo(200);
+			}
+			assertThat(core.mostRunsOfOneAttempt()).isEqualTo(1);
+		}
+
+		@Test
+		void aStoreThatForgetsItsHistoryIsReadAnew() throws Exception {
+			endpoint("core-1", "core");
+			startVms(1);
+			EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.DOWN);
+			Thread.sleep(300);
+			EndpointStandIn added = endpoint("pool-1", "pool");
+			endpoint("stage-1", "stage");
+			EntryVmTests.this.installation.store().compact(CallerWire.ENDPOINT_TOPIC);
+			EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.NONE);
+			Installation.await(() -> added.runs() > 0 || triesPipeline());
+		}
+
+		private boolean triesPipeline() {
+			try {
+				return EntryVmTests.this.installation.send(EntryVmTests.this.installation.pipeline(0))
+					.statusCode() == 200;
+			}
+			catch (IOException ex) {
+				return false;
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return false;
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -0,0 +1,137 @@
+package org.fulmargap.entry;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import org.fulmargap.platform.NodeSettings;
+import org.fulmargap.platform.standin.CallerWire;
+import org.fulmargap.platform.standin.EndpointStandIn;
+import org.fulmargap.platform.standin.StoreStandIn;
+
+/**
+ * Entry VMs, endpoints and a store on the loopback address.
+ */
+final class Installation implements AutoCloseable {
+
+	private static final long PATIENCE_MS = 10_000;
+
+	private final StoreStandIn store = new StoreStandIn();
+
+	private final List<EntryVm> vms = new ArrayList<>();
+
+	private final List<NodeSettings> settings = new ArrayList<>();
+
+	private final List<EndpointStandIn> endpoints = new ArrayList<>();
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final AtomicInteger lastAttempt = new AtomicInteger();
+
+	Installation() throws IOException {
+		this.store.put(CallerWire.OPERATOR_TOPIC, "config", CallerWire.CONFIG.formatted(1));
+	}
+
+	StoreStandIn store() {
+		return this.store;
+	}
+
+	EndpointStandIn endpoint(String id, String service) throws IOException {
+		EndpointStandIn endpoint = new EndpointStandIn(id);
+		this.endpoints.add(endpoint);
+		this.store.put(CallerWire.ENDPOINT_TOPIC, id, endpoint.record(service, "a", "ready"));
+		return endpoint;
+	}
+
+	EntryVm vm(String name) throws IOException, InterruptedException {
+		String ip = "127.0.0.1:";
+		NodeSettings node = new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
+				this.store.address(), 2_000, 8_000, 0.2, 54, 10_000);
+		EntryVm vm = new EntryVm(node, freePort());
+		vm.start();
+		this.settings.add(node);
+		this.vms.add(vm);
+		return vm;
+	}
+
+	void awaitReady() throws InterruptedException {
+		for (NodeSettings node : this.settings) {
+			await(() -> status(get(node.readinessAddress(), "/readyz").build()) == 200);
+		}
+	}
+
+	static void await(BooleanSupplier condition) throws InterruptedException {
+		long untilMs = System.currentTimeMillis() + PATIENCE_MS;
+		while (!condition.getAsBoolean()) {
+			if (System.currentTimeMillis() > untilMs) {
+				throw new AssertionError("the condition did not come true in time");
+			}
+			Thread.sleep(20);
+		}
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private static HttpRequest.Builder get(String address, String path) {
+		return HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(Duration.ofMillis(PATIENCE_MS));
+	}
+
+	HttpRequest.Builder request(int vm, String path) {
+		return get(this.settings.get(vm).callerAddress(), path).header("Authorization", "Token good")
+			.POST(HttpRequest.BodyPublishers.ofString("{}"));
+	}
+
+	HttpRequest.Builder attempt(int vm, String path) {
+		return request(vm, path).header(CallerWire.ATTEMPT_ID, "attempt" + this.lastAttempt.incrementAndGet())
+			.header(CallerWire.TIME_LEFT_MS, "5000");
+	}
+
+	HttpRequest.Builder pipeline(int vm) {
+		return attempt(vm, "/stream/x").header(CallerWire.PIECE_COUNTS, "2,3")
+			.header(CallerWire.CHUNK_KEY, "key")
+			.header(CallerWire.TOKEN_USAGE, "100,20")
+			.header(CallerWire.PROMPT_PARTS, "aa:60,bb:40");
+	}
+
+	HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+		return this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+	}
+
+	CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest.Builder request) {
+		return this.client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+	}
+
+	private int status(HttpRequest request) {
+		try {
+			return this.client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+		}
+		catch (IOException ex) {
+			return 0;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return 0;
+		}
+	}
+
+	@Override
+	public void close() {
+		this.vms.forEach(EntryVm::close);
+		this.endpoints.forEach(EndpointStandIn::close);
+		this.store.close();
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -0,0 +1,60 @@
+package org.fulmargap.entry.peer;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+
+import org.fulmargap.batch.Piece;
+import org.fulmargap.entry.stage.PieceOutcome;
+import org.fulmargap.placement.Prompt;
+import org.fulmargap.placement.PromptPart;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Tests of {@link PeerCodec}.
+ */
+class PeerCodecTests {
+
+	@Test
+	void messagesArriveAsTheyWereSent() throws IOException {
+		List<PeerMessage> messages = List.of(new PeerMessage.Hello("vm-1", 5),
+				new PeerMessage.PromptSent("engine", new Prompt(10, 2, List.of(new PromptPart("aa", 6)))),
+				new PeerMessage.Outcomes(List.of(new PieceOutcome(3, "handle", "a"), PieceOutcome.failed(4))),
+				new PeerMessage.Withdrawal(8), new PeerMessage.Release("stage", List.of("h1", "h2")),
+				new PeerMessage.Strike("print", "engine"));
+		for (PeerMessage message : messages) {
+			assertThat(PeerCodec.decode(PeerCodec.encode(message, 7), 7)).isEqualTo(message);
+		}
+	}
+
+	@Test
+	void aHeartbeatCarriesLoadsAndCommittedPieces() throws IOException {
+		PeerMessage.Heartbeat sent = new PeerMessage.Heartbeat(true, false, List.of(new PeerMessage.Load("e", 2, 900)),
+				Map.of("stage", new int[] { 1, 0, 2, 0 }));
+		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(PeerCodec.encode(sent, 0), 0);
+		assertThat(received.loads()).isEqualTo(sent.loads());
+		assertThat(received.draining()).isTrue();
+		assertThat(received.hearsReceiver()).isFalse();
+		assertThat(received.committedPieces().get("stage")).containsExactly(1, 0, 2, 0);
+	}
+
+	@Test
+	void timesAreMovedIntoTheClockOfTheReceiver() throws IOException {
+		Piece piece = new Piece(1, "id", 0, 2, "", List.of("h"), "a", 1, 1_500, 3_000, 60);
+		PeerMessage.Pieces received = (PeerMessage.Pieces) PeerCodec
+			.decode(PeerCodec.encode(new PeerMessage.Pieces("stage", List.of(piece)), 1_000), 51_000);
+		assertThat(received.pieces())
+			.containsExactly(new Piece(1, "id", 0, 2, "", List.of("h"), "a", 1, 51_500, 53_000, 60));
+	}
+
+	@Test
+	void bytesThatAreNoMessageAreRefused() {
+		for (byte[] bytes : List.of(new byte[0], new byte[] { 99 }, new byte[] { 3, 1 }, new byte[] { (byte) 0xc1 })) {
+			assertThatExceptionOfType(IOException.class).isThrownBy(() -> PeerCodec.decode(bytes, 0));
+		}
+	}
+
+}
