Relay the store's records between VMs and quarantine requests that crash endpoints

Change: heartbeats say how far a VM knows each topic; one that is behind for 0.9 s asks the peer for the records, and older records from the store are passed over. After a lost connection the endpoint is probed; strikes go to all peers.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -180,10 +180,25 @@
 		else if (message instanceof PeerMessage.Release release) {
 			this.stages.release(release.service(), release.handles());
 		}
+		else if (message instanceof PeerMessage.RecordsWanted wanted) {
+			this.watch.wanted(peer, wanted);
+		}
+		else if (message instanceof PeerMessage.Records records) {
+			this.watch.received(records);
+		}
+		else if (message instanceof PeerMessage.Strike strike) {
+			this.quarantine.mergeStrikes(Map.of(strike.fingerprint(), List.of(strike.endpoint())), nowMs);
+			EventLog.state("strike_heard")
+				.with("peer", peer)
+				.with("endpoint", strike.endpoint())
+				.with("fingerprint", strike.fingerprint())
+				.write();
+		}
 	}
 
 	private void reported(String peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
 		this.committed.reported(peer, heartbeat.committedPieces(), nowMs);
+		this.watch.peerKnows(peer, heartbeat.nextOffsets(), nowMs);
 		for (Endpoint endpoint : this.view.directory().all()) {
 			endpoint.reported(peer, new PeerLoad(0, 0, nowMs));
 		}
@@ -212,6 +227,11 @@
 		this.stages.peerLost(peer);
 	}
 
+	@Override
+	public List<Long> nextOffsets() {
+		return this.watch.nextOffsets();
+	}
+
 	@Override
 	public Map<String, int[]> committedPieces() {
 		return this.committed.own();
--- a/entry/src/main/java/org/fulmargap/entry/StoreView.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreView.java
@@ -50,16 +50,6 @@
 		this.directory.evacuate(this.evacuatedDomains);
 	}
 
-	/**
-	 * Replaces the domains that are out after a complete listing.
-	 * @param domains the names of the domains
-	 */
-	public void evacuateOnly(Set<String> domains) {
-		this.evacuatedDomains.clear();
-		this.evacuatedDomains.addAll(domains);
-		this.directory.evacuate(this.evacuatedDomains);
-	}
-
 	/**
 	 * Takes over the record of an endpoint.
 	 * @param record the record
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -2,14 +2,15 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
+import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
 import org.fulmargap.placement.EndpointDirectory;
 import org.fulmargap.placement.EndpointRecord;
@@ -36,6 +37,9 @@
 	/** Records that vanish this soon after an outage may have lapsed by it, in ms. */
 	private static final long LAPSE_SUSPICION_MS = 5_000;
 
+	/** A VM that is behind a peer for this time asks it, in milliseconds. */
+	private static final long BEHIND_MS = 900;
+
 	/** How long to wait before the own address is written again, in milliseconds. */
 	private static final long REGISTER_PAUSE_MS = 500;
 
@@ -49,6 +53,10 @@
 
 	private final PeerNetwork peers;
 
+	private final Map<StoreTopic, TopicView> topics = new EnumMap<>(StoreTopic.class);
+
+	private final Map<StoreTopic, Long> behindSinceMs = new EnumMap<>(StoreTopic.class);
+
 	private final List<Thread> threads = new ArrayList<>();
 
 	private long storeTroubledAtMs = Long.MIN_VALUE / 2;
@@ -59,17 +67,20 @@
 		this.clockMs = clockMs;
 		this.view = view;
 		this.peers = peers;
+		for (StoreTopic topic : StoreTopic.values()) {
+			this.topics.put(topic, new TopicView());
+		}
 	}
 
 	void start(String vm, String peerAddress) {
-		follow(StoreTopic.OPERATOR, OPERATOR_INTERVAL_MS, this::operatorPage);
-		follow(StoreTopic.ENDPOINTS, ENDPOINTS_INTERVAL_MS, this::endpointPage);
+		follow(StoreTopic.OPERATOR, OPERATOR_INTERVAL_MS);
+		follow(StoreTopic.ENDPOINTS, ENDPOINTS_INTERVAL_MS);
 		run("register", () -> register(vm, peerAddress));
 	}
 
-	private void follow(StoreTopic topic, long minIntervalMs, java.util.function.Consumer<StorePage> apply) {
+	private void follow(StoreTopic topic, long minIntervalMs) {
 		StoreTail tail = new StoreTail(this.store, topic, minIntervalMs, this.clockMs,
-				(page) -> this.loop.execute(() -> apply.accept(page)),
+				(page) -> this.loop.execute(() -> apply(topic, page)),
 				(reachable) -> this.loop.execute(() -> this.storeTroubledAtMs = this.clockMs.getAsLong()));
 		run("tail-" + topic, tail);
 	}
@@ -90,7 +101,7 @@
 				Thread.sleep(REGISTER_PAUSE_MS);
 			}
 			new StoreTail(this.store, StoreTopic.MEMBERS, MEMBERS_INTERVAL_MS, this.clockMs,
-					(page) -> this.loop.execute(() -> memberPage(page)), (reachable) -> {
+					(page) -> this.loop.execute(() -> apply(StoreTopic.MEMBERS, page)), (reachable) -> {
 					})
 				.run();
 		}
@@ -111,11 +122,78 @@
 		}
 	}
 
+	private void apply(StoreTopic topic, StorePage page) {
+		StorePage fresh = this.topics.get(topic).apply(page);
+		switch (topic) {
+			case OPERATOR -> operatorPage(fresh);
+			case ENDPOINTS -> endpointPage(fresh);
+			case MEMBERS -> memberPage(fresh);
+		}
+	}
+
+	/**
+	 * Returns how far each topic is known.
+	 * @return the offsets in the order of the topics
+	 */
+	List<Long> nextOffsets() {
+		List<Long> offsets = new ArrayList<>();
+		for (StoreTopic topic : StoreTopic.values()) {
+			offsets.add(this.topics.get(topic).nextOffset());
+		}
+		return offsets;
+	}
+
+	/**
+	 * Compares what is known with what a peer knows, and asks it for records that this VM
+	 * has not got for a while: the store may turn this VM away, or its connection may be
+	 * silent.
+	 * @param peer the name of the peer
+	 * @param offsets how far the peer knows the topics
+	 * @param nowMs the present time in milliseconds
+	 */
+	void peerKnows(String peer, List<Long> offsets, long nowMs) {
+		for (StoreTopic topic : StoreTopic.values()) {
+			boolean behind = topic.ordinal() < offsets.size()
+					&& offsets.get(topic.ordinal()) > this.topics.get(topic).nextOffset();
+			if (!behind) {
+				this.behindSinceMs.remove(topic);
+				continue;
+			}
+			Long sinceMs = this.behindSinceMs.putIfAbsent(topic, nowMs);
+			if (sinceMs != null && nowMs - sinceMs > BEHIND_MS) {
+				this.behindSinceMs.put(topic, nowMs);
+				long from = this.topics.get(topic).nextOffset();
+				EventLog.state("records_wanted").with("topic", topic).with("peer", peer).with("offset", from).write();
+				this.peers.send(peer, new PeerMessage.RecordsWanted(topic, from));
+			}
+		}
+	}
+
+	/**
+	 * Answers a peer that can't read the store.
+	 * @param peer the name of the peer
+	 * @param wanted what it asks for
+	 */
+	void wanted(String peer, PeerMessage.RecordsWanted wanted) {
+		StorePage page = this.topics.get(wanted.topic()).since(wanted.from());
+		if (page.nextOffset() >= 0) {
+			this.peers.send(peer, new PeerMessage.Records(wanted.topic(), page));
+		}
+	}
+
+	/**
+	 * Takes over records from a peer.
+	 * @param records the records
+	 */
+	void received(PeerMessage.Records records) {
+		this.behindSinceMs.remove(records.topic());
+		apply(records.topic(), records.page());
+	}
+
 	private void operatorPage(StorePage page) {
-		Set<String> out = new HashSet<>();
 		for (KeyedRecord record : page.records()) {
 			try {
-				apply(OperatorRecord.decode(record), record.offset(), out);
+				apply(OperatorRecord.decode(record), record.offset());
 			}
 			catch (MalformedRecordException ex) {
 				EventLog.state("operator_record_refused")
@@ -125,12 +203,9 @@
 					.write();
 			}
 		}
-		if (page.isComplete()) {
-			this.view.evacuateOnly(out);
-		}
 	}
 
-	private void apply(OperatorRecord record, long offset, Set<String> out) {
+	private void apply(OperatorRecord record, long offset) {
 		if (record instanceof OperatorRecord.Configuration configuration) {
 			boolean inForce = this.view.replace(configuration.catalog());
 			EventLog.state("config_read")
@@ -140,9 +215,6 @@
 				.write();
 		}
 		else if (record instanceof OperatorRecord.Evacuation evacuation) {
-			if (evacuation.out()) {
-				out.add(evacuation.failureDomain());
-			}
 			this.view.evacuate(evacuation.failureDomain(), evacuation.out());
 			EventLog.state((evacuation.out()) ? "domain_out" : "domain_in")
 				.with("domain", evacuation.failureDomain())
@@ -157,19 +229,15 @@
 		long graceMs = (mayHaveLapsed) ? EndpointDirectory.LAPSE_GRACE_MS : 0;
 		Map<String, KeyedRecord> newest = new HashMap<>();
 		page.records().forEach((record) -> newest.put(record.key(), record));
-		Set<String> listed = new HashSet<>();
 		for (KeyedRecord record : newest.values()) {
 			if (record.isRemoval()) {
 				removed(record, graceMs, nowMs);
 			}
-			else if (updated(record, nowMs)) {
-				listed.add(record.key());
+			else {
+				updated(record, nowMs);
 			}
 		}
-		if (page.isComplete()) {
-			this.view.directory().retain(listed, graceMs, nowMs);
-			this.view.endpointsListed();
-		}
+		this.view.endpointsListed();
 		this.view.directory().purge(nowMs);
 	}
 
@@ -183,12 +251,12 @@
 		}
 	}
 
-	private boolean updated(KeyedRecord record, long nowMs) {
+	private void updated(KeyedRecord record, long nowMs) {
 		try {
 			EndpointRecord endpoint = EndpointRecordDecoder.decode(record.key(), record.value());
 			EndpointDirectory.Change change = this.view.put(endpoint, nowMs);
 			if (change != EndpointDirectory.Change.UPDATED) {
-				EventLog.state("endpoint_" + change.name().toLowerCase(java.util.Locale.ROOT))
+				EventLog.state("endpoint_" + change.name().toLowerCase(Locale.ROOT))
 					.with("endpoint", endpoint.id())
 					.with("service", endpoint.service())
 					.with("domain", endpoint.failureDomain())
@@ -196,7 +264,6 @@
 					.with("offset", record.offset())
 					.write();
 			}
-			return true;
 		}
 		catch (MalformedRecordException ex) {
 			EventLog.state("endpoint_record_refused")
@@ -205,7 +272,6 @@
 				.with("cause", ex.getMessage())
 				.write();
 			this.view.directory().remove(record.key(), 0, nowMs);
-			return false;
 		}
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -2,10 +2,13 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import io.netty.bootstrap.Bootstrap;
@@ -44,6 +47,8 @@
 
 	private final Map<String, Deque<EndpointConnection>> idleByAddress = new HashMap<>();
 
+	private final Map<String, List<Consumer<Boolean>>> probes = new HashMap<>();
+
 	private long connects;
 
 	/**
@@ -85,9 +90,7 @@
 
 	private Cancellable connect(String address, FullHttpRequest request, EndpointCall call) {
 		this.connects++;
-		int colon = address.lastIndexOf(':');
-		ChannelFuture future = this.bootstrap.connect(
-				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+		ChannelFuture future = this.bootstrap.connect(socketAddress(address));
 		PendingCall pending = new PendingCall(future.channel());
 		future.addListener((connected) -> {
 			if (pending.cancelled) {
@@ -107,6 +110,31 @@
 		return pending;
 	}
 
+	/**
+	 * Finds out whether an endpoint still takes connections. Questions about one address
+	 * that come together share one attempt.
+	 * @param address the address as {@code IP:port}
+	 * @param reachable hears whether a connection came about
+	 */
+	public void probe(String address, Consumer<Boolean> reachable) {
+		List<Consumer<Boolean>> waiting = this.probes.get(address);
+		if (waiting != null) {
+			waiting.add(reachable);
+			return;
+		}
+		this.probes.put(address, new ArrayList<>(List.of(reachable)));
+		this.connects++;
+		this.bootstrap.connect(socketAddress(address)).addListener((ChannelFuture future) -> {
+			future.channel().close();
+			this.probes.remove(address).forEach((listener) -> listener.accept(future.isSuccess()));
+		});
+	}
+
+	private static InetSocketAddress socketAddress(String address) {
+		int colon = address.lastIndexOf(':');
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
 	private EndpointConnection takeIdle(String address) {
 		Deque<EndpointConnection> idle = this.idleByAddress.get(address);
 		while (idle != null && !idle.isEmpty()) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -10,6 +10,9 @@
 import org.fulmargap.entry.stage.PieceOutcome;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.PromptPart;
+import org.fulmargap.platform.KeyedRecord;
+import org.fulmargap.platform.StorePage;
+import org.fulmargap.platform.StoreTopic;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -39,6 +42,7 @@
 	private static void write(MessageBufferPacker out, PeerMessage message, long nowMs) throws IOException {
 		if (message instanceof PeerMessage.Hello hello) {
 			out.packInt(Type.HELLO.ordinal()).packString(hello.vm()).packLong(hello.startedAtMs());
+			out.packString(hello.address());
 		}
 		else if (message instanceof PeerMessage.Heartbeat heartbeat) {
 			out.packInt(Type.HEARTBEAT.ordinal())
@@ -49,6 +53,10 @@
 				out.packString(load.endpoint()).packInt(load.inFlight()).packLong(load.prefillTokens());
 			}
 			writeCommitted(out, heartbeat.committedPieces());
+			out.packArrayHeader(heartbeat.nextOffsets().size());
+			for (long offset : heartbeat.nextOffsets()) {
+				out.packLong(offset);
+			}
 		}
 		else if (message instanceof PeerMessage.PromptSent sent) {
 			out.packInt(Type.PROMPT_SENT.ordinal()).packString(sent.endpoint());
@@ -79,6 +87,13 @@
 			out.packInt(Type.RELEASE.ordinal()).packString(release.service());
 			writeTexts(out, release.handles());
 		}
+		else if (message instanceof PeerMessage.RecordsWanted wanted) {
+			out.packInt(Type.RECORDS_WANTED.ordinal()).packInt(wanted.topic().ordinal()).packLong(wanted.from());
+		}
+		else if (message instanceof PeerMessage.Records records) {
+			out.packInt(Type.RECORDS.ordinal());
+			writeRecords(out, records);
+		}
 		else if (message instanceof PeerMessage.Strike strike) {
 			out.packInt(Type.STRIKE.ordinal()).packString(strike.fingerprint()).packString(strike.endpoint());
 		}
@@ -110,6 +125,45 @@
 		return committed;
 	}
 
+	private static List<Long> readOffsets(MessageUnpacker in) throws IOException {
+		List<Long> offsets = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			offsets.add(in.unpackLong());
+		}
+		return offsets;
+	}
+
+	private static void writeRecords(MessageBufferPacker out, PeerMessage.Records message) throws IOException {
+		StorePage page = message.page();
+		out.packInt(message.topic().ordinal()).packLong(page.nextOffset()).packBoolean(page.isComplete());
+		out.packArrayHeader(page.records().size());
+		for (KeyedRecord record : page.records()) {
+			out.packString(record.key()).packLong(record.offset()).packBinaryHeader(record.value().length);
+			out.writePayload(record.value());
+		}
+	}
+
+	private static PeerMessage.Records readRecords(MessageUnpacker in) throws IOException {
+		StoreTopic topic = readTopic(in);
+		long nextOffset = in.unpackLong();
+		boolean complete = in.unpackBoolean();
+		List<KeyedRecord> records = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			String key = in.unpackString();
+			long offset = in.unpackLong();
+			records.add(new KeyedRecord(key, in.readPayload(in.unpackBinaryHeader()), offset));
+		}
+		return new PeerMessage.Records(topic, new StorePage(records, nextOffset, complete));
+	}
+
+	private static StoreTopic readTopic(MessageUnpacker in) throws IOException {
+		int topic = in.unpackInt();
+		if (topic < 0 || topic >= StoreTopic.values().length) {
+			throw new IOException("unknown topic: " + topic);
+		}
+		return StoreTopic.values()[topic];
+	}
+
 	private static void writePrompt(MessageBufferPacker out, Prompt prompt) throws IOException {
 		out.packInt(prompt.promptTokens()).packInt(prompt.maxOutputTokens()).packArrayHeader(prompt.parts().size());
 		for (PromptPart part : prompt.parts()) {
@@ -162,7 +216,7 @@
 		for (int i = readSize(in); i > 0; i--) {
 			loads.add(new PeerMessage.Load(in.unpackString(), in.unpackInt(), in.unpackLong()));
 		}
-		return new PeerMessage.Heartbeat(draining, hearsReceiver, loads, readCommitted(in));
+		return new PeerMessage.Heartbeat(draining, hearsReceiver, loads, readCommitted(in), readOffsets(in));
 	}
 
 	private static Prompt readPrompt(MessageUnpacker in) throws IOException {
@@ -218,7 +272,7 @@
 		HELLO {
 			@Override
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
-				return new PeerMessage.Hello(in.unpackString(), in.unpackLong());
+				return new PeerMessage.Hello(in.unpackString(), in.unpackLong(), in.unpackString());
 			}
 		},
 
@@ -269,6 +323,20 @@
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
 				return new PeerMessage.Strike(in.unpackString(), in.unpackString());
 			}
+		},
+
+		RECORDS_WANTED {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.RecordsWanted(readTopic(in), in.unpackLong());
+			}
+		},
+
+		RECORDS {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return readRecords(in);
+			}
 		};
 
 		abstract PeerMessage read(MessageUnpacker in, long nowMs) throws IOException;
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
@@ -39,4 +39,10 @@
 	 */
 	Map<String, int[]> committedPieces();
 
+	/**
+	 * Returns how far this VM knows each topic of the store, for heartbeats.
+	 * @return the offsets in the order of the topics
+	 */
+	List<Long> nextOffsets();
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -6,6 +6,8 @@
 import org.fulmargap.batch.Piece;
 import org.fulmargap.entry.stage.PieceOutcome;
 import org.fulmargap.placement.Prompt;
+import org.fulmargap.platform.StorePage;
+import org.fulmargap.platform.StoreTopic;
 
 /**
  * What entry VMs tell each other.
@@ -17,8 +19,9 @@
 	 *
 	 * @param vm the name of the sender
 	 * @param startedAtMs when it started, in milliseconds since the epoch
+	 * @param address where it listens, as {@code IP:port}
 	 */
-	record Hello(String vm, long startedAtMs) implements PeerMessage {
+	record Hello(String vm, long startedAtMs, String address) implements PeerMessage {
 	}
 
 	/**
@@ -29,9 +32,11 @@
 	 * silent without being closed, which only the other end notices
 	 * @param loads what it has in flight, only for endpoints with load
 	 * @param committedPieces the pieces that its requests still need, by rank, by service
+	 * @param nextOffsets how far it knows each topic of the store, in the order of the
+	 * topics
 	 */
-	record Heartbeat(boolean draining, boolean hearsReceiver, List<Load> loads,
-			Map<String, int[]> committedPieces) implements PeerMessage {
+	record Heartbeat(boolean draining, boolean hearsReceiver, List<Load> loads, Map<String, int[]> committedPieces,
+			List<Long> nextOffsets) implements PeerMessage {
 	}
 
 	/**
@@ -44,6 +49,24 @@
 	record Load(String endpoint, int inFlight, long prefillTokens) {
 	}
 
+	/**
+	 * Asks for records of the store that the sender can't read there.
+	 *
+	 * @param topic the topic
+	 * @param from the first offset; a negative one for the newest record of each key
+	 */
+	record RecordsWanted(StoreTopic topic, long from) implements PeerMessage {
+	}
+
+	/**
+	 * Records of the store.
+	 *
+	 * @param topic the topic
+	 * @param page the records
+	 */
+	record Records(StoreTopic topic, StorePage page) implements PeerMessage {
+	}
+
 	/**
 	 * A prompt was sent to an engine, which will keep its parts.
 	 *
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -66,6 +66,8 @@
 
 	private PeerListener listener;
 
+	private String ownAddress;
+
 	private boolean draining;
 
 	private long lastTickAtMs;
@@ -93,6 +95,7 @@
 	 */
 	public void start(String ip, int port, PeerListener newListener) throws InterruptedException {
 		this.listener = newListener;
+		this.ownAddress = ip + ':' + port;
 		new ServerBootstrap().group(this.loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -225,7 +228,8 @@
 		List<PeerMessage.Load> loads = this.listener.loads();
 		Map<String, int[]> committed = this.listener.committedPieces();
 		for (Peer peer : List.copyOf(this.peers.values())) {
-			peer.send(new PeerMessage.Heartbeat(this.draining, peer.alive, loads, committed));
+			peer.send(new PeerMessage.Heartbeat(this.draining, peer.alive, loads, committed,
+					this.listener.nextOffsets()));
 			// After a pause of this process, what the peers sent meanwhile is read first.
 			if (!slept && peer.alive && nowMs - peer.heardAtMs > LOST_AFTER_MS) {
 				peer.lose("silent");
@@ -326,9 +330,11 @@
 			this.channel = opened;
 			this.connectedAtMs = PeerNetwork.this.clockMs.getAsLong();
 			this.reconnectMs = RECONNECT_MS;
-			send(new PeerMessage.Hello(PeerNetwork.this.ownName, PeerNetwork.this.startedAtMs));
+			send(new PeerMessage.Hello(PeerNetwork.this.ownName, PeerNetwork.this.startedAtMs,
+					PeerNetwork.this.ownAddress));
 			PeerListener own = PeerNetwork.this.listener;
-			send(new PeerMessage.Heartbeat(PeerNetwork.this.draining, this.alive, own.loads(), own.committedPieces()));
+			send(new PeerMessage.Heartbeat(PeerNetwork.this.draining, this.alive, own.loads(), own.committedPieces(),
+					own.nextOffsets()));
 		}
 
 		private void disconnected(Channel closed) {
@@ -365,6 +371,9 @@
 				this.draining = false;
 			}
 			this.peerStartedAtMs = hello.startedAtMs();
+			if (this.address == null) {
+				this.address = hello.address();
+			}
 			heard(nowMs);
 			this.reconnectMs = RECONNECT_MS;
 			connect();
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -634,7 +634,10 @@
 			long nowMs = flow.services.nowMs();
 			this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
 			if (failure == CallFailure.CONNECTION_LOST) {
-				flow.services.quarantine().connectionLost(this.endpoint.record().id(), flow.fingerprint, nowMs);
+				flow.services.connectionLost(this.endpoint.record(), flow.fingerprint);
+			}
+			else if (failure == CallFailure.NOT_CONNECTED) {
+				flow.services.confirmCrash(this.endpoint.record().id(), nowMs);
 			}
 			flow.callFailed(this, failure, failure.maybeRan());
 		}
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -5,10 +5,13 @@
 import io.netty.channel.EventLoop;
 import org.fulmargap.batch.CommittedWork;
 import org.fulmargap.entry.EntryMetrics;
+import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.endpoint.EndpointPool;
+import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
 import org.fulmargap.entry.stage.StageClient;
+import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.placement.Placement;
 import org.fulmargap.placement.RetryAllowance;
 import org.fulmargap.routing.CrashQuarantine;
@@ -34,6 +37,33 @@
 		RetryAllowance retries, CrashQuarantine quarantine, EndpointPool pool, StageClient stages,
 		CommittedWork committed, PeerNetwork peers, ServiceTimes times, CallerTimes callerTimes, EntryMetrics metrics) {
 
+	/**
+	 * Records that the connection of a request broke, and finds out whether the endpoint
+	 * crashed.
+	 * @param endpoint the endpoint
+	 * @param fingerprint the fingerprint of the request
+	 */
+	public void connectionLost(EndpointRecord endpoint, String fingerprint) {
+		this.quarantine.connectionLost(endpoint.id(), fingerprint, nowMs());
+		this.pool.probe(endpoint.address(), (reachable) -> {
+			if (!reachable) {
+				confirmCrash(endpoint.id(), nowMs());
+			}
+		});
+	}
+
+	/**
+	 * Records that an endpoint crashed, and tells the peers which requests it ran.
+	 * @param endpoint the name of the endpoint
+	 * @param nowMs the present time in milliseconds
+	 */
+	public void confirmCrash(String endpoint, long nowMs) {
+		this.quarantine.confirmCrash(endpoint, nowMs).forEach((fingerprint, endpoints) -> {
+			EventLog.state("strike").with("endpoint", endpoint).with("fingerprint", fingerprint).write();
+			this.peers.sendAll(new PeerMessage.Strike(fingerprint, endpoint));
+		});
+	}
+
 	long nowMs() {
 		return this.clockMs.getAsLong();
 	}
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -246,6 +246,59 @@
 
 	}
 
+	@Nested
+	class TurnedAway {
+
+		@Test
+		void aVmThatTheStoreTurnsAwayLearnsFromItsPeers() throws Exception {
+			endpoint("core-1", "core");
+			EntryVmTests.this.installation.vm("vm-0");
+			try (StoreStandIn closed = new StoreStandIn()) {
+				closed.fault(StoreStandIn.Fault.BUSY);
+				EntryVmTests.this.installation.vm("vm-1", closed);
+				EntryVmTests.this.installation.store()
+					.put(CallerWire.MEMBER_TOPIC, "vm-1", EntryVmTests.this.installation.peerAddress(1));
+				EntryVmTests.this.installation.awaitReady();
+				EntryVmTests.this.installation.store()
+					.put(CallerWire.OPERATOR_TOPIC, "config",
+							CallerWire.CONFIG.formatted(2).replace("\"good\"", "\"new\""));
+				long beganAtMs = System.currentTimeMillis();
+				while (EntryVmTests.this.installation.send(EntryVmTests.this.installation.attempt(1, "/read/x"))
+					.statusCode() != 401) {
+					assertThat(System.currentTimeMillis() - beganAtMs).isLessThan(4_000);
+				}
+			}
+		}
+
+	}
+
+	@Nested
+	class Crashes {
+
+		@Test
+		void aRequestThatCrashesEndpointsIsKeptFromTheOthers() throws Exception {
+			List<EndpointStandIn> cores = new ArrayList<>();
+			for (int i = 0; i < 6; i++) {
+				cores.add(endpoint("core-" + i, "core"));
+			}
+			startVms(2);
+			Thread.sleep(1_000);
+			for (int i = 0; i < 8; i++) {
+				int status = EntryVmTests.this.installation
+					.send(EntryVmTests.this.installation.attempt(i % 2, "/read/" + EndpointStandIn.CRASH_PATH))
+					.statusCode();
+				assertThat(status).isNotEqualTo(200);
+				for (int j = 0; j < 6; j++) {
+					// Other requests find out which endpoints are down.
+					send("/push/x");
+				}
+			}
+			assertThat(cores.stream().filter(EndpointStandIn::isDown).count()).isLessThanOrEqualTo(4);
+			assertThat(send("/read/x").statusCode()).isEqualTo(200);
+		}
+
+	}
+
 	@Nested
 	class Endpoints {
 
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -53,9 +53,16 @@
 	}
 
 	EntryVm vm(String name) throws IOException, InterruptedException {
+		return vm(name, this.store);
+	}
+
+	/**
+	 * Starts an entry VM that uses another store, of which only this VM knows.
+	 */
+	EntryVm vm(String name, StoreStandIn ownStore) throws IOException, InterruptedException {
 		String ip = "127.0.0.1:";
 		NodeSettings node = new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
-				this.store.address(), 2_000, 8_000, 0.2, 54, 10_000);
+				ownStore.address(), 2_000, 8_000, 0.2, 54, 10_000);
 		EntryVm vm = new EntryVm(node, freePort());
 		vm.start();
 		this.settings.add(node);
@@ -63,6 +70,10 @@
 		return vm;
 	}
 
+	String peerAddress(int vm) {
+		return "127.0.0.1:" + this.settings.get(vm).firstPeerPort();
+	}
+
 	void awaitReady() throws InterruptedException {
 		for (NodeSettings node : this.settings) {
 			await(() -> status(get(node.readinessAddress(), "/readyz").build()) == 200);
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -8,6 +8,9 @@
 import org.fulmargap.entry.stage.PieceOutcome;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.PromptPart;
+import org.fulmargap.platform.KeyedRecord;
+import org.fulmargap.platform.StorePage;
+import org.fulmargap.platform.StoreTopic;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -20,7 +23,8 @@
 
 	@Test
 	void messagesArriveAsTheyWereSent() throws IOException {
-		List<PeerMessage> messages = List.of(new PeerMessage.Hello("vm-1", 5),
+		List<PeerMessage> messages = List.of(new PeerMessage.Hello("vm-1", 5, "10.0.0.1:7"),
+				new PeerMessage.RecordsWanted(StoreTopic.ENDPOINTS, -1),
 				new PeerMessage.PromptSent("engine", new Prompt(10, 2, List.of(new PromptPart("aa", 6)))),
 				new PeerMessage.Outcomes(List.of(new PieceOutcome(3, "handle", "a"), PieceOutcome.failed(4))),
 				new PeerMessage.Withdrawal(8), new PeerMessage.Release("stage", List.of("h1", "h2")),
@@ -33,14 +37,26 @@
 	@Test
 	void aHeartbeatCarriesLoadsAndCommittedPieces() throws IOException {
 		PeerMessage.Heartbeat sent = new PeerMessage.Heartbeat(true, false, List.of(new PeerMessage.Load("e", 2, 900)),
-				Map.of("stage", new int[] { 1, 0, 2, 0 }));
+				Map.of("stage", new int[] { 1, 0, 2, 0 }), List.of(4L, -1L));
 		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(PeerCodec.encode(sent, 0), 0);
 		assertThat(received.loads()).isEqualTo(sent.loads());
 		assertThat(received.draining()).isTrue();
 		assertThat(received.hearsReceiver()).isFalse();
+		assertThat(received.nextOffsets()).containsExactly(4L, -1L);
 		assertThat(received.committedPieces().get("stage")).containsExactly(1, 0, 2, 0);
 	}
 
+	@Test
+	void recordsOfTheStoreAreRelayed() throws IOException {
+		StorePage page = new StorePage(List.of(new KeyedRecord("config", new byte[] { 1, 2 }, 6)), 7, true);
+		PeerMessage.Records received = (PeerMessage.Records) PeerCodec
+			.decode(PeerCodec.encode(new PeerMessage.Records(StoreTopic.OPERATOR, page), 0), 0);
+		assertThat(received.topic()).isEqualTo(StoreTopic.OPERATOR);
+		assertThat(received.page().nextOffset()).isEqualTo(7);
+		assertThat(received.page().isComplete()).isTrue();
+		assertThat(received.page().records().get(0).value()).containsExactly(1, 2);
+	}
+
 	@Test
 	void timesAreMovedIntoTheClockOfTheReceiver() throws IOException {
 		Piece piece = new Piece(1, "id", 0, 2, "", List.of("h"), "a", 1, 1_500, 3_000, 60);
