Leave pieces with an owner that drains; explain a request from logs

Change: only new pieces go to the next owner; a VM that stops waits for its pieces. fulmargapctl explain ID reads logs and tells the end and its cause first. Test: EntryVmTests.SeveralVms, ExplainCommandTests.

--- a/cli/src/main/java/org/fulmargap/cli/FulmargapCtl.java
+++ b/cli/src/main/java/org/fulmargap/cli/FulmargapCtl.java
@@ -19,7 +19,7 @@
 		description = "Operates the entry VMs of fulmargap.",
 		subcommands = { PatchCommand.class, ConfigCommand.class, VersionsCommand.class, TakeOutCommand.class,
 				BringBackCommand.class, MembersCommand.class, EvictCommand.class, TimelineCommand.class,
-				ExplainRequestCommand.class, HelpCommand.class },
+				ExplainRequestCommand.class, ExplainCommand.class, HelpCommand.class },
 		footer = { "", "Exit codes: 0 done, 1 refused, 2 usage, 3 not reachable, 4 outcome unknown." })
 public final class FulmargapCtl implements Runnable {
 
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -70,6 +70,8 @@
 
 	private final PeerNetwork peers;
 
+	private final StageDesk desk;
+
 	private final StageClient stages;
 
 	private final RequestRouter router;
@@ -92,9 +94,8 @@
 		EndpointPool pool = new EndpointPool(this.loop, this.clockMs);
 		RetryAllowance retries = new RetryAllowance(settings.retryRatio(), settings.retrySlack(),
 				settings.retryWindowMs());
-		StageDesk desk = new StageDesk(this.loop, this.clockMs, this.view, pool, retries, this.peers::vmCount,
-				this.metrics);
-		this.stages = new StageClient(this.loop, desk, this.peers);
+		this.desk = new StageDesk(this.loop, this.clockMs, this.view, pool, retries, this.peers::vmCount, this.metrics);
+		this.stages = new StageClient(this.loop, this.desk, this.peers);
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine, pool, this.stages, this.committed,
 				this.peers, new ServiceTimes(), new CallerTimes(), this.metrics);
@@ -146,7 +147,7 @@
 		boolean busy = true;
 		while (busy && this.clockMs.getAsLong() - beganAtMs < limitMs) {
 			Thread.sleep(POLL_MS);
-			busy = busyConnections() > 0;
+			busy = busyConnections() > 0 || pendingPieces() > 0;
 		}
 		EventLog.state("stopped")
 			.with("vm", this.settings.vm())
@@ -155,6 +156,10 @@
 			.write();
 	}
 
+	private int pendingPieces() throws InterruptedException {
+		return this.loop.submit(this.desk::pendingCount).awaitUninterruptibly().getNow();
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.callers::busyConnections).awaitUninterruptibly().getNow();
 	}
@@ -217,11 +222,6 @@
 			.ifPresent((service) -> endpoint.peerSent(sent.prompt(), service.engine().cacheTokens()));
 	}
 
-	@Override
-	public void peerDraining(String peer) {
-		this.stages.peerDraining(peer);
-	}
-
 	@Override
 	public void peerLost(String peer) {
 		this.stages.peerLost(peer);
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
@@ -15,12 +15,6 @@
 	 */
 	void received(String peer, PeerMessage message);
 
-	/**
-	 * Hears that a peer is about to leave. It still finishes the requests that it has.
-	 * @param peer the name of the peer
-	 */
-	void peerDraining(String peer);
-
 	/**
 	 * Hears that a peer is no longer heard, doesn't hear this VM or has started anew.
 	 * @param peer the name of the peer
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -391,7 +391,6 @@
 			if (heartbeat.draining() && !this.draining) {
 				this.draining = true;
 				EventLog.state("peer_draining").with("peer", this.name).write();
-				PeerNetwork.this.listener.peerDraining(this.name);
 			}
 			boolean unheard = !heartbeat.hearsReceiver() && isConnected() && nowMs - this.connectedAtMs > LOST_AFTER_MS;
 			if (unheard) {
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -178,10 +178,11 @@
 	}
 
 	/**
-	 * Hands the pieces that a peer is in charge of to the VM that is in charge now.
-	 * @param peer the name of the peer that is about to leave
+	 * Hands the pieces of a lost peer to the VM that is in charge now, and drops the
+	 * pieces that came from it.
+	 * @param peer the name of the peer
 	 */
-	public void peerDraining(String peer) {
+	public void peerLost(String peer) {
 		List<Submission> lost = this.submissions.values()
 			.stream()
 			.filter((submission) -> peer.equals(submission.owner))
@@ -190,15 +191,6 @@
 			EventLog.state("pieces_moved").with("peer", peer).with("pieces", lost.size()).write();
 		}
 		lost.forEach(this::dispatch);
-	}
-
-	/**
-	 * Hands the pieces of a lost peer to the VM that is in charge now, and drops the
-	 * pieces that came from it.
-	 * @param peer the name of the peer
-	 */
-	public void peerLost(String peer) {
-		peerDraining(peer);
 		List<PeerTicket> orphans = this.withdrawals.keySet().stream().filter((key) -> key.peer.equals(peer)).toList();
 		orphans.forEach((key) -> this.withdrawals.remove(key).run());
 	}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
@@ -143,6 +143,14 @@
 		}
 	}
 
+	/**
+	 * Returns the pieces that are not done.
+	 * @return the number of pieces that wait or are in a call
+	 */
+	public int pendingCount() {
+		return this.lanes.values().stream().mapToInt((lane) -> lane.entries.size()).sum();
+	}
+
 	private void sendFreed() {
 		Map<String, List<String>> freed = Map.copyOf(this.freedByAddress);
 		this.freedByAddress.clear();
