--- a/core/src/main/java/org/fulmargap/routing/CrashQuarantine.java
+++ b/core/src/main/java/org/fulmargap/routing/CrashQuarantine.java
@@ -30,6 +30,8 @@
 
 	private final int maxFingerprints;
 
+	private final int strikesToQuarantine;
+
 	private final LinkedHashMap<String, Entry> entries = new LinkedHashMap<>();
 
 	private final LinkedHashMap<Suspicion, Long> suspicions = new LinkedHashMap<>();
@@ -40,10 +42,26 @@
 	 * dropped first
 	 */
 	public CrashQuarantine(int maxFingerprints) {
+		this(maxFingerprints, STRIKES_TO_QUARANTINE);
+	}
+
+	/**
+	 * Creates a quarantine without strikes.
+	 * @param maxFingerprints the highest number of fingerprints kept; the oldest are
+	 * dropped first
+	 * @param strikesToQuarantine the endpoints that must crash before a fingerprint is
+	 * refused: more where many requests are alike, so that an outage of several endpoints
+	 * isn't taken for the fault of such a request
+	 */
+	public CrashQuarantine(int maxFingerprints, int strikesToQuarantine) {
 		if (maxFingerprints < 1) {
 			throw new IllegalArgumentException("maxFingerprints must be at least 1: " + maxFingerprints);
 		}
+		if (strikesToQuarantine < 1) {
+			throw new IllegalArgumentException("strikesToQuarantine must be at least 1: " + strikesToQuarantine);
+		}
 		this.maxFingerprints = maxFingerprints;
+		this.strikesToQuarantine = strikesToQuarantine;
 	}
 
 	/**
@@ -55,7 +73,7 @@
 	public synchronized Verdict verdict(String fingerprint, long nowMs) {
 		expire(nowMs);
 		Entry entry = this.entries.get(fingerprint);
-		if (entry != null && entry.endpoints.size() >= STRIKES_TO_QUARANTINE) {
+		if (entry != null && entry.endpoints.size() >= this.strikesToQuarantine) {
 			return Verdict.QUARANTINED;
 		}
 		if (entry != null || isSuspected(fingerprint)) {
@@ -144,7 +162,7 @@
 	 */
 	public synchronized void completed(String fingerprint) {
 		Entry entry = this.entries.get(fingerprint);
-		if (entry != null && entry.endpoints.size() < STRIKES_TO_QUARANTINE) {
+		if (entry != null && entry.endpoints.size() < this.strikesToQuarantine) {
 			this.entries.remove(fingerprint);
 		}
 		if (!this.suspicions.isEmpty()) {
@@ -193,11 +211,11 @@
 			this.entries.put(fingerprint, entry);
 			trim(this.entries, this.maxFingerprints);
 		}
-		if (entry.endpoints.size() >= STRIKES_TO_QUARANTINE) {
+		if (entry.endpoints.size() >= this.strikesToQuarantine) {
 			return false;
 		}
 		boolean isNew = entry.endpoints.putIfAbsent(endpoint, own) == null;
-		if (isNew && entry.endpoints.size() == STRIKES_TO_QUARANTINE) {
+		if (isNew && entry.endpoints.size() == this.strikesToQuarantine) {
 			// The quarantine lasts its full time from the last strike, and the map stays
 			// in the order of expiry.
 			Entry quarantined = new Entry(nowMs);
--- a/entry/src/main/java/org/fulmargap/entry/EntryMain.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMain.java
@@ -27,9 +27,10 @@
 	 */
 	public static void main(String[] args) throws InterruptedException {
 		String path = System.getenv(NodeSettingsFile.PATH_VARIABLE);
+		Path file = Path.of((path != null) ? path : "/etc/fulmargap/node.toml");
 		NodeSettings settings;
 		try {
-			settings = NodeSettingsFile.read(Path.of((path != null) ? path : "/etc/fulmargap/node.toml"));
+			settings = NodeSettingsFile.read(file);
 		}
 		catch (NodeSettingsException ex) {
 			System.err.println("fulmargap: bad settings: " + ex.getMessage());
@@ -38,11 +39,27 @@
 		}
 		EntryVm vm = new EntryVm(settings, METRICS_PORT);
 		Signal.handle(new Signal("TERM"), (signal) -> new Thread(() -> stop(vm), "stop").start());
-		Signal.handle(new Signal("HUP"), (signal) -> EventLog.state("reload").with("path", path).write());
+		Signal.handle(new Signal("HUP"), (signal) -> reload(file, settings));
 		vm.start();
 		Thread.currentThread().join();
 	}
 
+	// Addresses and bounds are in force from the start of a process to its end; a changed
+	// file is checked now and applies from the next start.
+	private static void reload(Path file, NodeSettings inForce) {
+		try {
+			boolean changed = !NodeSettingsFile.read(file).equals(inForce);
+			EventLog.state("reload").with("file", file).with("changed", changed).write();
+		}
+		catch (NodeSettingsException ex) {
+			EventLog.state("reload_refused")
+				.with("file", file)
+				.with("key", ex.key())
+				.with("cause", ex.getMessage())
+				.write();
+		}
+	}
+
 	private static void stop(EntryVm vm) {
 		try (vm) {
 			vm.drain();
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -38,6 +38,9 @@
 
 	private static final int MAX_FINGERPRINTS = 1_000;
 
+	/** Reads of one path by one account are alike, and a cut breaks several at once. */
+	private static final int STRIKES_TO_QUARANTINE = 3;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	/** How long new requests are still taken after SIGTERM, in milliseconds. */
@@ -64,7 +67,7 @@
 
 	private final AtomicBoolean draining = new AtomicBoolean();
 
-	private final CrashQuarantine quarantine = new CrashQuarantine(MAX_FINGERPRINTS);
+	private final CrashQuarantine quarantine = new CrashQuarantine(MAX_FINGERPRINTS, STRIKES_TO_QUARANTINE);
 
 	private final CommittedWork committed = new CommittedWork();
 
