Use records that went only after real trouble with the store, and for one second

Change: only a store that was lost and regained within 2.5 s gives the grace, of 1 s. Tests choose ports below the ephemeral range (one BindException seen).

--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -18,7 +18,7 @@
 	 * used, in milliseconds: less than the time in which leaving endpoints must be left
 	 * alone.
 	 */
-	public static final long LAPSE_GRACE_MS = 1_400;
+	public static final long LAPSE_GRACE_MS = 1_000;
 
 	private final Map<String, Endpoint> byId = new HashMap<>();
 
--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -30,7 +30,7 @@
 
 	private final Consumer<StorePage> pages;
 
-	private final Consumer<Boolean> reachable;
+	private final Runnable troubled;
 
 	private long nextOffset = -1;
 
@@ -48,16 +48,17 @@
 	 * changes that come in quick succession, because each read is priced
 	 * @param clockMs the present time in milliseconds
 	 * @param pages takes the pages, on the tail's thread
-	 * @param reachable hears when the store is lost or regained, on the tail's thread
+	 * @param troubled hears when the store is lost and when it is regained, on the tail's
+	 * thread
 	 */
 	StoreTail(StoreClient store, StoreTopic topic, long minIntervalMs, LongSupplier clockMs, Consumer<StorePage> pages,
-			Consumer<Boolean> reachable) {
+			Runnable troubled) {
 		this.store = store;
 		this.topic = topic;
 		this.minIntervalMs = minIntervalMs;
 		this.clockMs = clockMs;
 		this.pages = pages;
-		this.reachable = reachable;
+		this.troubled = troubled;
 	}
 
 	@Override
@@ -84,10 +85,13 @@
 			this.nextOffset = page.nextOffset();
 			this.pauseMs = FIRST_PAUSE_MS;
 			if (!this.reached || this.failing) {
+				boolean regained = this.failing;
 				this.reached = true;
 				this.failing = false;
 				EventLog.state("store_reached").with("topic", this.topic).with("offset", this.nextOffset).write();
-				this.reachable.accept(true);
+				if (regained) {
+					this.troubled.run();
+				}
 			}
 			if (page.isComplete() || !page.records().isEmpty()) {
 				this.pages.accept(page);
@@ -112,7 +116,7 @@
 				.with("type", ex.type())
 				.with("cause", ex.getMessage())
 				.write();
-			this.reachable.accept(false);
+			this.troubled.run();
 		}
 		long pause = this.pauseMs;
 		this.pauseMs = Math.min(MAX_PAUSE_MS, this.pauseMs * 2);
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -35,7 +35,7 @@
 	private static final long MEMBERS_INTERVAL_MS = 1_000;
 
 	/** Records that vanish this soon after an outage may have lapsed by it, in ms. */
-	private static final long LAPSE_SUSPICION_MS = 5_000;
+	private static final long LAPSE_SUSPICION_MS = 2_500;
 
 	/** A VM that is behind a peer for this time asks it, in milliseconds. */
 	private static final long BEHIND_MS = 900;
@@ -81,7 +81,7 @@
 	private void follow(StoreTopic topic, long minIntervalMs) {
 		StoreTail tail = new StoreTail(this.store, topic, minIntervalMs, this.clockMs,
 				(page) -> this.loop.execute(() -> apply(topic, page)),
-				(reachable) -> this.loop.execute(() -> this.storeTroubledAtMs = this.clockMs.getAsLong()));
+				() -> this.loop.execute(() -> this.storeTroubledAtMs = this.clockMs.getAsLong()));
 		run("tail-" + topic, tail);
 	}
 
@@ -101,7 +101,7 @@
 				Thread.sleep(REGISTER_PAUSE_MS);
 			}
 			new StoreTail(this.store, StoreTopic.MEMBERS, MEMBERS_INTERVAL_MS, this.clockMs,
-					(page) -> this.loop.execute(() -> apply(StoreTopic.MEMBERS, page)), (reachable) -> {
+					(page) -> this.loop.execute(() -> apply(StoreTopic.MEMBERS, page)), () -> {
 					})
 				.run();
 		}
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -317,6 +317,20 @@
 			assertThat(leaving.runs()).isEqualTo(before);
 		}
 
+		@Test
+		void anEndpointWhoseRecordGoesSoonAfterTheStartGetsNothingMore() throws Exception {
+			EndpointStandIn leaving = endpoint("core-1", "core");
+			endpoint("core-2", "core");
+			startVms(1);
+			EntryVmTests.this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "core-1", "");
+			Thread.sleep(1_000);
+			int before = leaving.runs();
+			for (int i = 0; i < 20; i++) {
+				assertThat(send("/read/x").statusCode()).isEqualTo(200);
+			}
+			assertThat(leaving.runs()).isEqualTo(before);
+		}
+
 		@Test
 		void anEndpointThatTookTheAddressOfAnotherIsRecognised() throws Exception {
 			EndpointStandIn core = endpoint("core-1", "core");
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -25,6 +25,12 @@
 
 	private static final long PATIENCE_MS = 10_000;
 
+	private static final int FIRST_PORT = 20_000;
+
+	private static final int PORTS = 8_000;
+
+	private static final AtomicInteger NEXT_PORT = new AtomicInteger((int) (ProcessHandle.current().pid() % PORTS));
+
 	private final StoreStandIn store = new StoreStandIn();
 
 	private final List<EntryVm> vms = new ArrayList<>();
@@ -90,10 +96,21 @@
 		}
 	}
 
+	// Ports below those that the system gives to outgoing connections, so that none of
+	// these
+	// takes the port between the choice and the use.
 	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
+		IOException last = null;
+		for (int i = 0; i < PORTS; i++) {
+			int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+			try (ServerSocket socket = new ServerSocket(port)) {
+				return socket.getLocalPort();
+			}
+			catch (IOException ex) {
+				last = ex;
+			}
 		}
+		throw new IOException("no port is free", last);
 	}
 
 	private static HttpRequest.Builder get(String address, String path) {
