--- a/server/src/main/java/org/fulmargap/http/CallerServices.java
+++ b/server/src/main/java/org/fulmargap/http/CallerServices.java
@@ -6,9 +6,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.fulmargap.config.PipelineSpec;
-import org.fulmargap.pipeline.PipelineExecutor;
 import org.fulmargap.ledger.ClaimService;
 import org.fulmargap.ledger.ConfigService;
+import org.fulmargap.pipeline.PipelineExecutor;
 import org.fulmargap.timeline.Invariants;
 import org.fulmargap.timeline.Timeline;
 
--- a/server/src/main/java/org/fulmargap/ledger/ClaimTable.java
+++ b/server/src/main/java/org/fulmargap/ledger/ClaimTable.java
@@ -13,8 +13,8 @@
 import org.fulmargap.claim.ClaimRecord;
 import org.fulmargap.claim.ClaimView;
 import org.fulmargap.claim.RecordedOutcome;
-import org.fulmargap.peer.PeerNetwork;
 import org.fulmargap.ledger.ClaimAttempt.State;
+import org.fulmargap.peer.PeerNetwork;
 import org.fulmargap.request.FulmargapException;
 
 /**
--- a/server/src/main/java/org/fulmargap/server/Availability.java
+++ b/server/src/main/java/org/fulmargap/server/Availability.java
@@ -4,9 +4,9 @@
 import java.util.Set;
 
 import org.fulmargap.config.Configuration;
+import org.fulmargap.ledger.ConfigService;
 import org.fulmargap.peer.OrderService;
 import org.fulmargap.pipeline.EndpointWatch;
-import org.fulmargap.ledger.ConfigService;
 
 /**
  * Collects the reasons for which endpoints get no new work.
--- a/server/src/main/java/org/fulmargap/server/KnownMembers.java
+++ b/server/src/main/java/org/fulmargap/server/KnownMembers.java
@@ -4,9 +4,9 @@
 import java.util.TreeSet;
 import java.util.function.LongSupplier;
 
+import org.fulmargap.ledger.ClaimMembers;
 import org.fulmargap.membership.Member;
 import org.fulmargap.membership.MembershipView;
-import org.fulmargap.ledger.ClaimMembers;
 
 /**
  * Names the members of the configuration stream and the entry VMs heard as peers. A VM
--- a/server/src/main/java/org/fulmargap/server/Membership.java
+++ b/server/src/main/java/org/fulmargap/server/Membership.java
@@ -5,11 +5,11 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
+import org.fulmargap.ledger.LogClaimService;
+import org.fulmargap.ledger.LogConfigService;
 import org.fulmargap.membership.MembershipView;
 import org.fulmargap.peer.PeerHandler;
 import org.fulmargap.peer.TcpPeerNetwork;
-import org.fulmargap.ledger.LogClaimService;
-import org.fulmargap.ledger.LogConfigService;
 
 /**
  * Joins the other entry VMs and leaves them.
--- a/server/src/main/java/org/fulmargap/server/Operations.java
+++ b/server/src/main/java/org/fulmargap/server/Operations.java
@@ -10,14 +10,14 @@
 import org.fulmargap.config.Json;
 import org.fulmargap.config.PatchDecision;
 import org.fulmargap.http.OperatorActions;
-import org.fulmargap.membership.AdminOrder;
-import org.fulmargap.membership.Member;
-import org.fulmargap.membership.MembershipView;
-import org.fulmargap.peer.OrderService;
 import org.fulmargap.ledger.ConfigService;
 import org.fulmargap.ledger.LogClaimService;
 import org.fulmargap.ledger.LogConfigService;
 import org.fulmargap.ledger.TimerQueue;
+import org.fulmargap.membership.AdminOrder;
+import org.fulmargap.membership.Member;
+import org.fulmargap.membership.MembershipView;
+import org.fulmargap.peer.OrderService;
 
 /**
  * Carries out what operators order.
--- a/server/src/main/java/org/fulmargap/server/PeerAnswers.java
+++ b/server/src/main/java/org/fulmargap/server/PeerAnswers.java
@@ -10,13 +10,13 @@
 
 import org.fulmargap.claim.ClaimKey;
 import org.fulmargap.claim.RecordedOutcome;
+import org.fulmargap.ledger.LogClaimService;
+import org.fulmargap.ledger.LogConfigService;
 import org.fulmargap.membership.AdminOrder;
 import org.fulmargap.membership.AdminOrders;
 import org.fulmargap.peer.OrderService;
 import org.fulmargap.peer.PeerHandler;
 import org.fulmargap.peer.PeerNetwork;
-import org.fulmargap.ledger.LogClaimService;
-import org.fulmargap.ledger.LogConfigService;
 import org.fulmargap.routing.CrashQuarantine;
 import org.fulmargap.routing.Router;
 
--- a/server/src/main/java/org/fulmargap/server/Upkeep.java
+++ b/server/src/main/java/org/fulmargap/server/Upkeep.java
@@ -7,10 +7,10 @@
 import java.util.function.LongSupplier;
 
 import org.fulmargap.config.ConfigState;
+import org.fulmargap.ledger.LogConfigService;
 import org.fulmargap.membership.MembershipView;
 import org.fulmargap.peer.OrderService;
 import org.fulmargap.peer.TcpPeerNetwork;
-import org.fulmargap.ledger.LogConfigService;
 import org.fulmargap.timeline.EventType;
 import org.fulmargap.timeline.Timeline;
 import org.slf4j.Logger;
--- a/server/src/test/java/org/fulmargap/ledger/LogClaimServiceTests.java
+++ b/server/src/test/java/org/fulmargap/ledger/LogClaimServiceTests.java
@@ -6,8 +6,8 @@
 
 import org.fulmargap.claim.ClaimKey;
 import org.fulmargap.claim.RecordedOutcome;
-import org.fulmargap.peer.PeerNetwork.KeyState;
 import org.fulmargap.ledger.ClaimService.Result;
+import org.fulmargap.peer.PeerNetwork.KeyState;
 import org.fulmargap.request.Deadline;
 import org.fulmargap.request.FailureType;
 import org.junit.jupiter.api.BeforeEach;
--- a/server/src/test/java/org/fulmargap/server/KnownMembersTests.java
+++ b/server/src/test/java/org/fulmargap/server/KnownMembersTests.java
@@ -3,11 +3,11 @@
 import java.util.Collection;
 import java.util.List;
 
+import org.fulmargap.ledger.ClaimMembers;
 import org.fulmargap.membership.Hello;
 import org.fulmargap.membership.Incarnation;
 import org.fulmargap.membership.MembershipLimits;
 import org.fulmargap.membership.MembershipView;
-import org.fulmargap.ledger.ClaimMembers;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
