Keep the pieces of a request together and give inputs up once they are read

Pieces of one request lay in several calls, so that finished results waited for the others, and results were held until the stage after them was done.

Change: the pieces of a stage of one request share a call, unless full calls wait; large inputs wait for an endpoint beside them while that keeps them in time; inputs that were read are spare and go when others need the room; inputs that are gone are made again, once. A line for each stage call and each stage.

Tests that failed on the code before: arePutIntoOneCall, waitForTheEndpointBesideTheirInputsIfItIsFreeInTime, inputsThatAreGoneAreMadeAgain.

--- a/core/src/main/java/org/fulmargap/batch/BatchFormer.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchFormer.java
@@ -33,7 +33,10 @@
 	private static final double SIZE_MARGIN = 1.05;
 
 	/** A call is chosen among the most urgent pieces: this many times its size. */
-	private static final double CANDIDATE_BATCHES = 1.5;
+	private static final double CANDIDATE_BATCHES = 2.5;
+
+	/** While this many full calls wait, no endpoint is left idle. */
+	private static final int BUSY_BATCHES = 2;
 
 	private static final Comparator<Piece> MOST_URGENT = Comparator.comparingLong(BatchFormer::urgencyMs)
 		.thenComparing(Piece::attemptId)
@@ -93,6 +96,36 @@
 		return this.waiting.size() + this.late.size();
 	}
 
+	/**
+	 * Returns the number of pieces that wait although they are late already.
+	 * @return the number
+	 */
+	public int lateCount() {
+		return this.late.size();
+	}
+
+	/**
+	 * Returns the number of pieces of a call whose inputs lie beside its endpoint.
+	 * @param call the call
+	 * @return the number
+	 */
+	public int nearCount(StageCall call) {
+		return (int) call.pieces()
+			.stream()
+			.filter((piece) -> piece.isNear(call.endpoint().record().failureDomain()))
+			.count();
+	}
+
+	/**
+	 * Returns the room for further results at an endpoint.
+	 * @param endpoint the endpoint
+	 * @param nowMs the present time in milliseconds
+	 * @return the room in bytes
+	 */
+	public long freeBytes(Endpoint endpoint, long nowMs) {
+		return usableBytes() - room(endpoint).usedBytes(nowMs);
+	}
+
 	/**
 	 * Removes the pieces that can't be done any more while somebody can use them,
 	 * counting the pieces before them, and puts the late ones behind the others.
@@ -138,51 +171,103 @@
 	 * @return the call, or empty if no piece waits or no endpoint is free
 	 */
 	public Optional<StageCall> next(List<Endpoint> endpoints, long nowMs) {
-		if (waitingCount() == 0) {
+		List<Endpoint> free = endpoints.stream().filter((endpoint) -> isFree(endpoint, nowMs)).toList();
+		if (waitingCount() == 0 || free.isEmpty()) {
 			return Optional.empty();
 		}
-		Piece first = (this.waiting.isEmpty()) ? this.late.first() : this.waiting.first();
+		List<PieceGroup> groups = candidates();
+		for (PieceGroup group : groups) {
+			Optional<Endpoint> best = best(group, free, nowMs);
+			if (best.isPresent() && !waitsForNear(group, best.get(), endpoints, nowMs)) {
+				return Optional.of(take(best.get(), group, groups, endpoints, nowMs));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private boolean isFree(Endpoint endpoint, long nowMs) {
+		return !endpoint.isSuspended(nowMs) && room(endpoint).callsInFlight() < this.capacity.slots();
+	}
+
+	private Optional<Endpoint> best(PieceGroup group, List<Endpoint> free, long nowMs) {
 		Endpoint best = null;
-		long bestFreeBytes = 0;
-		for (Endpoint endpoint : endpoints) {
-			StageRoom room = room(endpoint);
-			long freeBytes = (long) (this.capacity.roomBytes() / SIZE_MARGIN) - room.usedBytes(nowMs);
-			boolean usable = !endpoint.isSuspended(nowMs) && room.callsInFlight() < this.capacity.slots()
-					&& freeBytes >= first.resultBytes();
-			if (usable && (best == null || isBetter(first, endpoint, freeBytes, best, bestFreeBytes))) {
+		for (Endpoint endpoint : free) {
+			boolean fits = freeBytes(endpoint, nowMs) >= group.resultBytes();
+			if (fits && (best == null || isBetter(group, endpoint, best, nowMs))) {
 				best = endpoint;
-				bestFreeBytes = freeBytes;
 			}
 		}
-		return (best != null) ? Optional.of(take(best, bestFreeBytes)) : Optional.empty();
+		return Optional.ofNullable(best);
 	}
 
-	private static boolean isBetter(Piece first, Endpoint endpoint, long freeBytes, Endpoint best, long bestFreeBytes) {
+	private boolean isBetter(PieceGroup group, Endpoint endpoint, Endpoint best, long nowMs) {
 		int bySpeed = Double.compare(Math.round(endpoint.slowness()), Math.round(best.slowness()));
 		if (bySpeed != 0) {
 			return bySpeed < 0;
 		}
-		int byDomain = Boolean.compare(isNear(first, endpoint), isNear(first, best));
-		return byDomain > 0 || (byDomain == 0 && freeBytes > bestFreeBytes);
+		int byDomain = Boolean.compare(group.isNear(endpoint), group.isNear(best));
+		return byDomain > 0 || (byDomain == 0 && freeBytes(endpoint, nowMs) > freeBytes(best, nowMs));
 	}
 
-	private static boolean isNear(Piece piece, Endpoint endpoint) {
-		return piece.inputDomain().isEmpty() || piece.inputDomain().equals(endpoint.record().failureDomain());
+	// Large inputs are not moved to another failure domain if an endpoint beside them is
+	// done with its call soon enough. While many pieces wait, no endpoint is left idle.
+	private boolean waitsForNear(PieceGroup group, Endpoint endpoint, List<Endpoint> endpoints, long nowMs) {
+		if (group.isNear(endpoint) || waitingCount() > this.capacity.batch() * BUSY_BATCHES) {
+			return false;
+		}
+		double latestStartMs = group.first().dueAtMs() - expectedMs(this.capacity.batch());
+		return endpoints.stream()
+			.anyMatch((near) -> group.isNear(near) && !near.isSuspended(nowMs)
+					&& room(near).callEndsAtMs() <= latestStartMs);
 	}
 
-	private StageCall take(Endpoint endpoint, long freeBytes) {
-		List<Piece> candidates = candidates();
-		List<Piece> pieces = new ArrayList<>();
-		// Pieces whose inputs lie beside the endpoint go first among the most urgent
+	private StageCall take(Endpoint endpoint, PieceGroup first, List<PieceGroup> groups, List<Endpoint> endpoints,
+			long nowMs) {
+		long freeBytes = freeBytes(endpoint, nowMs);
+		List<Piece> pieces = new ArrayList<>(first.pieces());
+		long leftBytes = freeBytes - first.resultBytes();
+		// Groups whose inputs lie beside the endpoint go first among the most urgent
 		// ones.
-		long leftBytes = take(candidates, endpoint, true, freeBytes, pieces);
-		leftBytes = take(candidates, endpoint, false, leftBytes, pieces);
+		for (boolean near : new boolean[] { true, false }) {
+			for (PieceGroup group : groups) {
+				boolean fits = pieces.size() + group.pieces().size() <= this.capacity.batch()
+						&& group.resultBytes() <= leftBytes;
+				if (fits && group != first && group.isNear(endpoint) == near
+						&& !waitsForNear(group, endpoint, endpoints, nowMs)) {
+					pieces.addAll(group.pieces());
+					leftBytes -= group.resultBytes();
+				}
+			}
+		}
+		if (waitingCount() - pieces.size() >= this.capacity.batch()) {
+			leftBytes = fill(pieces, groups, leftBytes);
+		}
 		pieces.forEach(this::remove);
-		room(endpoint).callStarted(freeBytes - leftBytes);
-		return new StageCall(endpoint, List.copyOf(pieces), expectedMs(pieces.size()));
+		double expectedMs = expectedMs(pieces.size());
+		room(endpoint).callStarted(freeBytes - leftBytes, nowMs + expectedMs * endpoint.slowness());
+		return new StageCall(endpoint, List.copyOf(pieces), expectedMs);
 	}
 
-	private List<Piece> candidates() {
+	// While full calls wait, a call that isn't full costs more than a request whose
+	// pieces
+	// are in two calls.
+	private long fill(List<Piece> pieces, List<PieceGroup> groups, long freeBytes) {
+		long leftBytes = freeBytes;
+		for (PieceGroup group : groups) {
+			if (pieces.contains(group.first())) {
+				continue;
+			}
+			for (Piece piece : group.pieces()) {
+				if (pieces.size() < this.capacity.batch() && piece.resultBytes() <= leftBytes) {
+					pieces.add(piece);
+					leftBytes -= piece.resultBytes();
+				}
+			}
+		}
+		return leftBytes;
+	}
+
+	private List<PieceGroup> candidates() {
 		int most = (int) (this.capacity.batch() * CANDIDATE_BATCHES);
 		List<Piece> candidates = new ArrayList<>(most);
 		for (Iterator<Piece> i = this.waiting.iterator(); i.hasNext() && candidates.size() < most;) {
@@ -191,19 +276,10 @@
 		for (Iterator<Piece> i = this.late.iterator(); i.hasNext() && candidates.size() < most;) {
 			candidates.add(i.next());
 		}
-		return candidates;
-	}
-
-	private long take(List<Piece> candidates, Endpoint endpoint, boolean near, long freeBytes, List<Piece> pieces) {
-		long leftBytes = freeBytes;
-		for (Piece piece : candidates) {
-			boolean fits = pieces.size() < this.capacity.batch() && piece.resultBytes() <= leftBytes;
-			if (fits && isNear(piece, endpoint) == near) {
-				pieces.add(piece);
-				leftBytes -= piece.resultBytes();
-			}
-		}
-		return leftBytes;
+		return PieceGroup.of(candidates)
+			.stream()
+			.map((group) -> group.atMost(this.capacity.batch(), usableBytes()))
+			.toList();
 	}
 
 	/**
@@ -246,6 +322,37 @@
 		}
 	}
 
+	/**
+	 * Records that a result is needed again only if a call fails.
+	 * @param handle the name of the result
+	 */
+	public void spare(String handle) {
+		this.rooms.values().forEach((room) -> room.spare(handle));
+	}
+
+	/**
+	 * Chooses results that may go because others need their room: while pieces wait, an
+	 * endpoint should have room for a full call.
+	 * @param nowMs the present time in milliseconds
+	 * @return the names of the results
+	 */
+	public List<String> reclaim(long nowMs) {
+		List<String> handles = new ArrayList<>();
+		if (waitingCount() > 0) {
+			Piece first = (this.waiting.isEmpty()) ? this.late.first() : this.waiting.first();
+			long wantedBytes = first.resultBytes() * this.capacity.batch();
+			for (StageRoom room : this.rooms.values()) {
+				long freeBytes = usableBytes() - room.usedBytes(nowMs);
+				handles.addAll(room.reclaim(wantedBytes - freeBytes));
+			}
+		}
+		return handles;
+	}
+
+	private long usableBytes() {
+		return (long) (this.capacity.roomBytes() / SIZE_MARGIN);
+	}
+
 	private StageRoom room(Endpoint endpoint) {
 		return this.rooms.computeIfAbsent(endpoint.record().id(), (id) -> new StageRoom());
 	}
--- a/core/src/main/java/org/fulmargap/batch/Piece.java
+++ b/core/src/main/java/org/fulmargap/batch/Piece.java
@@ -27,4 +27,13 @@
 		inputs = List.copyOf(inputs);
 	}
 
+	/**
+	 * Tells whether a failure domain is the best one for the piece.
+	 * @param failureDomain the name of the domain
+	 * @return {@code true} if its inputs lie there, or if it has none to speak of
+	 */
+	public boolean isNear(String failureDomain) {
+		return this.inputDomain.isEmpty() || this.inputDomain.equals(failureDomain);
+	}
+
 }
--- a/core/src/main/java/org/fulmargap/batch/StageRoom.java
+++ b/core/src/main/java/org/fulmargap/batch/StageRoom.java
@@ -1,8 +1,12 @@
 package org.fulmargap.batch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The room for results at one stage endpoint: what calls in flight will need and what
@@ -12,14 +16,19 @@
 
 	private final Map<String, Held> heldByHandle = new HashMap<>();
 
+	private final Set<String> spare = new LinkedHashSet<>();
+
 	private long heldBytes;
 
 	private long reservedBytes;
 
 	private int callsInFlight;
 
-	void callStarted(long bytes) {
+	private double callEndsAtMs = Double.NEGATIVE_INFINITY;
+
+	void callStarted(long bytes, double expectedEndAtMs) {
 		this.callsInFlight++;
+		this.callEndsAtMs = expectedEndAtMs;
 		this.reservedBytes += bytes;
 	}
 
@@ -34,7 +43,34 @@
 		}
 	}
 
+	void spare(String handle) {
+		if (this.heldByHandle.containsKey(handle)) {
+			this.spare.add(handle);
+		}
+	}
+
+	/**
+	 * Takes spare results until enough room would be free.
+	 * @param bytes the room that is wanted beyond what is free, in bytes
+	 * @return the names of the results, the oldest ones first
+	 */
+	List<String> reclaim(long bytes) {
+		List<String> reclaimed = new ArrayList<>();
+		long leftBytes = bytes;
+		for (Iterator<String> i = this.spare.iterator(); i.hasNext() && leftBytes > 0;) {
+			String handle = i.next();
+			i.remove();
+			Held held = this.heldByHandle.get(handle);
+			if (held != null) {
+				leftBytes -= held.bytes();
+				reclaimed.add(handle);
+			}
+		}
+		return reclaimed;
+	}
+
 	boolean release(String handle) {
+		this.spare.remove(handle);
 		Held held = this.heldByHandle.remove(handle);
 		if (held == null) {
 			return false;
@@ -47,6 +83,14 @@
 		return this.callsInFlight;
 	}
 
+	/**
+	 * Returns when the newest call is expected to end.
+	 * @return the time in milliseconds; the past if no call is in flight
+	 */
+	double callEndsAtMs() {
+		return (this.callsInFlight > 0) ? this.callEndsAtMs : Double.NEGATIVE_INFINITY;
+	}
+
 	long usedBytes(long nowMs) {
 		for (Iterator<Held> i = this.heldByHandle.values().iterator(); i.hasNext();) {
 			Held held = i.next();
--- a/core/src/test/java/org/fulmargap/batch/BatchFormerTests.java
+++ b/core/src/test/java/org/fulmargap/batch/BatchFormerTests.java
@@ -73,6 +73,66 @@
 
 	}
 
+	@Nested
+	class WholeRequests {
+
+		private void addAll(String request, long dueAtMs, int pieces, String domain) {
+			for (int i = 0; i < pieces; i++) {
+				BatchFormerTests.this.former.add(piece(request, 0, dueAtMs, 10, domain));
+			}
+		}
+
+		private StageCall next(Endpoint... endpoints) {
+			return BatchFormerTests.this.former.next(List.of(endpoints), 0).orElseThrow();
+		}
+
+		@Test
+		void arePutIntoOneCall() {
+			addAll("one", 1_000, 3, "");
+			addAll("two", 1_010, 2, "");
+			addAll("three", 1_020, 1, "");
+			StageCall call = next(BatchFormerTests.this.near);
+			assertThat(call.pieces()).extracting(Piece::attemptId).containsExactly("one", "one", "one", "three");
+		}
+
+		@Test
+		void areSplitWhileFullCallsWait() {
+			addAll("one", 1_000, 3, "");
+			addAll("two", 1_010, 3, "");
+			addAll("three", 1_020, 3, "");
+			StageCall call = next(BatchFormerTests.this.near);
+			assertThat(call.pieces()).extracting(Piece::attemptId).containsExactly("one", "one", "one", "two");
+		}
+
+		@Test
+		void areSplitWhenOneCallCannotTakeThem() {
+			addAll("large", 1_000, 6, "");
+			assertThat(next(BatchFormerTests.this.near).pieces()).hasSize(4);
+		}
+
+		@Test
+		void waitForTheEndpointBesideTheirInputsIfItIsFreeInTime() {
+			addAll("running", 1_000, 1, "a");
+			StageCall running = next(BatchFormerTests.this.near);
+			addAll("patient", 1_000, 2, "a");
+			List<Endpoint> endpoints = List.of(BatchFormerTests.this.near, BatchFormerTests.this.far);
+			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isEmpty();
+			BatchFormerTests.this.former.ended(running);
+			assertThat(next(BatchFormerTests.this.near, BatchFormerTests.this.far).endpoint())
+				.isSameAs(BatchFormerTests.this.near);
+		}
+
+		@Test
+		void doNotWaitForTheEndpointBesideTheirInputsIfTheyWouldBeLate() {
+			addAll("running", 1_000, 1, "a");
+			next(BatchFormerTests.this.near);
+			addAll("urgent", 300, 2, "a");
+			assertThat(next(BatchFormerTests.this.near, BatchFormerTests.this.far).endpoint())
+				.isSameAs(BatchFormerTests.this.far);
+		}
+
+	}
+
 	@Nested
 	class Order {
 
@@ -149,6 +209,17 @@
 			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isPresent();
 		}
 
+		@Test
+		void resultsThatWereReadGoWhenOthersNeedTheRoom() {
+			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "read", 300, 0);
+			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "unread", 300, 0);
+			BatchFormerTests.this.former.spare("read");
+			assertThat(BatchFormerTests.this.former.reclaim(0)).isEmpty();
+			BatchFormerTests.this.former.add(piece("two", 0, 1_000, 200, ""));
+			assertThat(BatchFormerTests.this.former.reclaim(0)).containsExactly("read");
+			assertThat(BatchFormerTests.this.former.reclaim(0)).isEmpty();
+		}
+
 		@Test
 		void resultsExpire() {
 			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "handle", 1_000, 0);
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -186,7 +186,7 @@
 			this.stages.receive(peer, withdrawal);
 		}
 		else if (message instanceof PeerMessage.Release release) {
-			this.stages.release(release.service(), release.handles());
+			this.stages.receive(release);
 		}
 		else if (message instanceof PeerMessage.RecordsWanted wanted) {
 			this.watch.wanted(peer, wanted);
--- a/entry/src/main/java/org/fulmargap/entry/EventLog.java
+++ b/entry/src/main/java/org/fulmargap/entry/EventLog.java
@@ -24,6 +24,16 @@
 		return new Line(event, false).with("request", requestId);
 	}
 
+	/**
+	 * Begins a line about a call that serves several requests. Such lines are dropped
+	 * first when there are too many.
+	 * @param event the name of the event
+	 * @return the line
+	 */
+	public static Line call(String event) {
+		return new Line(event, false);
+	}
+
 	/**
 	 * Begins a line about a change of belief, a start, a stop or a dependency.
 	 * @param event the name of the event
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -77,14 +77,17 @@
 		if (message instanceof PeerMessage.Outcomes outcomes) {
 			out.packInt(Type.OUTCOMES.ordinal()).packArrayHeader(outcomes.outcomes().size());
 			for (PieceOutcome outcome : outcomes.outcomes()) {
-				out.packLong(outcome.ticket()).packString(outcome.handle()).packString(outcome.failureDomain());
+				out.packLong(outcome.ticket())
+					.packInt(outcome.status().ordinal())
+					.packString(outcome.handle())
+					.packString(outcome.failureDomain());
 			}
 		}
 		else if (message instanceof PeerMessage.Withdrawal withdrawal) {
 			out.packInt(Type.WITHDRAWAL.ordinal()).packLong(withdrawal.ticket());
 		}
 		else if (message instanceof PeerMessage.Release release) {
-			out.packInt(Type.RELEASE.ordinal()).packString(release.service());
+			out.packInt(Type.RELEASE.ordinal()).packString(release.service()).packBoolean(release.spare());
 			writeTexts(out, release.handles());
 		}
 		else if (message instanceof PeerMessage.RecordsWanted wanted) {
@@ -243,11 +246,20 @@
 	private static PeerMessage.Outcomes readOutcomes(MessageUnpacker in) throws IOException {
 		List<PieceOutcome> outcomes = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
-			outcomes.add(new PieceOutcome(in.unpackLong(), in.unpackString(), in.unpackString()));
+			outcomes.add(new PieceOutcome(in.unpackLong(), readStatus(in), in.unpackString(), in.unpackString()));
 		}
 		return new PeerMessage.Outcomes(outcomes);
 	}
 
+	private static PieceOutcome.Status readStatus(MessageUnpacker in) throws IOException {
+		PieceOutcome.Status[] known = PieceOutcome.Status.values();
+		int ordinal = in.unpackInt();
+		if (ordinal < 0 || ordinal >= known.length) {
+			throw new IOException("a status of number " + ordinal);
+		}
+		return known[ordinal];
+	}
+
 	private static List<String> readTexts(MessageUnpacker in) throws IOException {
 		List<String> texts = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
@@ -314,7 +326,9 @@
 		RELEASE {
 			@Override
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
-				return new PeerMessage.Release(in.unpackString(), readTexts(in));
+				String service = in.unpackString();
+				boolean spare = in.unpackBoolean();
+				return new PeerMessage.Release(service, readTexts(in), spare);
 			}
 		},
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -148,8 +148,8 @@
 				: route.timeoutMs();
 		this.endsAtMs = this.arrivedAtMs + timeMs;
 		this.elapsedMs = services.callerTimes().elapsedMs(route.name(), request.timeLeftMs());
-		this.stageRun = new StageRun(services.stages(), services.committed(), route, request, engineDomain(),
-				priority(), this.arrivedAtMs - this.elapsedMs + route.objectiveMs(),
+		this.stageRun = new StageRun(services.clockMs(), services.stages(), services.committed(), route, request,
+				engineDomain(), priority(), this.arrivedAtMs - this.elapsedMs + route.objectiveMs(),
 				this.arrivedAtMs + Math.min(timeMs, route.patienceMs()), this);
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -1,11 +1,15 @@
 package org.fulmargap.entry.request;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 import org.fulmargap.batch.CommittedWork;
 import org.fulmargap.batch.Piece;
@@ -14,6 +18,7 @@
 import org.fulmargap.catalog.Route;
 import org.fulmargap.catalog.ServiceSpec;
 import org.fulmargap.catalog.StageSpec;
+import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.stage.PieceOutcome;
 import org.fulmargap.entry.stage.StageClient;
@@ -36,6 +41,8 @@
 	/** Results from this size on are made beside their user, in bytes. */
 	private static final long LARGE_RESULT_BYTES = 500_000;
 
+	private final LongSupplier clockMs;
+
 	private final StageClient client;
 
 	private final CommittedWork committed;
@@ -56,12 +63,13 @@
 
 	private final List<Stage> stages = new ArrayList<>();
 
-	private final Set<Long> waiting = new HashSet<>();
+	private boolean remade;
 
 	private boolean over;
 
 	/**
 	 * Creates a run.
+	 * @param clockMs the present time in milliseconds
 	 * @param client runs pieces
 	 * @param committed the pieces that admitted requests still need
 	 * @param route the route
@@ -73,8 +81,9 @@
 	 * @param expiresAtMs when the request is given up, in milliseconds
 	 * @param listener hears the end
 	 */
-	StageRun(StageClient client, CommittedWork committed, Route route, CallerRequest request, String engineDomain,
-			int priority, long dueAtMs, long expiresAtMs, Listener listener) {
+	StageRun(LongSupplier clockMs, StageClient client, CommittedWork committed, Route route, CallerRequest request,
+			String engineDomain, int priority, long dueAtMs, long expiresAtMs, Listener listener) {
+		this.clockMs = clockMs;
 		this.client = client;
 		this.committed = committed;
 		this.route = route;
@@ -132,6 +141,7 @@
 			boolean ready = stage.spec.after().stream().allMatch((index) -> this.stages.get(index).isDone());
 			if (!stage.started && ready && !isEarly(i)) {
 				stage.started = true;
+				stage.startedAtMs = this.clockMs.getAsLong();
 				submit(i, stage);
 			}
 		}
@@ -157,15 +167,18 @@
 
 	private void submit(int index, Stage stage) {
 		List<String> inputs = new ArrayList<>();
-		stage.spec.after().forEach((before) -> this.stages.get(before).addHandles(inputs));
+		stage.spec.after().forEach((before) -> inputs.addAll(this.stages.get(before).handles()));
 		String key = (stage.spec.after().isEmpty()) ? this.request.chunkKey() : "";
 		String inputDomain = inputDomain(stage);
 		long behindMs = FIRST_EVENT_MS + followers(index) * STAGE_MS;
 		long stageDueAtMs = this.dueAtMs - behindMs;
 		for (int segment = 0; segment < stage.outcomes.length; segment++) {
+			if (stage.outcomes[segment] != null) {
+				continue;
+			}
 			long ticket = this.client.newTicket();
 			int place = segment;
-			this.waiting.add(ticket);
+			stage.tickets.add(ticket);
 			Piece piece = new Piece(ticket, this.request.attemptId(), index, segment, key, inputs, inputDomain,
 					this.priority, stageDueAtMs, this.expiresAtMs - behindMs, stage.spec.resultBytes());
 			this.client.submit(stage.spec.service(), piece, (outcome) -> finished(stage, place, outcome));
@@ -178,6 +191,9 @@
 		if (stage.spec.after().isEmpty()) {
 			return (stage.spec.resultBytes() >= LARGE_RESULT_BYTES) ? this.engineDomain : "";
 		}
+		if (inputBytes(stage) < LARGE_RESULT_BYTES) {
+			return "";
+		}
 		Map<String, Integer> counts = new HashMap<>();
 		for (int before : stage.spec.after()) {
 			for (PieceOutcome outcome : this.stages.get(before).outcomes) {
@@ -187,6 +203,16 @@
 		return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse("");
 	}
 
+	// Each piece of a stage reads all its inputs.
+	private long inputBytes(Stage stage) {
+		long bytes = 0;
+		for (int before : stage.spec.after()) {
+			Stage inputs = this.stages.get(before);
+			bytes += inputs.outcomes.length * inputs.spec.resultBytes();
+		}
+		return bytes * stage.outcomes.length;
+	}
+
 	private long followers(int index) {
 		long most = 0;
 		for (int i = index + 1; i < this.stages.size(); i++) {
@@ -198,44 +224,106 @@
 	}
 
 	private void finished(Stage stage, int place, PieceOutcome outcome) {
-		this.waiting.remove(outcome.ticket());
+		if (outcome.status().isLast()) {
+			stage.tickets.remove(outcome.ticket());
+		}
 		if (this.over) {
 			if (outcome.isDone()) {
 				this.client.release(stage.spec.service(), List.of(outcome.handle()));
 			}
 			return;
 		}
-		if (!outcome.isDone()) {
-			this.over = true;
-			close();
-			this.listener.stageFailed(stage.spec.service());
-			return;
+		switch (outcome.status()) {
+			case INPUTS_READ -> inputsRead(stage, place);
+			case DONE -> done(stage, place, outcome);
+			case INPUT_GONE -> inputGone(stage);
+			case FAILED -> failed(stage);
+		}
+	}
+
+	private void inputsRead(Stage stage, int place) {
+		stage.inputsRead[place] = true;
+		if (stage.needsNoInputs()) {
+			unneededInputs(stage).forEach(this::spare);
 		}
+	}
+
+	private void done(Stage stage, int place, PieceOutcome outcome) {
 		stage.outcomes[place] = outcome;
+		stage.inputsRead[place] = true;
 		stage.done++;
 		stage.committed--;
 		this.committed.remove(stage.spec.service(), this.priority, 1);
 		if (stage.isDone()) {
-			releaseInputs(stage);
+			EventLog.request("stage_done", this.request.attemptId())
+				.with("stage", this.stages.indexOf(stage))
+				.with("service", stage.spec.service())
+				.with("pieces", stage.outcomes.length)
+				.with("took_ms", this.clockMs.getAsLong() - stage.startedAtMs)
+				.write();
+			unneededInputs(stage).stream().filter((before) -> !isNeeded(before)).forEach(this::release);
 			advance();
 		}
 	}
 
-	// Results that only the finished stage needed take up room for nothing.
-	private void releaseInputs(Stage finished) {
-		for (int index : finished.spec.after()) {
+	private void failed(Stage stage) {
+		this.over = true;
+		close();
+		this.listener.stageFailed(stage.spec.service());
+	}
+
+	// The endpoint failed after its inputs were given up, or the one that kept them is
+	// gone: the stages before make them again, once.
+	private void inputGone(Stage stage) {
+		if (this.remade) {
+			failed(stage);
+			return;
+		}
+		this.remade = true;
+		EventLog.request("inputs_remade", this.request.attemptId()).with("service", stage.spec.service()).write();
+		rewind(stage);
+		advance();
+	}
+
+	private void rewind(Stage stage) {
+		List.copyOf(stage.tickets).forEach(this.client::withdraw);
+		stage.rewind();
+		for (int index : stage.spec.after()) {
 			Stage before = this.stages.get(index);
-			boolean needed = this.stages.stream()
-				.anyMatch((stage) -> !stage.isDone() && stage.spec.after().contains(index));
-			if (!needed) {
-				release(before);
-			}
+			release(before);
+			this.committed.add(before.spec.service(), this.priority, before.done);
+			before.forget();
+			rewind(before);
+		}
+	}
+
+	// Results that no stage has to read any more take up room for nothing.
+	private List<Stage> unneededInputs(Stage reader) {
+		return reader.spec.after()
+			.stream()
+			.map(this.stages::get)
+			.filter((before) -> readers(before).allMatch(Stage::needsNoInputs))
+			.toList();
+	}
+
+	private boolean isNeeded(Stage stage) {
+		return !readers(stage).allMatch(Stage::isDone);
+	}
+
+	private Stream<Stage> readers(Stage stage) {
+		int index = this.stages.indexOf(stage);
+		return this.stages.stream().filter((reader) -> reader.spec.after().contains(index));
+	}
+
+	private void spare(Stage stage) {
+		List<String> handles = stage.handles();
+		if (!handles.isEmpty() && !stage.released) {
+			this.client.spare(stage.spec.service(), handles);
 		}
 	}
 
 	private void release(Stage stage) {
-		List<String> handles = new ArrayList<>();
-		stage.addHandles(handles);
+		List<String> handles = stage.handles();
 		if (!handles.isEmpty() && !stage.released) {
 			stage.released = true;
 			this.client.release(stage.spec.service(), handles);
@@ -251,7 +339,7 @@
 			return null;
 		}
 		List<String> handles = new ArrayList<>();
-		this.route.finalStages().forEach((index) -> this.stages.get(index).addHandles(handles));
+		this.route.finalStages().forEach((index) -> handles.addAll(this.stages.get(index).handles()));
 		return handles;
 	}
 
@@ -277,9 +365,9 @@
 	 */
 	void close() {
 		this.over = true;
-		List.copyOf(this.waiting).forEach(this.client::withdraw);
-		this.waiting.clear();
 		this.stages.forEach((stage) -> {
+			List.copyOf(stage.tickets).forEach(this.client::withdraw);
+			stage.tickets.clear();
 			this.committed.remove(stage.spec.service(), this.priority, stage.committed);
 			stage.committed = 0;
 			release(stage);
@@ -307,25 +395,57 @@
 
 		private int committed;
 
+		private final boolean[] inputsRead;
+
+		private final Set<Long> tickets = new HashSet<>();
+
 		private boolean started;
 
+		private long startedAtMs;
+
 		private boolean released;
 
 		private Stage(StageSpec spec, int pieceCount) {
 			this.spec = spec;
 			this.outcomes = new PieceOutcome[pieceCount];
+			this.inputsRead = new boolean[pieceCount];
+		}
+
+		private boolean needsNoInputs() {
+			if (!this.started) {
+				return false;
+			}
+			for (boolean read : this.inputsRead) {
+				if (!read) {
+					return false;
+				}
+			}
+			return true;
+		}
+
+		// The pieces without a result are to be made anew.
+		private void rewind() {
+			this.started = false;
+			this.tickets.clear();
+			for (int i = 0; i < this.outcomes.length; i++) {
+				this.inputsRead[i] = this.outcomes[i] != null;
+			}
+		}
+
+		// All results are to be made anew.
+		private void forget() {
+			this.committed += this.done;
+			this.done = 0;
+			this.released = false;
+			Arrays.fill(this.outcomes, null);
 		}
 
 		private boolean isDone() {
 			return this.started && this.done == this.outcomes.length;
 		}
 
-		private void addHandles(List<String> handles) {
-			for (PieceOutcome outcome : this.outcomes) {
-				if (outcome != null) {
-					handles.add(outcome.handle());
-				}
-			}
+		private List<String> handles() {
+			return Arrays.stream(this.outcomes).filter(Objects::nonNull).map(PieceOutcome::handle).toList();
 		}
 
 	}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -64,7 +64,7 @@
 	 * Has a piece done.
 	 * @param service the service of its stage
 	 * @param piece the piece, with a number from {@link #newTicket}
-	 * @param outcome hears what came of it, unless it is withdrawn
+	 * @param outcome hears what becomes of it, unless it is withdrawn
 	 */
 	public void submit(String service, Piece piece, Consumer<PieceOutcome> outcome) {
 		Submission submission = new Submission(service, piece, outcome);
@@ -101,7 +101,8 @@
 	}
 
 	private void finished(PieceOutcome outcome) {
-		Submission submission = this.submissions.remove(outcome.ticket());
+		Submission submission = (outcome.status().isLast()) ? this.submissions.remove(outcome.ticket())
+				: this.submissions.get(outcome.ticket());
 		if (submission != null) {
 			submission.outcome.accept(outcome);
 		}
@@ -130,10 +131,36 @@
 	 * @param handles the names of the results
 	 */
 	public void release(String service, List<String> handles) {
-		String owner = this.peers.inCharge(service);
-		if (owner.equals(this.peers.ownName())
-				|| !this.peers.send(owner, new PeerMessage.Release(service, List.copyOf(handles)))) {
-			this.desk.release(handles);
+		release(new PeerMessage.Release(service, List.copyOf(handles), false));
+	}
+
+	/**
+	 * Gives up results that are needed again only if a call fails: they are kept as long
+	 * as there is room for them.
+	 * @param service the service of their stage
+	 * @param handles the names of the results
+	 */
+	public void spare(String service, List<String> handles) {
+		release(new PeerMessage.Release(service, List.copyOf(handles), true));
+	}
+
+	private void release(PeerMessage.Release release) {
+		String owner = this.peers.inCharge(release.service());
+		if (owner.equals(this.peers.ownName()) || !this.peers.send(owner, release)) {
+			receive(release);
+		}
+	}
+
+	/**
+	 * Takes results that were given up.
+	 * @param release the results
+	 */
+	public void receive(PeerMessage.Release release) {
+		if (release.spare()) {
+			this.desk.spare(release.service(), release.handles());
+		}
+		else {
+			this.desk.release(release.handles());
 		}
 	}
 
@@ -146,7 +173,9 @@
 		for (Piece piece : message.pieces()) {
 			PeerTicket key = new PeerTicket(peer, piece.ticket());
 			Runnable withdrawal = this.desk.submit(message.service(), piece, (outcome) -> {
-				this.withdrawals.remove(key);
+				if (outcome.status().isLast()) {
+					this.withdrawals.remove(key);
+				}
 				this.outgoingOutcomes.computeIfAbsent(peer, (name) -> new ArrayList<>()).add(outcome);
 				flushSoon();
 			});
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
@@ -55,6 +55,17 @@
 	/** How often pieces that wait are looked at, in milliseconds. */
 	private static final long TICK_MS = 50;
 
+	/**
+	 * How long after its start a call to an idle endpoint has read its inputs, in
+	 * milliseconds: some megabytes over the endpoints' links.
+	 */
+	private static final long READ_INPUTS_MS = 80;
+
+	/** Endpoints slower than usual by this factor are not relied on to have begun. */
+	private static final double MAX_SLOWNESS_TO_RELY_ON = 1.5;
+
+	private static final long BYTES_PER_KB = 1_000;
+
 	/** How long results that are given up are gathered, in milliseconds. */
 	private static final long FREE_DELAY_MS = 8;
 
@@ -102,7 +113,7 @@
 	 * Takes a piece.
 	 * @param service the service of its stage
 	 * @param piece the piece
-	 * @param outcome hears what came of it
+	 * @param outcome hears what becomes of it
 	 * @return what withdraws the piece
 	 */
 	public Runnable submit(String service, Piece piece, Consumer<PieceOutcome> outcome) {
@@ -135,6 +146,19 @@
 		}
 	}
 
+	/**
+	 * Gives up results when there is no room for others.
+	 * @param service the service that made them
+	 * @param handles the names of the results
+	 */
+	public void spare(String service, List<String> handles) {
+		Lane lane = this.lanes.get(service);
+		if (lane != null) {
+			handles.forEach(lane.former::spare);
+			lane.pumpSoon();
+		}
+	}
+
 	// The room is free when the endpoint says so, not before.
 	private void freed(List<String> handles) {
 		for (Lane lane : this.lanes.values()) {
@@ -216,17 +240,29 @@
 				send(next.get(), nowMs);
 				next = this.former.next(open, nowMs);
 			}
+			release(this.former.reclaim(nowMs));
 		}
 
 		private void send(StageCall call, long nowMs) {
 			call.pieces().forEach((piece) -> this.entries.get(piece).calls++);
 			StageDesk.this.metrics.count("stage_calls");
+			EventLog.call("stage_call")
+				.with("service", this.service)
+				.with("endpoint", call.endpoint())
+				.with("pieces", call.pieces().size())
+				.with("near", this.former.nearCount(call))
+				.with("expected_ms", Math.round(call.expectedMs()))
+				.with("waiting", this.former.waitingCount())
+				.with("late", this.former.lateCount())
+				.with("free_kb", this.former.freeBytes(call.endpoint(), nowMs) / BYTES_PER_KB)
+				.write();
 			RunningCall running = new RunningCall(this, call, nowMs);
 			String address = call.endpoint().record().address();
 			running.cancellable = StageDesk.this.pool.send(address, StageRequests.post(address, StageCalls.RUN_PATH,
 					StageCalls.encode(call.pieces(), nowMs), call.endpoint().record().id()), running);
 			double timeoutMs = Math.max(LEAST_CALL_TIMEOUT_MS,
 					call.expectedMs() * CALL_TIMEOUT_FACTOR * Math.max(1, call.endpoint().slowness()));
+			StageDesk.this.loop.schedule(running::inputsRead, READ_INPUTS_MS, TimeUnit.MILLISECONDS);
 			running.timeout = StageDesk.this.loop.schedule(running::timedOut, (long) timeoutMs, TimeUnit.MILLISECONDS);
 		}
 
@@ -299,6 +335,8 @@
 
 		private EndpointAnswer answer;
 
+		private boolean over;
+
 		private RunningCall(Lane lane, StageCall call, long startedAtMs) {
 			this.lane = lane;
 			this.call = call;
@@ -368,7 +406,7 @@
 			if (result.failure() == null) {
 				this.lane.former.hold(endpoint, result.handle(), piece.resultBytes(), nowMs);
 				this.lane.finish(piece,
-						new PieceOutcome(piece.ticket(), result.handle(), endpoint.record().failureDomain()));
+						PieceOutcome.done(piece.ticket(), result.handle(), endpoint.record().failureDomain()));
 				return;
 			}
 			EventLog.request("piece_failed", piece.attemptId())
@@ -377,9 +415,12 @@
 				.with("endpoint", endpoint)
 				.with("reason", result.failure())
 				.write();
-			if (result.failure() == PieceResult.Failure.LATE || result.failure() == PieceResult.Failure.INPUT_GONE) {
+			if (result.failure() == PieceResult.Failure.LATE) {
 				this.lane.finish(piece, PieceOutcome.failed(piece.ticket()));
 			}
+			else if (result.failure() == PieceResult.Failure.INPUT_GONE) {
+				this.lane.finish(piece, PieceOutcome.inputGone(piece.ticket()));
+			}
 			else if (result.failure() == PieceResult.Failure.NO_ROOM) {
 				endpoint.refused(nowMs + FULL_PAUSE_MS);
 				this.lane.waitAgain(piece);
@@ -397,12 +438,26 @@
 			this.lane.pumpSoon();
 		}
 
+		// The endpoint was idle, so its turn came at once: the inputs may go.
+		private void inputsRead() {
+			if (this.over || this.call.endpoint().slowness() > MAX_SLOWNESS_TO_RELY_ON) {
+				return;
+			}
+			for (Piece piece : this.call.pieces()) {
+				Entry entry = this.lane.entries.get(piece);
+				if (entry != null && !piece.inputs().isEmpty()) {
+					entry.outcome.accept(PieceOutcome.inputsRead(piece.ticket()));
+				}
+			}
+		}
+
 		private void timedOut() {
 			this.cancellable.cancel();
 			failed(CallFailure.TIMED_OUT);
 		}
 
 		private long close() {
+			this.over = true;
 			this.timeout.cancel(false);
 			this.lane.former.ended(this.call);
 			return StageDesk.this.clockMs.getAsLong();
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -170,6 +170,19 @@
 			Installation.await(() -> stage.heldResults() == 0);
 		}
 
+		@Test
+		void inputsThatAreGoneAreMadeAgain() throws Exception {
+			endpoint("pool-1", "pool");
+			EndpointStandIn stage = endpoint("stage-1", "stage");
+			stage.fault(EndpointStandIn.Fault.FORGET_INPUTS);
+			startVms(1);
+			HttpResponse<String> response = EntryVmTests.this.installation
+				.send(EntryVmTests.this.installation.pipeline(0));
+			assertThat(response.body()).isEqualTo(ALL_EVENTS);
+			assertThat(stage.piecesByCall()).containsExactly(2, 3, 2, 3);
+			Installation.await(() -> stage.heldResults() == 0);
+		}
+
 		@Test
 		void aBrokenStreamGoesOnElsewhereWithoutALostOrDoubledEvent() throws Exception {
 			endpoint("pool-1", "pool").fault(EndpointStandIn.Fault.BREAK_STREAM);
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -26,8 +26,8 @@
 		List<PeerMessage> messages = List.of(new PeerMessage.Hello("vm-1", 5, "10.0.0.1:7"),
 				new PeerMessage.RecordsWanted(StoreTopic.ENDPOINTS, -1),
 				new PeerMessage.PromptSent("engine", new Prompt(10, 2, List.of(new PromptPart("aa", 6)))),
-				new PeerMessage.Outcomes(List.of(new PieceOutcome(3, "handle", "a"), PieceOutcome.failed(4))),
-				new PeerMessage.Withdrawal(8), new PeerMessage.Release("stage", List.of("h1", "h2")),
+				new PeerMessage.Outcomes(List.of(PieceOutcome.done(3, "handle", "a"), PieceOutcome.failed(4))),
+				new PeerMessage.Withdrawal(8), new PeerMessage.Release("stage", List.of("h1", "h2"), true),
 				new PeerMessage.Strike("print", "engine"));
 		for (PeerMessage message : messages) {
 			assertThat(PeerCodec.decode(PeerCodec.encode(message, 7), 7)).isEqualTo(message);
