Tell peers which endpoints work, notice full endpoints and take due times from callers' real times

(2) Callers give first requests up to 15% less time than the longest, which was taken for a return, so that due times were up to 0.9 s early and most pieces counted as late. (3) Admission counted endpoints that had crashed but were still listed.

Change: an endpoint without room is taken for full until what it keeps has expired or was given up; only a clearly shorter time tells of a return; the VM in charge reports the endpoints that work in its heartbeats; due times include the reading of the prompt.

--- a/core/src/main/java/org/fulmargap/batch/BatchFormer.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchFormer.java
@@ -49,6 +49,8 @@
 
 	private final Map<String, StageRoom> rooms = new HashMap<>();
 
+	private long newestResultBytes;
+
 	private StageCapacity capacity;
 
 	/**
@@ -307,18 +309,29 @@
 	 * @param nowMs the present time in milliseconds
 	 */
 	public void hold(Endpoint endpoint, String handle, long resultBytes, long nowMs) {
+		this.newestResultBytes = resultBytes;
 		room(endpoint).hold(handle, resultBytes, nowMs + this.capacity.resultLifetimeMs());
 	}
 
+	/**
+	 * Records that an endpoint had no room for the results of a call, although there
+	 * should have been: another VM was in charge before.
+	 * @param endpoint the endpoint
+	 * @param nowMs the present time in milliseconds
+	 */
+	public void full(Endpoint endpoint, long nowMs) {
+		room(endpoint).full(freeBytes(endpoint, nowMs), this.capacity.resultLifetimeMs(), nowMs);
+	}
+
 	/**
 	 * Records that a result no longer takes up room.
+	 * @param endpointId the endpoint that kept it
 	 * @param handle the name of the result
 	 */
-	public void release(String handle) {
-		for (StageRoom room : this.rooms.values()) {
-			if (room.release(handle)) {
-				return;
-			}
+	public void release(String endpointId, String handle) {
+		StageRoom room = this.rooms.get(endpointId);
+		if (room != null && !room.release(handle)) {
+			room.foreignReleased(this.newestResultBytes);
 		}
 	}
 
@@ -339,7 +352,7 @@
 	public List<String> reclaim(long nowMs) {
 		List<String> handles = new ArrayList<>();
 		if (waitingCount() > 0) {
-			Piece first = (this.waiting.isEmpty()) ? this.late.first() : this.waiting.first();
+			Piece first = candidates().get(0).first();
 			long wantedBytes = first.resultBytes() * this.capacity.batch();
 			for (StageRoom room : this.rooms.values()) {
 				long freeBytes = usableBytes() - room.usedBytes(nowMs);
--- a/core/src/main/java/org/fulmargap/batch/PipelineAdmission.java
+++ b/core/src/main/java/org/fulmargap/batch/PipelineAdmission.java
@@ -7,9 +7,6 @@
  */
 public final class PipelineAdmission {
 
-	/** The time that the request itself needs after its stages, in milliseconds. */
-	private static final long FIRST_EVENT_MS = 150;
-
 	/** The shortest time after which a caller is asked back, in milliseconds. */
 	private static final long LEAST_RETURN_MS = 300;
 
@@ -18,17 +15,27 @@
 
 	/**
 	 * Decides.
-	 * @param stagesMs when the stages are expected to be done, in milliseconds from now
+	 * @param expected when the request is expected to be answered
 	 * @param objectiveMs the time within which the answer is on time, in milliseconds
 	 * @param patienceMs how long the caller waits from now, in milliseconds
 	 * @return the decision
 	 */
-	public static Decision decide(double stagesMs, long objectiveMs, long patienceMs) {
-		double limitMs = Math.min(objectiveMs, patienceMs - FIRST_EVENT_MS);
-		if (stagesMs <= limitMs) {
+	public static Decision decide(Expected expected, long objectiveMs, long patienceMs) {
+		boolean inTime = expected.stagesMs() <= objectiveMs;
+		if (inTime && expected.stagesMs() + expected.promptMs() <= patienceMs) {
 			return new Decision(true, 0);
 		}
-		return new Decision(false, (long) Math.max(LEAST_RETURN_MS, stagesMs - objectiveMs));
+		return new Decision(false, (long) Math.max(LEAST_RETURN_MS, expected.stagesMs() - objectiveMs));
+	}
+
+	/**
+	 * When a request is expected to be answered.
+	 *
+	 * @param stagesMs when its stages are done, in milliseconds from now
+	 * @param promptMs the time that an engine then needs to read the prompt, in
+	 * milliseconds
+	 */
+	public record Expected(double stagesMs, double promptMs) {
 	}
 
 	/**
--- a/core/src/main/java/org/fulmargap/batch/PipelineEstimate.java
+++ b/core/src/main/java/org/fulmargap/batch/PipelineEstimate.java
@@ -14,6 +14,9 @@
 	/** The part of a full batch that a usual call holds. */
 	private static final double USUAL_BATCH_SHARE = 0.5;
 
+	/** With fewer endpoints than this, the next one to come back is counted on. */
+	private static final double LEAST_ENDPOINTS = 0.5;
+
 	private PipelineEstimate() {
 	}
 
@@ -36,15 +39,15 @@
 	 * The load of the service of one stage.
 	 *
 	 * @param capacity what one endpoint can take
-	 * @param endpoints the endpoints that work
+	 * @param endpoints the endpoints that work, in units of endpoints of usual speed
 	 * @param piecesBefore the pieces that go before those of the request
 	 * @param depth the stages on the longest way to the end of this one, itself included
 	 */
-	public record StageLoad(StageCapacity capacity, int endpoints, int piecesBefore, int depth) {
+	public record StageLoad(StageCapacity capacity, double endpoints, int piecesBefore, int depth) {
 
 		private double waitMs() {
 			double fullMs = this.capacity.callMs() + this.capacity.batch() * this.capacity.pieceMs();
-			return this.piecesBefore * fullMs / this.capacity.batch() / Math.max(1, this.endpoints);
+			return this.piecesBefore * fullMs / this.capacity.batch() / Math.max(LEAST_ENDPOINTS, this.endpoints);
 		}
 
 		private double usualCallMs() {
--- a/core/src/main/java/org/fulmargap/batch/StageRoom.java
+++ b/core/src/main/java/org/fulmargap/batch/StageRoom.java
@@ -9,8 +9,9 @@
 import java.util.Set;
 
 /**
- * The room for results at one stage endpoint: what calls in flight will need and what
- * finished results still take.
+ * The room for results at one stage endpoint: what calls in flight will need, what
+ * finished results still take, and what results take that another VM had made while it
+ * was in charge. Of the latter only the endpoint's refusals tell.
  */
 final class StageRoom {
 
@@ -22,6 +23,12 @@
 
 	private long reservedBytes;
 
+	private long foreignBytes;
+
+	private long foreignSinceMs;
+
+	private long foreignUntilMs = Long.MIN_VALUE;
+
 	private int callsInFlight;
 
 	private double callEndsAtMs = Double.NEGATIVE_INFINITY;
@@ -79,6 +86,35 @@
 		return true;
 	}
 
+	/**
+	 * Records that the endpoint had no room for a result.
+	 * @param bytes the room that is counted as free although it isn't, in bytes
+	 * @param lifetimeMs how long results are kept, in milliseconds
+	 * @param nowMs the present time in milliseconds
+	 */
+	void full(long bytes, long lifetimeMs, long nowMs) {
+		this.foreignBytes = foreignBytes(nowMs) + Math.max(0, bytes);
+		this.foreignSinceMs = nowMs;
+		this.foreignUntilMs = nowMs + lifetimeMs;
+	}
+
+	/**
+	 * Records that a result went that another VM had made.
+	 * @param bytes its size in bytes
+	 */
+	void foreignReleased(long bytes) {
+		this.foreignBytes = Math.max(0, this.foreignBytes - bytes);
+	}
+
+	// Results of unknown age expire evenly over their lifetime.
+	private long foreignBytes(long nowMs) {
+		if (nowMs >= this.foreignUntilMs) {
+			return 0;
+		}
+		double left = (this.foreignUntilMs - nowMs) / (double) (this.foreignUntilMs - this.foreignSinceMs);
+		return (long) (this.foreignBytes * left);
+	}
+
 	int callsInFlight() {
 		return this.callsInFlight;
 	}
@@ -99,7 +135,7 @@
 				i.remove();
 			}
 		}
-		return this.heldBytes + this.reservedBytes;
+		return this.heldBytes + this.reservedBytes + foreignBytes(nowMs);
 	}
 
 	private record Held(long bytes, long untilMs) {
--- a/core/src/test/java/org/fulmargap/batch/BatchFormerTests.java
+++ b/core/src/test/java/org/fulmargap/batch/BatchFormerTests.java
@@ -205,7 +205,7 @@
 			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "handle", 900, 0);
 			BatchFormerTests.this.former.add(piece("two", 0, 1_000, 200, ""));
 			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isEmpty();
-			BatchFormerTests.this.former.release("handle");
+			BatchFormerTests.this.former.release("near", "handle");
 			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isPresent();
 		}
 
@@ -220,6 +220,27 @@
 			assertThat(BatchFormerTests.this.former.reclaim(0)).isEmpty();
 		}
 
+		@Test
+		void anEndpointWithoutRoomForResultsGetsNothingUntilResultsOfOtherVmsAreGone() {
+			List<Endpoint> endpoints = List.of(BatchFormerTests.this.near);
+			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "own", 200, 0);
+			BatchFormerTests.this.former.full(BatchFormerTests.this.near, 0);
+			BatchFormerTests.this.former.add(piece("one", 0, 9_000, 200, ""));
+			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isEmpty();
+			assertThat(BatchFormerTests.this.former.next(endpoints, 400)).isEmpty();
+			assertThat(BatchFormerTests.this.former.next(endpoints, 2_000)).isPresent();
+		}
+
+		@Test
+		void aResultOfAnotherVmThatGoesMakesRoom() {
+			List<Endpoint> endpoints = List.of(BatchFormerTests.this.near);
+			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "own", 200, 0);
+			BatchFormerTests.this.former.full(BatchFormerTests.this.near, 0);
+			BatchFormerTests.this.former.add(piece("one", 0, 9_000, 200, ""));
+			BatchFormerTests.this.former.release("near", "foreign");
+			assertThat(BatchFormerTests.this.former.next(endpoints, 0)).isPresent();
+		}
+
 		@Test
 		void resultsExpire() {
 			BatchFormerTests.this.former.hold(BatchFormerTests.this.near, "handle", 1_000, 0);
--- a/core/src/test/java/org/fulmargap/batch/PipelineAdmissionTests.java
+++ b/core/src/test/java/org/fulmargap/batch/PipelineAdmissionTests.java
@@ -13,21 +13,30 @@
 
 	private static final long PATIENCE_MS = 4_000;
 
+	private static PipelineAdmission.Decision decide(double stagesMs, double promptMs, long patienceMs) {
+		return PipelineAdmission.decide(new PipelineAdmission.Expected(stagesMs, promptMs), OBJECTIVE_MS, patienceMs);
+	}
+
 	@Test
 	void aRequestThatCanBeInTimeIsTaken() {
-		assertThat(PipelineAdmission.decide(900, OBJECTIVE_MS, PATIENCE_MS).admitted()).isTrue();
+		assertThat(decide(900, 0, PATIENCE_MS).admitted()).isTrue();
 	}
 
 	@Test
 	void aNewRequestBehindALongQueueIsRefusedAtOnceAndAskedBackWhenTheQueueIsShort() {
-		PipelineAdmission.Decision decision = PipelineAdmission.decide(2_600, OBJECTIVE_MS, PATIENCE_MS);
+		PipelineAdmission.Decision decision = decide(2_600, 0, PATIENCE_MS);
 		assertThat(decision.admitted()).isFalse();
 		assertThat(decision.returnAfterMs()).isEqualTo(1_600);
 	}
 
+	@Test
+	void aLongPromptAloneIsNoReasonToRefuse() {
+		assertThat(decide(500, 1_200, PATIENCE_MS).admitted()).isTrue();
+	}
+
 	@Test
 	void nobodyIsTakenWhoWouldLeaveBeforeTheAnswer() {
-		assertThat(PipelineAdmission.decide(950, OBJECTIVE_MS, 1_000).admitted()).isFalse();
+		assertThat(decide(950, 100, 1_000).admitted()).isFalse();
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -11,6 +11,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.fulmargap.batch.CommittedWork;
+import org.fulmargap.batch.WorkingEndpoints;
 import org.fulmargap.entry.caller.CallerServer;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.peer.PeerListener;
@@ -71,6 +72,8 @@
 
 	private final CommittedWork committed = new CommittedWork();
 
+	private final WorkingEndpoints working = new WorkingEndpoints();
+
 	private final PeerNetwork peers;
 
 	private final StageDesk desk;
@@ -101,7 +104,7 @@
 		this.stages = new StageClient(this.loop, this.desk, this.peers);
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine, pool, this.stages, this.committed,
-				this.peers, new ServiceTimes(), new CallerTimes(), this.metrics);
+				this.working, this.peers, new ServiceTimes(), new CallerTimes(), this.metrics);
 		this.router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, this.router);
 		this.store = new StoreClient(settings.storeAddress());
@@ -206,6 +209,7 @@
 
 	private void reported(String peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
 		this.committed.reported(peer, heartbeat.committedPieces(), nowMs);
+		this.working.reported(peer, heartbeat.workingEndpoints(), nowMs);
 		this.watch.peerKnows(peer, heartbeat.nextOffsets(), nowMs);
 		for (Endpoint endpoint : this.view.directory().all()) {
 			endpoint.reported(peer, new PeerLoad(0, 0, nowMs));
@@ -235,6 +239,13 @@
 		return this.watch.nextOffsets();
 	}
 
+	@Override
+	public Map<String, Double> workingEndpoints() {
+		Map<String, Double> own = this.desk.workingEndpoints();
+		this.working.reported(this.settings.vm(), own, this.clockMs.getAsLong());
+		return own;
+	}
+
 	@Override
 	public Map<String, int[]> committedPieces() {
 		return this.committed.own();
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -53,6 +53,7 @@
 				out.packString(load.endpoint()).packInt(load.inFlight()).packLong(load.prefillTokens());
 			}
 			writeCommitted(out, heartbeat.committedPieces());
+			writeWorking(out, heartbeat.workingEndpoints());
 			out.packArrayHeader(heartbeat.nextOffsets().size());
 			for (long offset : heartbeat.nextOffsets()) {
 				out.packLong(offset);
@@ -105,6 +106,21 @@
 		}
 	}
 
+	private static void writeWorking(MessageBufferPacker out, Map<String, Double> working) throws IOException {
+		out.packMapHeader(working.size());
+		for (Map.Entry<String, Double> service : working.entrySet()) {
+			out.packString(service.getKey()).packDouble(service.getValue());
+		}
+	}
+
+	private static Map<String, Double> readWorking(MessageUnpacker in) throws IOException {
+		Map<String, Double> working = new HashMap<>();
+		for (int i = readMapSize(in); i > 0; i--) {
+			working.put(in.unpackString(), in.unpackDouble());
+		}
+		return working;
+	}
+
 	private static void writeCommitted(MessageBufferPacker out, Map<String, int[]> committed) throws IOException {
 		out.packMapHeader(committed.size());
 		for (Map.Entry<String, int[]> service : committed.entrySet()) {
@@ -117,7 +133,7 @@
 
 	private static Map<String, int[]> readCommitted(MessageUnpacker in) throws IOException {
 		Map<String, int[]> committed = new HashMap<>();
-		for (int i = in.unpackMapHeader(); i > 0; i--) {
+		for (int i = readMapSize(in); i > 0; i--) {
 			String service = in.unpackString();
 			int[] byRank = new int[readSize(in)];
 			for (int rank = 0; rank < byRank.length; rank++) {
@@ -219,7 +235,8 @@
 		for (int i = readSize(in); i > 0; i--) {
 			loads.add(new PeerMessage.Load(in.unpackString(), in.unpackInt(), in.unpackLong()));
 		}
-		return new PeerMessage.Heartbeat(draining, hearsReceiver, loads, readCommitted(in), readOffsets(in));
+		return new PeerMessage.Heartbeat(draining, hearsReceiver, loads, readCommitted(in), readWorking(in),
+				readOffsets(in));
 	}
 
 	private static Prompt readPrompt(MessageUnpacker in) throws IOException {
@@ -268,6 +285,14 @@
 		return texts;
 	}
 
+	private static int readMapSize(MessageUnpacker in) throws IOException {
+		int size = in.unpackMapHeader();
+		if (size > MAX_LIST) {
+			throw new IOException("a map of " + size + " entries");
+		}
+		return size;
+	}
+
 	private static int readSize(MessageUnpacker in) throws IOException {
 		int size = in.unpackArrayHeader();
 		if (size > MAX_LIST) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
@@ -33,6 +33,13 @@
 	 */
 	Map<String, int[]> committedPieces();
 
+	/**
+	 * Returns the endpoints that work, of the services that this VM makes calls to, for
+	 * heartbeats.
+	 * @return the number of endpoints of usual speed, by service
+	 */
+	Map<String, Double> workingEndpoints();
+
 	/**
 	 * Returns how far this VM knows each topic of the store, for heartbeats.
 	 * @return the offsets in the order of the topics
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -225,11 +225,9 @@
 		long nowMs = this.clockMs.getAsLong();
 		boolean slept = nowMs - this.lastTickAtMs > LOST_AFTER_MS;
 		this.lastTickAtMs = nowMs;
-		List<PeerMessage.Load> loads = this.listener.loads();
-		Map<String, int[]> committed = this.listener.committedPieces();
+		HeartbeatContent content = HeartbeatContent.of(this.listener);
 		for (Peer peer : List.copyOf(this.peers.values())) {
-			peer.send(new PeerMessage.Heartbeat(this.draining, peer.alive, loads, committed,
-					this.listener.nextOffsets()));
+			peer.send(content.heartbeat(this.draining, peer.alive));
 			// After a pause of this process, what the peers sent meanwhile is read first.
 			if (!slept && peer.alive && nowMs - peer.heardAtMs > LOST_AFTER_MS) {
 				peer.lose("silent");
@@ -258,6 +256,23 @@
 		this.listener.received(peer.name, message);
 	}
 
+	/**
+	 * What the heartbeats to all peers have in common.
+	 */
+	private record HeartbeatContent(List<PeerMessage.Load> loads, Map<String, int[]> committedPieces,
+			Map<String, Double> workingEndpoints, List<Long> nextOffsets) {
+
+		private static HeartbeatContent of(PeerListener own) {
+			return new HeartbeatContent(own.loads(), own.committedPieces(), own.workingEndpoints(), own.nextOffsets());
+		}
+
+		private PeerMessage.Heartbeat heartbeat(boolean draining, boolean hearsReceiver) {
+			return new PeerMessage.Heartbeat(draining, hearsReceiver, this.loads, this.committedPieces,
+					this.workingEndpoints, this.nextOffsets);
+		}
+
+	}
+
 	/**
 	 * Another entry VM.
 	 */
@@ -332,9 +347,7 @@
 			this.reconnectMs = RECONNECT_MS;
 			send(new PeerMessage.Hello(PeerNetwork.this.ownName, PeerNetwork.this.startedAtMs,
 					PeerNetwork.this.ownAddress));
-			PeerListener own = PeerNetwork.this.listener;
-			send(new PeerMessage.Heartbeat(PeerNetwork.this.draining, this.alive, own.loads(), own.committedPieces(),
-					own.nextOffsets()));
+			send(HeartbeatContent.of(PeerNetwork.this.listener).heartbeat(PeerNetwork.this.draining, this.alive));
 		}
 
 		private void disconnected(Channel closed) {
--- a/entry/src/main/java/org/fulmargap/entry/request/CallerTimes.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/CallerTimes.java
@@ -5,13 +5,17 @@
 
 /**
  * The time that callers of each route give a request at first. A caller that comes back
- * after a refusal has less time left, which tells how long ago it first asked. Confined
- * to one thread.
+ * after a refusal has less time left, which tells how long ago it first asked. Callers
+ * differ in the time that they give, so that only a clearly shorter time tells of a
+ * return. Confined to one thread.
  */
 public final class CallerTimes {
 
-	/** Differences up to this are the way of the request, in milliseconds. */
-	private static final long TOLERANCE_MS = 40;
+	/**
+	 * The part of the longest time by which first requests differ, as seen on the users'
+	 * standard days.
+	 */
+	private static final double FIRST_TIMES_SPREAD = 0.16;
 
 	private final Map<String, Long> longestMs = new HashMap<>();
 
@@ -27,7 +31,8 @@
 		}
 		long firstMs = this.longestMs.merge(route, timeLeftMs, Math::max);
 		long elapsedMs = firstMs - timeLeftMs;
-		return (elapsedMs > TOLERANCE_MS) ? elapsedMs : 0;
+		double spreadMs = firstMs * FIRST_TIMES_SPREAD;
+		return (elapsedMs > spreadMs) ? Math.round(elapsedMs - spreadMs / 2) : 0;
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -148,22 +148,29 @@
 				: route.timeoutMs();
 		this.endsAtMs = this.arrivedAtMs + timeMs;
 		this.elapsedMs = services.callerTimes().elapsedMs(route.name(), request.timeLeftMs());
+		Optional<Choice> engine = probableEngine();
 		this.stageRun = new StageRun(services.clockMs(), services.stages(), services.committed(), route, request,
-				engineDomain(), priority(), this.arrivedAtMs - this.elapsedMs + route.objectiveMs(),
+				engine.map((choice) -> choice.endpoint().record().failureDomain()).orElse(""), promptMs(engine),
+				priority(), this.arrivedAtMs - this.elapsedMs + route.objectiveMs(),
 				this.arrivedAtMs + Math.min(timeMs, route.patienceMs()), this);
 	}
 
-	private String engineDomain() {
+	// The engine that would run the request if its stages were done now.
+	private Optional<Choice> probableEngine() {
 		if (this.service.engine() == null || this.route.stages().isEmpty()) {
-			return "";
+			return Optional.empty();
 		}
 		long nowMs = this.arrivedAtMs;
 		Placement.Demand demand = new Placement.Demand(this.request.prompt(), List.of());
 		return this.services.placement()
 			.choose(this.services.view().directory().open(this.service.name(), nowMs), Set.of(), this.service, demand,
-					this.services.peers().vmCount(), nowMs)
-			.map((choice) -> choice.endpoint().record().failureDomain())
-			.orElse("");
+					this.services.peers().vmCount(), nowMs);
+	}
+
+	private long promptMs(Optional<Choice> engine) {
+		int cachedTokens = engine.map(Choice::cachedTokens).orElse(0);
+		int unreadTokens = Math.max(0, this.request.prompt().promptTokens() - cachedTokens);
+		return Math.round(unreadTokens / Placement.PREFILL_TOKENS_PER_MS);
 	}
 
 	private int priority() {
@@ -181,14 +188,17 @@
 	}
 
 	private boolean isAdmitted() {
-		double stagesMs = this.stageRun.estimateMs(this.services.view(), this.catalog, this.arrivedAtMs);
+		PipelineAdmission.Expected expected = this.stageRun.estimate(this.services::workingEndpoints, this.catalog,
+				this.arrivedAtMs);
 		long patienceMs = Math.min(this.endsAtMs - this.arrivedAtMs, this.route.patienceMs());
-		PipelineAdmission.Decision decision = PipelineAdmission.decide(stagesMs, this.route.objectiveMs(), patienceMs);
+		PipelineAdmission.Decision decision = PipelineAdmission.decide(expected, this.route.objectiveMs(), patienceMs);
 		if (!decision.admitted()) {
 			EventLog.request("not_admitted", this.request.attemptId())
-				.with("stages_ms", Math.round(stagesMs))
+				.with("stages_ms", Math.round(expected.stagesMs()))
+				.with("prompt_ms", Math.round(expected.promptMs()))
 				.with("objective_ms", this.route.objectiveMs())
 				.with("elapsed_ms", this.elapsedMs)
+				.with("patience_ms", patienceMs)
 				.with("rank", priority())
 				.write();
 			refuse(Refusal.OVERLOADED, decision.returnAfterMs());
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.EventLoop;
 import org.fulmargap.batch.CommittedWork;
+import org.fulmargap.batch.WorkingEndpoints;
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.StoreView;
@@ -28,6 +29,7 @@
  * @param pool connections to endpoints
  * @param stages runs stages
  * @param committed the pieces that admitted requests still need
+ * @param working the stage endpoints that work
  * @param peers the other entry VMs
  * @param times usual times of services
  * @param callerTimes the time that callers give their requests
@@ -35,7 +37,8 @@
  */
 public record RequestServices(EventLoop loop, LongSupplier clockMs, StoreView view, Placement placement,
 		RetryAllowance retries, CrashQuarantine quarantine, EndpointPool pool, StageClient stages,
-		CommittedWork committed, PeerNetwork peers, ServiceTimes times, CallerTimes callerTimes, EntryMetrics metrics) {
+		CommittedWork committed, WorkingEndpoints working, PeerNetwork peers, ServiceTimes times,
+		CallerTimes callerTimes, EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and finds out whether the endpoint
@@ -64,6 +67,16 @@
 		});
 	}
 
+	/**
+	 * Returns the endpoints of a stage service that work.
+	 * @param service the name of the service
+	 * @return the number of endpoints of usual speed
+	 */
+	double workingEndpoints(String service) {
+		int listed = this.view.directory().open(service, nowMs()).size();
+		return this.working.count(service, this.peers.inCharge(service), listed, nowMs());
+	}
+
 	long nowMs() {
 		return this.clockMs.getAsLong();
 	}
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -9,17 +9,18 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 
 import org.fulmargap.batch.CommittedWork;
 import org.fulmargap.batch.Piece;
+import org.fulmargap.batch.PipelineAdmission;
 import org.fulmargap.batch.PipelineEstimate;
 import org.fulmargap.catalog.Catalog;
 import org.fulmargap.catalog.Route;
 import org.fulmargap.catalog.ServiceSpec;
 import org.fulmargap.catalog.StageSpec;
 import org.fulmargap.entry.EventLog;
-import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.stage.PieceOutcome;
 import org.fulmargap.entry.stage.StageClient;
 import org.fulmargap.placement.Placement;
@@ -34,9 +35,10 @@
 	private static final long STAGE_MS = 260;
 
 	/**
-	 * What the request itself is expected to take to its first event, in milliseconds.
+	 * What the request itself takes to its first event beside reading the prompt, in
+	 * milliseconds.
 	 */
-	private static final long FIRST_EVENT_MS = 150;
+	private static final long FIRST_EVENT_MS = 100;
 
 	/** Results from this size on are made beside their user, in bytes. */
 	private static final long LARGE_RESULT_BYTES = 500_000;
@@ -53,6 +55,8 @@
 
 	private final String engineDomain;
 
+	private final long promptMs;
+
 	private final int priority;
 
 	private final long dueAtMs;
@@ -76,19 +80,22 @@
 	 * @param request what the caller asks for
 	 * @param engineDomain the failure domain of the engine that will probably run the
 	 * request, or an empty text
+	 * @param promptMs what an engine is expected to take to read the prompt, in
+	 * milliseconds
 	 * @param priority the rank of the request; 0 is the most urgent
 	 * @param dueAtMs when the first event is due, in milliseconds
 	 * @param expiresAtMs when the request is given up, in milliseconds
 	 * @param listener hears the end
 	 */
 	StageRun(LongSupplier clockMs, StageClient client, CommittedWork committed, Route route, CallerRequest request,
-			String engineDomain, int priority, long dueAtMs, long expiresAtMs, Listener listener) {
+			String engineDomain, long promptMs, int priority, long dueAtMs, long expiresAtMs, Listener listener) {
 		this.clockMs = clockMs;
 		this.client = client;
 		this.committed = committed;
 		this.route = route;
 		this.request = request;
 		this.engineDomain = engineDomain;
+		this.promptMs = promptMs;
 		this.priority = priority;
 		this.dueAtMs = dueAtMs;
 		this.expiresAtMs = expiresAtMs;
@@ -99,24 +106,24 @@
 	}
 
 	/**
-	 * Estimates when the stages would be done, given the requests before this one.
-	 * @param view what the platform's store holds
+	 * Estimates when the request would be answered, given those before it.
+	 * @param endpoints the endpoints of a service that work
 	 * @param catalog the configuration
 	 * @param nowMs the present time in milliseconds
-	 * @return the time from now in milliseconds
+	 * @return the expected times
 	 */
-	double estimateMs(StoreView view, Catalog catalog, long nowMs) {
+	PipelineAdmission.Expected estimate(ToDoubleFunction<String> endpoints, Catalog catalog, long nowMs) {
 		List<PipelineEstimate.StageLoad> loads = new ArrayList<>();
 		for (int i = 0; i < this.stages.size(); i++) {
 			Stage stage = this.stages.get(i);
 			ServiceSpec service = catalog.services().get(stage.spec.service());
 			if (stage.outcomes.length > 0 && service != null && service.stage() != null) {
-				int endpoints = view.directory().open(service.name(), nowMs).size();
 				int before = this.committed.before(service.name(), this.priority, nowMs);
-				loads.add(new PipelineEstimate.StageLoad(service.stage(), endpoints, before, depth(i)));
+				loads.add(new PipelineEstimate.StageLoad(service.stage(), endpoints.applyAsDouble(service.name()),
+						before, depth(i)));
 			}
 		}
-		return PipelineEstimate.stagesMs(loads);
+		return new PipelineAdmission.Expected(PipelineEstimate.stagesMs(loads), this.promptMs);
 	}
 
 	private int depth(int index) {
@@ -170,8 +177,7 @@
 		stage.spec.after().forEach((before) -> inputs.addAll(this.stages.get(before).handles()));
 		String key = (stage.spec.after().isEmpty()) ? this.request.chunkKey() : "";
 		String inputDomain = inputDomain(stage);
-		long behindMs = FIRST_EVENT_MS + followers(index) * STAGE_MS;
-		long stageDueAtMs = this.dueAtMs - behindMs;
+		long behindMs = FIRST_EVENT_MS + this.promptMs + followers(index) * STAGE_MS;
 		for (int segment = 0; segment < stage.outcomes.length; segment++) {
 			if (stage.outcomes[segment] != null) {
 				continue;
@@ -180,7 +186,7 @@
 			int place = segment;
 			stage.tickets.add(ticket);
 			Piece piece = new Piece(ticket, this.request.attemptId(), index, segment, key, inputs, inputDomain,
-					this.priority, stageDueAtMs, this.expiresAtMs - behindMs, stage.spec.resultBytes());
+					this.priority, this.dueAtMs - behindMs, this.expiresAtMs - behindMs, stage.spec.resultBytes());
 			this.client.submit(stage.spec.service(), piece, (outcome) -> finished(stage, place, outcome));
 		}
 	}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
@@ -160,10 +160,13 @@
 	}
 
 	// The room is free when the endpoint says so, not before.
-	private void freed(List<String> handles) {
-		for (Lane lane : this.lanes.values()) {
-			handles.forEach(lane.former::release);
-			lane.pumpSoon();
+	private void freed(String address, List<String> handles) {
+		for (Endpoint endpoint : this.view.directory().all()) {
+			Lane lane = this.lanes.get(endpoint.record().service());
+			if (lane != null && endpoint.record().address().equals(address)) {
+				handles.forEach((handle) -> lane.former.release(endpoint.record().id(), handle));
+				lane.pumpSoon();
+			}
 		}
 	}
 
@@ -175,6 +178,28 @@
 		return this.lanes.values().stream().mapToInt((lane) -> lane.entries.size()).sum();
 	}
 
+	/**
+	 * Returns the endpoints that work, of the services with pieces at this VM.
+	 * @return the number of endpoints of usual speed, by service
+	 */
+	public Map<String, Double> workingEndpoints() {
+		long nowMs = this.clockMs.getAsLong();
+		Map<String, Double> working = new HashMap<>();
+		this.lanes.forEach((service, lane) -> {
+			if (!lane.entries.isEmpty()) {
+				working.put(service, speed(this.view.directory().open(service, nowMs), nowMs));
+			}
+		});
+		return working;
+	}
+
+	private static double speed(List<Endpoint> endpoints, long nowMs) {
+		return endpoints.stream()
+			.filter((endpoint) -> !endpoint.isSuspended(nowMs))
+			.mapToDouble((endpoint) -> 1 / Math.max(1, endpoint.slowness()))
+			.sum();
+	}
+
 	private void sendFreed() {
 		Map<String, List<String>> freed = Map.copyOf(this.freedByAddress);
 		this.freedByAddress.clear();
@@ -182,7 +207,7 @@
 			if (!address.isEmpty()) {
 				this.pool.send(address,
 						StageRequests.post(address, StageCalls.FREE_PATH, StageCalls.encodeFree(handles), null),
-						new FreeCall(handles));
+						new FreeCall(address, handles));
 			}
 		});
 	}
@@ -422,7 +447,7 @@
 				this.lane.finish(piece, PieceOutcome.inputGone(piece.ticket()));
 			}
 			else if (result.failure() == PieceResult.Failure.NO_ROOM) {
-				endpoint.refused(nowMs + FULL_PAUSE_MS);
+				this.lane.former.full(endpoint, nowMs);
 				this.lane.waitAgain(piece);
 			}
 			else {
@@ -481,9 +506,12 @@
 	 */
 	private final class FreeCall implements EndpointCall {
 
+		private final String address;
+
 		private final List<String> handles;
 
-		private FreeCall(List<String> handles) {
+		private FreeCall(String address, List<String> handles) {
+			this.address = address;
 			this.handles = handles;
 		}
 
@@ -504,7 +532,7 @@
 
 		@Override
 		public void ended() {
-			freed(this.handles);
+			freed(this.address, this.handles);
 		}
 
 		@Override
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -37,9 +37,10 @@
 	@Test
 	void aHeartbeatCarriesLoadsAndCommittedPieces() throws IOException {
 		PeerMessage.Heartbeat sent = new PeerMessage.Heartbeat(true, false, List.of(new PeerMessage.Load("e", 2, 900)),
-				Map.of("stage", new int[] { 1, 0, 2, 0 }), List.of(4L, -1L));
+				Map.of("stage", new int[] { 1, 0, 2, 0 }), Map.of("stage", 2.5), List.of(4L, -1L));
 		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(PeerCodec.encode(sent, 0), 0);
 		assertThat(received.loads()).isEqualTo(sent.loads());
+		assertThat(received.workingEndpoints()).isEqualTo(sent.workingEndpoints());
 		assertThat(received.draining()).isTrue();
 		assertThat(received.hearsReceiver()).isFalse();
 		assertThat(received.nextOffsets()).containsExactly(4L, -1L);
