Estimate pipelines with the queues that shorten while stages run

Cause: admission added the longest queue to the time of all stages, although the queue of a later stage shortens while the stages before it run.

Change: a request waits for the longest of its queues as it will be when the request gets there; the time to the first event counts against the objective; a route whose stages take its whole objective isn't refused without load.

--- a/core/src/main/java/org/fulmargap/batch/PipelineAdmission.java
+++ b/core/src/main/java/org/fulmargap/batch/PipelineAdmission.java
@@ -7,6 +7,12 @@
  */
 public final class PipelineAdmission {
 
+	/** The usual time from the end of the stages to the first event, in milliseconds. */
+	private static final long FIRST_EVENT_MS = 150;
+
+	/** A load that delays a request by less than this counts as none, in milliseconds. */
+	private static final long UNLOADED_SLACK_MS = 100;
+
 	/** The shortest time after which a caller is asked back, in milliseconds. */
 	private static final long LEAST_RETURN_MS = 300;
 
@@ -21,7 +27,9 @@
 	 * @return the decision
 	 */
 	public static Decision decide(Expected expected, long objectiveMs, long patienceMs) {
-		boolean inTime = expected.stagesMs() <= objectiveMs;
+		// Stages that take the whole objective without any load are no reason to refuse.
+		double limitMs = Math.max(objectiveMs - FIRST_EVENT_MS, expected.unloadedMs() + UNLOADED_SLACK_MS);
+		boolean inTime = expected.stagesMs() <= limitMs;
 		if (inTime && expected.stagesMs() + expected.promptMs() <= patienceMs) {
 			return new Decision(true, 0);
 		}
@@ -32,10 +40,12 @@
 	 * When a request is expected to be answered.
 	 *
 	 * @param stagesMs when its stages are done, in milliseconds from now
+	 * @param unloadedMs when they would be done without other requests, in milliseconds
+	 * from now
 	 * @param promptMs the time that an engine then needs to read the prompt, in
 	 * milliseconds
 	 */
-	public record Expected(double stagesMs, double promptMs) {
+	public record Expected(double stagesMs, double unloadedMs, double promptMs) {
 	}
 
 	/**
--- a/core/src/main/java/org/fulmargap/batch/PipelineEstimate.java
+++ b/core/src/main/java/org/fulmargap/batch/PipelineEstimate.java
@@ -26,13 +26,24 @@
 	 * @return the time in milliseconds
 	 */
 	public static double stagesMs(List<StageLoad> stages) {
-		double longestWaitMs = 0;
-		double callsMs = 0;
+		int deepest = stages.stream().mapToInt(StageLoad::depth).max().orElse(0);
+		double longestMs = 0;
 		for (StageLoad stage : stages) {
-			longestWaitMs = Math.max(longestWaitMs, stage.waitMs());
-			callsMs = Math.max(callsMs, stage.depth() * stage.usualCallMs());
+			// While the stages before run, the queue of this one becomes shorter.
+			double beforeMs = (stage.depth() - 1) * stage.usualCallMs();
+			double restMs = (deepest - stage.depth() + 1) * stage.usualCallMs();
+			longestMs = Math.max(longestMs, Math.max(stage.waitMs(), beforeMs) + restMs);
 		}
-		return longestWaitMs + callsMs;
+		return longestMs;
+	}
+
+	/**
+	 * Estimates the time without other requests.
+	 * @param stages the stages in which the request has pieces
+	 * @return the time in milliseconds
+	 */
+	public static double unloadedMs(List<StageLoad> stages) {
+		return stages.stream().mapToDouble((stage) -> stage.depth() * stage.usualCallMs()).max().orElse(0);
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -123,7 +123,8 @@
 						before, depth(i)));
 			}
 		}
-		return new PipelineAdmission.Expected(PipelineEstimate.stagesMs(loads), this.promptMs);
+		return new PipelineAdmission.Expected(PipelineEstimate.stagesMs(loads), PipelineEstimate.unloadedMs(loads),
+				this.promptMs);
 	}
 
 	private int depth(int index) {
