Move the caller's message and the answer to refused requests out of RequestFlow

Change: CallerMessage keeps the HTTP message of a caller and makes the request to an endpoint; RefusalAnswer writes refusals; one method for each way to give up. No behaviour changes.

--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -1,24 +1,17 @@
 package org.fulmargap.entry.request;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.PipelineAdmission;
 import org.fulmargap.catalog.Catalog;
@@ -37,12 +30,10 @@
 import org.fulmargap.placement.Placement;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.RepeatRule;
-import org.fulmargap.platform.CallerHeaders;
 import org.fulmargap.platform.CallerRequest;
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.EndpointHeaders;
 import org.fulmargap.platform.EndpointRequest;
-import org.fulmargap.platform.Header;
 import org.fulmargap.routing.CrashQuarantine;
 
 /**
@@ -51,21 +42,9 @@
  */
 final class RequestFlow implements CallerListener, StageRun.Listener {
 
-	/**
-	 * The share of the time left after which a refused caller may return at the latest.
-	 */
-	private static final double RETRY_AFTER_SHARE = 0.25;
-
-	/**
-	 * How far the times at which refused callers return lie apart, as a share of them.
-	 */
-	private static final double SPREAD = 0.5;
-
 	/** The lowest rank that an engine knows. */
 	private static final int LOWEST_PRIORITY = 9;
 
-	private static final double MS_PER_SECOND = 1_000;
-
 	/**
 	 * A repeatable call without sign of life is repeated after its usual time times this.
 	 */
@@ -86,13 +65,7 @@
 
 	private final CallerRequest request;
 
-	private final HttpMethod method;
-
-	private final String uri;
-
-	private final HttpHeaders headers;
-
-	private final ByteBuf body;
+	private final CallerMessage message;
 
 	private final Catalog catalog;
 
@@ -133,10 +106,7 @@
 		this.services = services;
 		this.exchange = exchange;
 		this.request = request;
-		this.method = http.method();
-		this.uri = http.uri();
-		this.headers = http.headers();
-		this.body = http.content().retain();
+		this.message = new CallerMessage(http);
 		this.catalog = catalog;
 		this.route = route;
 		String serviceName = route.service(request.attemptId().hashCode());
@@ -251,22 +221,18 @@
 			this.services.loop().schedule(this::dispatch, NO_ENDPOINT_PAUSE_MS, TimeUnit.MILLISECONDS);
 			return;
 		}
-		giveUp(this.runs > 0, Refusal.NO_ENDPOINT);
-	}
-
-	private void giveUp(boolean maybeRan, Refusal refusal) {
-		refuse((maybeRan) ? Refusal.OUTCOME_UNKNOWN : refusal);
+		noEndpointLeft();
 	}
 
 	private void timeOver() {
-		if (this.over) {
-			return;
+		if (!this.over) {
+			boolean maybeRan = this.runs > 0 || this.call != null;
+			refuse((maybeRan) ? Refusal.TIMED_OUT : Refusal.TOO_LATE);
 		}
-		giveUp0(this.runs > 0 || this.call != null);
 	}
 
-	private void giveUp0(boolean maybeRan) {
-		refuse((maybeRan) ? Refusal.TIMED_OUT : Refusal.TOO_LATE);
+	private void noEndpointLeft() {
+		refuse((this.runs > 0) ? Refusal.OUTCOME_UNKNOWN : Refusal.NO_ENDPOINT);
 	}
 
 	private void refuse(Refusal refusal) {
@@ -293,27 +259,7 @@
 			return;
 		}
 		finish();
-		answer(this.exchange, refusal, returnAfterMs, leftMs);
-	}
-
-	/**
-	 * Answers a request that no endpoint answers.
-	 * @param exchange the request
-	 * @param refusal why
-	 * @param returnAfterMs when the caller may come back, in milliseconds; 0 for never
-	 * @param leftMs how long the caller still waits, in milliseconds
-	 */
-	static void answer(CallerExchange exchange, Refusal refusal, long returnAfterMs, long leftMs) {
-		HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-		if (returnAfterMs > 0) {
-			// Callers that were refused together come back at different times.
-			double spread = 1 - SPREAD / 2 + SPREAD * ThreadLocalRandom.current().nextDouble();
-			double afterMs = Math.min(returnAfterMs, leftMs * RETRY_AFTER_SHARE) * spread;
-			headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", afterMs / MS_PER_SECOND));
-		}
-		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-		ByteBuf body = Unpooled.copiedBuffer("{\"error\":\"" + refusal.name() + "\"}", StandardCharsets.UTF_8);
-		exchange.answer(refusal.status(), headers, body);
+		RefusalAnswer.send(this.exchange, refusal, returnAfterMs, leftMs);
 	}
 
 	@Override
@@ -334,7 +280,7 @@
 		if (this.call != null) {
 			this.call.cancel();
 		}
-		this.body.release();
+		this.message.close();
 	}
 
 	private void done(int status) {
@@ -371,7 +317,7 @@
 			.with("repeat", allowed)
 			.write();
 		if (!allowed) {
-			giveUp(this.runs > 0, Refusal.NO_ENDPOINT);
+			noEndpointLeft();
 			return;
 		}
 		if (this.events != null) {
@@ -455,33 +401,12 @@
 
 		private FullHttpRequest httpRequest(long nowMs) {
 			RequestFlow flow = RequestFlow.this;
-			FullHttpRequest http = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, flow.method, flow.uri,
-					flow.body.retainedDuplicate());
-			Set<String> named = new HashSet<>();
-			for (String value : flow.headers.getAll(HttpHeaderNames.CONNECTION)) {
-				for (String name : value.split(",")) {
-					named.add(name.trim().toLowerCase(Locale.ROOT));
-				}
-			}
-			flow.headers.forEach((header) -> {
-				if (CallerHeaders.isPassedOn(header.getKey())
-						&& !named.contains(header.getKey().toLowerCase(Locale.ROOT))) {
-					http.headers().add(header.getKey(), header.getValue());
-				}
-			});
-			String lastEventId = (flow.events != null) ? flow.events.lastEventId() : null;
 			String accountName = (flow.account != null) ? flow.account.name() : null;
-			for (Header header : EndpointHeaders
-				.encode(new EndpointRequest(this.endpoint.record().id(), flow.endsAtMs - nowMs, accountName,
-						(flow.service.engine() != null) ? Math.min(LOWEST_PRIORITY, flow.priority()) : -1,
-						flow.stageRun.finalHandles(), lastEventId))) {
-				http.headers().set(header.name(), header.value());
-			}
-			if (flow.body.isReadable() || flow.headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-					|| flow.headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-				http.headers().set(HttpHeaderNames.CONTENT_LENGTH, flow.body.readableBytes());
-			}
-			return http;
+			int priority = (flow.service.engine() != null) ? Math.min(LOWEST_PRIORITY, flow.priority()) : -1;
+			String lastEventId = (flow.events != null) ? flow.events.lastEventId() : null;
+			EndpointRequest sent = new EndpointRequest(this.endpoint.record().id(), flow.endsAtMs - nowMs, accountName,
+					priority, flow.stageRun.finalHandles(), lastEventId);
+			return flow.message.toEndpoint(EndpointHeaders.encode(sent));
 		}
 
 		@Override
@@ -555,13 +480,7 @@
 		}
 
 		private HttpHeaders callerHeaders() {
-			HttpHeaders passed = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-			this.head.headers().forEach((header) -> {
-				if (CallerHeaders.isPassedOn(header.getKey())) {
-					passed.add(header.getKey(), header.getValue());
-				}
-			});
-			return passed;
+			return CallerMessage.toCaller(this.head.headers());
 		}
 
 		@Override
