Log no body of an answer, and where results could not be given up

Cause: stage_call_failed wrote short bodies of endpoints' answers although no body belongs in a log; free_failed did not say at which endpoint. Change: the body is left out; free_failed names address and number of results.

--- a/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageDesk.java
@@ -1,6 +1,5 @@
 package org.fulmargap.entry.stage;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -494,7 +493,6 @@
 				.with("endpoint", this.call.endpoint())
 				.with("pieces", this.call.pieces().size())
 				.with("reason", reason)
-				.with("body", (this.body.readableBytes() < 200) ? this.body.toString(StandardCharsets.UTF_8) : "")
 				.write();
 			this.call.pieces().forEach((piece) -> this.lane.again(piece, arrived, nowMs));
 		}
@@ -537,7 +535,11 @@
 
 		@Override
 		public void failed(CallFailure failure) {
-			EventLog.state("free_failed").with("reason", failure).write();
+			EventLog.state("free_failed")
+				.with("address", this.address)
+				.with("results", this.handles.size())
+				.with("reason", failure)
+				.write();
 		}
 
 	}
