--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -9,6 +9,7 @@
 
 import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.EndpointStandIn;
+import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.fulmargap.platform.standin.StoreStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -107,6 +108,58 @@
 
 	}
 
+	@Nested
+	class WrongAnswers {
+
+		private HttpResponse<String> push(String attemptId) throws Exception {
+			return EntryVmTests.this.installation.send(EntryVmTests.this.installation.request(0, "/push/x")
+				.header(CallerWire.ATTEMPT_ID, attemptId)
+				.header(CallerWire.TIME_LEFT_MS, "5000"));
+		}
+
+		private void start(RawEndpointStandIn endpoint) throws Exception {
+			EntryVmTests.this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "raw-1", endpoint.record("core"));
+			startVms(1);
+		}
+
+		@Test
+		void aSecondAnswerBelongsToNoRequest() throws Exception {
+			try (RawEndpointStandIn endpoint = new RawEndpointStandIn(RawEndpointStandIn.Answer.TWICE)) {
+				start(endpoint);
+				for (int i = 0; i < 8; i++) {
+					assertThat(push("id" + i).body()).isEqualTo(RawEndpointStandIn.body("id" + i));
+				}
+			}
+		}
+
+		@Test
+		void anAnswerWithoutLengthEndsWithItsConnection() throws Exception {
+			try (RawEndpointStandIn endpoint = new RawEndpointStandIn(RawEndpointStandIn.Answer.WITHOUT_LENGTH)) {
+				start(endpoint);
+				HttpResponse<String> response = push("id");
+				assertThat(response.statusCode()).isEqualTo(200);
+				assertThat(response.body()).isEqualTo(RawEndpointStandIn.body("id"));
+			}
+		}
+
+		@Test
+		void anAnswerWithoutLengthWhoseConnectionIsResetIsNotWhole() throws Exception {
+			try (RawEndpointStandIn endpoint = new RawEndpointStandIn(RawEndpointStandIn.Answer.RESET_WITHOUT_LENGTH)) {
+				start(endpoint);
+				assertThat(push("id").statusCode()).isEqualTo(502);
+			}
+		}
+
+		@Test
+		void aTruncatedAnswerIsNotWhole() throws Exception {
+			try (RawEndpointStandIn endpoint = new RawEndpointStandIn(RawEndpointStandIn.Answer.TRUNCATED)) {
+				start(endpoint);
+				assertThat(push("id").statusCode()).isEqualTo(502);
+			}
+		}
+
+	}
+
 	@Nested
 	class Refusals {
 
