Test entry VMs in processes of their own with signals

Cause: docs/proofs.md had no test with real processes of the entry VM for a stop under load, a kill, a pause and a store that is away.

--- /dev/null
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -0,0 +1,90 @@
+package org.fulmargap.entry;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+import org.fulmargap.platform.NodeSettingsFile;
+import org.fulmargap.platform.standin.SettingsText;
+
+/**
+ * An entry VM in a process of its own, on a loopback address of its own.
+ */
+final class EntryProcess implements AutoCloseable {
+
+	private static final int CALLER_PORT = 18_625;
+
+	private static final int READINESS_PORT = 18_621;
+
+	private static final int PEER_PORT = 18_740;
+
+	private static final long EXIT_TIMEOUT_S = 20;
+
+	private final String ip;
+
+	private final Process process;
+
+	/**
+	 * Starts a process.
+	 * @param number a number from 1 to 200 that no other process has
+	 * @param folder where its settings and its log go
+	 * @param storeAddress the address of the store as {@code IP:port}
+	 * @throws IOException if it can't be started
+	 */
+	EntryProcess(int number, Path folder, String storeAddress) throws IOException {
+		this.ip = ip(number);
+		Path settings = Files.writeString(folder.resolve("vm-" + number + ".toml"),
+				SettingsText.of("vm-" + number, this.ip, CALLER_PORT, READINESS_PORT, PEER_PORT, storeAddress));
+		String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+		ProcessBuilder builder = new ProcessBuilder(java, "-Xmx96m", "-cp", System.getProperty("java.class.path"),
+				EntryMain.class.getName());
+		builder.environment().put(NodeSettingsFile.PATH_VARIABLE, settings.toString());
+		File log = folder.resolve("vm-" + number + ".log").toFile();
+		this.process = builder.redirectErrorStream(true).redirectOutput(log).start();
+	}
+
+	/**
+	 * Returns the address of a process. Processes of other runs on this machine use other
+	 * addresses.
+	 * @param number the number of the process
+	 * @return the address
+	 */
+	static String ip(int number) {
+		return "127.7." + ProcessHandle.current().pid() % 250 + '.' + number;
+	}
+
+	String callerAddress() {
+		return this.ip + ':' + CALLER_PORT;
+	}
+
+	String readinessAddress() {
+		return this.ip + ':' + READINESS_PORT;
+	}
+
+	/**
+	 * Sends a signal to the process.
+	 * @param signal the name of the signal, as {@code STOP}
+	 */
+	void signal(String signal) throws IOException, InterruptedException {
+		new ProcessBuilder("kill", '-' + signal, Long.toString(this.process.pid())).inheritIO().start().waitFor();
+	}
+
+	/**
+	 * Waits for the end of the process.
+	 * @return its exit code
+	 */
+	int awaitExit() throws InterruptedException {
+		if (!this.process.waitFor(EXIT_TIMEOUT_S, TimeUnit.SECONDS)) {
+			throw new AssertionError("the process did not end in time");
+		}
+		return this.process.exitValue();
+	}
+
+	@Override
+	public void close() {
+		this.process.destroyForcibly();
+	}
+
+}
