Move the progress of a stage out of StageRun and encode heartbeats once

Change: StageProgress keeps what is known of one stage; a heartbeat has two encodings, for peers that are heard and for others. Measured: no behaviour changes; tests of the entry VM pass. The gain on the grown site wasn't measured.

--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -218,16 +218,24 @@
 	 * @param message the message
 	 */
 	public void sendAll(PeerMessage message) {
-		this.peers.values().forEach((peer) -> peer.send(message));
+		byte[] frame = encode(message);
+		this.peers.values().forEach((peer) -> peer.send(frame));
+	}
+
+	private byte[] encode(PeerMessage message) {
+		return PeerCodec.encode(message, this.clockMs.getAsLong());
 	}
 
 	private void tick() {
 		long nowMs = this.clockMs.getAsLong();
 		boolean slept = nowMs - this.lastTickAtMs > LOST_AFTER_MS;
 		this.lastTickAtMs = nowMs;
+		// With many peers, most of the work of a heartbeat is its encoding.
 		HeartbeatContent content = HeartbeatContent.of(this.listener);
+		byte[] toHeard = encode(content.heartbeat(this.draining, true));
+		byte[] toUnheard = encode(content.heartbeat(this.draining, false));
 		for (Peer peer : List.copyOf(this.peers.values())) {
-			peer.send(content.heartbeat(this.draining, peer.alive));
+			peer.send((peer.alive) ? toHeard : toUnheard);
 			// After a pause of this process, what the peers sent meanwhile is read first.
 			if (!slept && peer.alive && nowMs - peer.heardAtMs > LOST_AFTER_MS) {
 				peer.lose("silent");
@@ -367,13 +375,16 @@
 		}
 
 		private boolean send(PeerMessage message) {
+			return isConnected() && send(encode(message));
+		}
+
+		private boolean send(byte[] frame) {
 			if (!isConnected()) {
 				return false;
 			}
 			if (this.channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
 				return false;
 			}
-			byte[] frame = PeerCodec.encode(message, PeerNetwork.this.clockMs.getAsLong());
 			this.channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
 			return true;
 		}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageProgress.java
@@ -0,0 +1,208 @@
+package org.fulmargap.entry.request;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+import org.fulmargap.catalog.StageSpec;
+import org.fulmargap.entry.stage.PieceOutcome;
+
+/**
+ * How far one stage of one request is. Confined to the event loop.
+ */
+final class StageProgress {
+
+	private final StageSpec spec;
+
+	private final PieceOutcome[] outcomes;
+
+	private final boolean[] inputsRead;
+
+	private final Set<Long> tickets = new HashSet<>();
+
+	private int done;
+
+	private int committed;
+
+	private boolean started;
+
+	private long startedAtMs;
+
+	private boolean released;
+
+	/**
+	 * Creates the progress of a stage that has not begun.
+	 * @param spec the stage
+	 * @param pieceCount the number of its pieces; 0 if the request omits the stage
+	 */
+	StageProgress(StageSpec spec, int pieceCount) {
+		this.spec = spec;
+		this.outcomes = new PieceOutcome[pieceCount];
+		this.inputsRead = new boolean[pieceCount];
+	}
+
+	StageSpec spec() {
+		return this.spec;
+	}
+
+	String service() {
+		return this.spec.service();
+	}
+
+	int pieceCount() {
+		return this.outcomes.length;
+	}
+
+	boolean isOmitted() {
+		return this.outcomes.length == 0;
+	}
+
+	boolean isStarted() {
+		return this.started;
+	}
+
+	long startedAtMs() {
+		return this.startedAtMs;
+	}
+
+	void start(long nowMs) {
+		this.started = true;
+		this.startedAtMs = nowMs;
+	}
+
+	boolean isDone() {
+		return this.started && this.done == this.outcomes.length;
+	}
+
+	/**
+	 * Tells whether all pieces have read their inputs.
+	 * @return {@code true} if the inputs are needed again only if a call fails
+	 */
+	boolean needsNoInputs() {
+		if (!this.started) {
+			return false;
+		}
+		for (boolean read : this.inputsRead) {
+			if (!read) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * Returns the pieces that have no result.
+	 * @return their indexes
+	 */
+	List<Integer> missing() {
+		List<Integer> missing = new ArrayList<>();
+		for (int i = 0; i < this.outcomes.length; i++) {
+			if (this.outcomes[i] == null) {
+				missing.add(i);
+			}
+		}
+		return missing;
+	}
+
+	void submitted(long ticket) {
+		this.tickets.add(ticket);
+	}
+
+	void ended(long ticket) {
+		this.tickets.remove(ticket);
+	}
+
+	/**
+	 * Takes the pieces that were submitted and have not ended.
+	 * @return the numbers of the pieces, which are forgotten here
+	 */
+	List<Long> takeTickets() {
+		List<Long> taken = List.copyOf(this.tickets);
+		this.tickets.clear();
+		return taken;
+	}
+
+	void inputsRead(int piece) {
+		this.inputsRead[piece] = true;
+	}
+
+	void done(int piece, PieceOutcome outcome) {
+		this.outcomes[piece] = outcome;
+		this.inputsRead[piece] = true;
+		this.done++;
+		this.committed--;
+	}
+
+	/**
+	 * Commits to all pieces.
+	 * @return the number of pieces that count as work from now on
+	 */
+	int commit() {
+		this.committed = this.outcomes.length;
+		return this.committed;
+	}
+
+	/**
+	 * Gives up what is left.
+	 * @return the number of pieces that count as work no more
+	 */
+	int takeCommitted() {
+		int left = this.committed;
+		this.committed = 0;
+		return left;
+	}
+
+	/**
+	 * Prepares the pieces without a result to be submitted anew.
+	 */
+	void rewind() {
+		this.started = false;
+		for (int i = 0; i < this.outcomes.length; i++) {
+			this.inputsRead[i] = this.outcomes[i] != null;
+		}
+	}
+
+	/**
+	 * Forgets all results, so that they are made anew.
+	 * @return the number of pieces that count as work again
+	 */
+	int forget() {
+		int again = this.done;
+		this.committed += again;
+		this.done = 0;
+		this.released = false;
+		Arrays.fill(this.outcomes, null);
+		return again;
+	}
+
+	/**
+	 * Returns the results.
+	 * @return the outcomes of the pieces that are done
+	 */
+	List<PieceOutcome> results() {
+		return Arrays.stream(this.outcomes).filter(Objects::nonNull).toList();
+	}
+
+	/**
+	 * Returns the names of the results.
+	 * @return the names
+	 */
+	List<String> handles() {
+		return results().stream().map(PieceOutcome::handle).toList();
+	}
+
+	boolean isReleased() {
+		return this.released;
+	}
+
+	/**
+	 * Records that the results were given up.
+	 */
+	void release() {
+		this.released = true;
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -1,13 +1,9 @@
 package org.fulmargap.entry.request;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
-import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
@@ -19,7 +15,6 @@
 import org.fulmargap.catalog.Catalog;
 import org.fulmargap.catalog.Route;
 import org.fulmargap.catalog.ServiceSpec;
-import org.fulmargap.catalog.StageSpec;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.stage.PieceOutcome;
 import org.fulmargap.entry.stage.StageClient;
@@ -65,7 +60,7 @@
 
 	private final Listener listener;
 
-	private final List<Stage> stages = new ArrayList<>();
+	private final List<StageProgress> stages = new ArrayList<>();
 
 	private boolean remade;
 
@@ -101,7 +96,7 @@
 		this.expiresAtMs = expiresAtMs;
 		this.listener = listener;
 		for (int i = 0; i < route.stages().size(); i++) {
-			this.stages.add(new Stage(route.stages().get(i), request.pieceCount(i)));
+			this.stages.add(new StageProgress(route.stages().get(i), request.pieceCount(i)));
 		}
 	}
 
@@ -115,9 +110,9 @@
 	PipelineAdmission.Expected estimate(ToDoubleFunction<String> endpoints, Catalog catalog, long nowMs) {
 		List<PipelineEstimate.StageLoad> loads = new ArrayList<>();
 		for (int i = 0; i < this.stages.size(); i++) {
-			Stage stage = this.stages.get(i);
-			ServiceSpec service = catalog.services().get(stage.spec.service());
-			if (stage.outcomes.length > 0 && service != null && service.stage() != null) {
+			StageProgress stage = this.stages.get(i);
+			ServiceSpec service = catalog.services().get(stage.service());
+			if (!stage.isOmitted() && service != null && service.stage() != null) {
 				int before = this.committed.before(service.name(), this.priority, nowMs);
 				loads.add(new PipelineEstimate.StageLoad(service.stage(), endpoints.applyAsDouble(service.name()),
 						before, depth(i)));
@@ -129,31 +124,27 @@
 
 	private int depth(int index) {
 		int most = 0;
-		for (int before : this.stages.get(index).spec.after()) {
+		for (int before : this.stages.get(index).spec().after()) {
 			most = Math.max(most, depth(before));
 		}
-		return most + ((this.stages.get(index).outcomes.length > 0) ? 1 : 0);
+		return most + ((!this.stages.get(index).isOmitted()) ? 1 : 0);
 	}
 
 	void start() {
-		this.stages.forEach((stage) -> {
-			stage.committed = stage.outcomes.length;
-			this.committed.add(stage.spec.service(), this.priority, stage.committed);
-		});
+		this.stages.forEach((stage) -> this.committed.add(stage.service(), this.priority, stage.commit()));
 		advance();
 	}
 
 	private void advance() {
 		for (int i = 0; i < this.stages.size(); i++) {
-			Stage stage = this.stages.get(i);
-			boolean ready = stage.spec.after().stream().allMatch((index) -> this.stages.get(index).isDone());
-			if (!stage.started && ready && !isEarly(i)) {
-				stage.started = true;
-				stage.startedAtMs = this.clockMs.getAsLong();
+			StageProgress stage = this.stages.get(i);
+			boolean ready = stage.spec().after().stream().allMatch((index) -> this.stages.get(index).isDone());
+			if (!stage.isStarted() && ready && !isEarly(i)) {
+				stage.start(this.clockMs.getAsLong());
 				submit(i, stage);
 			}
 		}
-		if (!this.over && this.stages.stream().allMatch(Stage::isDone)) {
+		if (!this.over && this.stages.stream().allMatch(StageProgress::isDone)) {
 			this.over = true;
 			this.listener.stagesDone();
 		}
@@ -165,45 +156,41 @@
 	private boolean isEarly(int index) {
 		long behind = followers(index);
 		for (int i = 0; i < this.stages.size(); i++) {
-			Stage other = this.stages.get(i);
-			if (other.outcomes.length > 0 && !other.isDone() && followers(i) > behind) {
+			StageProgress other = this.stages.get(i);
+			if (!other.isOmitted() && !other.isDone() && followers(i) > behind) {
 				return true;
 			}
 		}
 		return false;
 	}
 
-	private void submit(int index, Stage stage) {
+	private void submit(int index, StageProgress stage) {
 		List<String> inputs = new ArrayList<>();
-		stage.spec.after().forEach((before) -> inputs.addAll(this.stages.get(before).handles()));
-		String key = (stage.spec.after().isEmpty()) ? this.request.chunkKey() : "";
+		stage.spec().after().forEach((before) -> inputs.addAll(this.stages.get(before).handles()));
+		String key = (stage.spec().after().isEmpty()) ? this.request.chunkKey() : "";
 		String inputDomain = inputDomain(stage);
 		long behindMs = FIRST_EVENT_MS + this.promptMs + followers(index) * STAGE_MS;
-		for (int segment = 0; segment < stage.outcomes.length; segment++) {
-			if (stage.outcomes[segment] != null) {
-				continue;
-			}
+		for (int segment : stage.missing()) {
 			long ticket = this.client.newTicket();
-			int place = segment;
-			stage.tickets.add(ticket);
+			stage.submitted(ticket);
 			Piece piece = new Piece(ticket, this.request.attemptId(), index, segment, key, inputs, inputDomain,
-					this.priority, this.dueAtMs - behindMs, this.expiresAtMs - behindMs, stage.spec.resultBytes());
-			this.client.submit(stage.spec.service(), piece, (outcome) -> finished(stage, place, outcome));
+					this.priority, this.dueAtMs - behindMs, this.expiresAtMs - behindMs, stage.spec().resultBytes());
+			this.client.submit(stage.service(), piece, (outcome) -> finished(stage, segment, outcome));
 		}
 	}
 
 	// Results that go to the request itself are best made beside the engine that will
 	// probably run it.
-	private String inputDomain(Stage stage) {
-		if (stage.spec.after().isEmpty()) {
-			return (stage.spec.resultBytes() >= LARGE_RESULT_BYTES) ? this.engineDomain : "";
+	private String inputDomain(StageProgress stage) {
+		if (stage.spec().after().isEmpty()) {
+			return (stage.spec().resultBytes() >= LARGE_RESULT_BYTES) ? this.engineDomain : "";
 		}
 		if (inputBytes(stage) < LARGE_RESULT_BYTES) {
 			return "";
 		}
 		Map<String, Integer> counts = new HashMap<>();
-		for (int before : stage.spec.after()) {
-			for (PieceOutcome outcome : this.stages.get(before).outcomes) {
+		for (int before : stage.spec().after()) {
+			for (PieceOutcome outcome : this.stages.get(before).results()) {
 				counts.merge(outcome.failureDomain(), 1, Integer::sum);
 			}
 		}
@@ -211,32 +198,32 @@
 	}
 
 	// Each piece of a stage reads all its inputs.
-	private long inputBytes(Stage stage) {
+	private long inputBytes(StageProgress stage) {
 		long bytes = 0;
-		for (int before : stage.spec.after()) {
-			Stage inputs = this.stages.get(before);
-			bytes += inputs.outcomes.length * inputs.spec.resultBytes();
+		for (int before : stage.spec().after()) {
+			StageProgress inputs = this.stages.get(before);
+			bytes += inputs.pieceCount() * inputs.spec().resultBytes();
 		}
-		return bytes * stage.outcomes.length;
+		return bytes * stage.pieceCount();
 	}
 
 	private long followers(int index) {
 		long most = 0;
 		for (int i = index + 1; i < this.stages.size(); i++) {
-			if (this.route.stages().get(i).after().contains(index) && this.stages.get(i).outcomes.length > 0) {
+			if (this.route.stages().get(i).after().contains(index) && !this.stages.get(i).isOmitted()) {
 				most = Math.max(most, 1 + followers(i));
 			}
 		}
 		return most;
 	}
 
-	private void finished(Stage stage, int place, PieceOutcome outcome) {
+	private void finished(StageProgress stage, int place, PieceOutcome outcome) {
 		if (outcome.status().isLast()) {
-			stage.tickets.remove(outcome.ticket());
+			stage.ended(outcome.ticket());
 		}
 		if (this.over) {
 			if (outcome.isDone()) {
-				this.client.release(stage.spec.service(), List.of(outcome.handle()));
+				this.client.release(stage.service(), List.of(outcome.handle()));
 			}
 			return;
 		}
@@ -248,92 +235,89 @@
 		}
 	}
 
-	private void inputsRead(Stage stage, int place) {
-		stage.inputsRead[place] = true;
+	private void inputsRead(StageProgress stage, int place) {
+		stage.inputsRead(place);
 		if (stage.needsNoInputs()) {
 			unneededInputs(stage).forEach(this::spare);
 		}
 	}
 
-	private void done(Stage stage, int place, PieceOutcome outcome) {
-		stage.outcomes[place] = outcome;
-		stage.inputsRead[place] = true;
-		stage.done++;
-		stage.committed--;
-		this.committed.remove(stage.spec.service(), this.priority, 1);
+	private void done(StageProgress stage, int place, PieceOutcome outcome) {
+		stage.done(place, outcome);
+		this.committed.remove(stage.service(), this.priority, 1);
 		if (stage.isDone()) {
 			EventLog.request("stage_done", this.request.attemptId())
 				.with("stage", this.stages.indexOf(stage))
-				.with("service", stage.spec.service())
-				.with("pieces", stage.outcomes.length)
-				.with("took_ms", this.clockMs.getAsLong() - stage.startedAtMs)
+				.with("service", stage.service())
+				.with("pieces", stage.pieceCount())
+				.with("took_ms", this.clockMs.getAsLong() - stage.startedAtMs())
 				.write();
 			unneededInputs(stage).stream().filter((before) -> !isNeeded(before)).forEach(this::release);
 			advance();
 		}
 	}
 
-	private void failed(Stage stage) {
+	private void failed(StageProgress stage) {
 		this.over = true;
 		close();
-		this.listener.stageFailed(stage.spec.service());
+		this.listener.stageFailed(stage.service());
 	}
 
 	// The endpoint failed after its inputs were given up, or the one that kept them is
 	// gone: the stages before make them again, once.
-	private void inputGone(Stage stage) {
+	private void inputGone(StageProgress stage) {
 		if (this.remade) {
 			failed(stage);
 			return;
 		}
 		this.remade = true;
-		EventLog.request("inputs_remade", this.request.attemptId()).with("service", stage.spec.service()).write();
+		EventLog.request("inputs_remade", this.request.attemptId()).with("service", stage.service()).write();
 		rewind(stage);
 		advance();
 	}
 
-	private void rewind(Stage stage) {
-		List.copyOf(stage.tickets).forEach(this.client::withdraw);
+	private void rewind(StageProgress stage) {
+		stage.takeTickets().forEach(this.client::withdraw);
 		stage.rewind();
-		for (int index : stage.spec.after()) {
-			Stage before = this.stages.get(index);
+		for (int index : stage.spec().after()) {
+			StageProgress before = this.stages.get(index);
 			release(before);
-			this.committed.add(before.spec.service(), this.priority, before.done);
-			before.forget();
+			this.committed.add(before.service(), this.priority, before.forget());
 			rewind(before);
 		}
 	}
 
 	// Results that no stage has to read any more take up room for nothing.
-	private List<Stage> unneededInputs(Stage reader) {
-		return reader.spec.after()
+	private List<StageProgress> unneededInputs(StageProgress reader) {
+		return reader.spec()
+			.after()
 			.stream()
 			.map(this.stages::get)
-			.filter((before) -> readers(before).allMatch(Stage::needsNoInputs))
+			.filter((before) -> readers(before).allMatch(StageProgress::needsNoInputs))
 			.toList();
 	}
 
-	private boolean isNeeded(Stage stage) {
-		return !readers(stage).allMatch(Stage::isDone);
+	private boolean isNeeded(StageProgress stage) {
+		return !readers(stage).allMatch(StageProgress::isDone);
 	}
 
-	private Stream<Stage> readers(Stage stage) {
+	private Stream<StageProgress> readers(StageProgress stage) {
 		int index = this.stages.indexOf(stage);
-		return this.stages.stream().filter((reader) -> reader.spec.after().contains(index));
+		return this.stages.stream().filter((reader) -> reader.spec().after().contains(index));
 	}
 
-	private void spare(Stage stage) {
+	private void spare(StageProgress stage) {
 		List<String> handles = stage.handles();
-		if (!handles.isEmpty() && !stage.released) {
-			this.client.spare(stage.spec.service(), handles);
+		if (!handles.isEmpty() && !stage.isReleased()) {
+			this.client.spare(stage.service(), handles);
 		}
 	}
 
-	private void release(Stage stage) {
+	private void release(StageProgress stage) {
 		List<String> handles = stage.handles();
-		if (!handles.isEmpty() && !stage.released) {
-			stage.released = true;
-			this.client.release(stage.spec.service(), handles);
+		if (!handles.isEmpty() && !stage.isReleased()) {
+			stage.release();
+			this.client.release(stage.service(), handles);
 		}
 	}
 
@@ -357,11 +341,9 @@
 	List<Placement.Input> finalInputs() {
 		List<Placement.Input> inputs = new ArrayList<>();
 		for (int index : this.route.finalStages()) {
-			Stage stage = this.stages.get(index);
-			for (PieceOutcome outcome : stage.outcomes) {
-				if (outcome != null) {
-					inputs.add(new Placement.Input(outcome.failureDomain(), stage.spec.resultBytes()));
-				}
+			StageProgress stage = this.stages.get(index);
+			for (PieceOutcome outcome : stage.results()) {
+				inputs.add(new Placement.Input(outcome.failureDomain(), stage.spec().resultBytes()));
 			}
 		}
 		return inputs;
@@ -373,10 +355,8 @@
 	void close() {
 		this.over = true;
 		this.stages.forEach((stage) -> {
-			List.copyOf(stage.tickets).forEach(this.client::withdraw);
-			stage.tickets.clear();
-			this.committed.remove(stage.spec.service(), this.priority, stage.committed);
-			stage.committed = 0;
+			stage.takeTickets().forEach(this.client::withdraw);
+			this.committed.remove(stage.service(), this.priority, stage.takeCommitted());
 			release(stage);
 		});
 	}
@@ -392,69 +372,4 @@
 
 	}
 
-	private static final class Stage {
-
-		private final StageSpec spec;
-
-		private final PieceOutcome[] outcomes;
-
-		private int done;
-
-		private int committed;
-
-		private final boolean[] inputsRead;
-
-		private final Set<Long> tickets = new HashSet<>();
-
-		private boolean started;
-
-		private long startedAtMs;
-
-		private boolean released;
-
-		private Stage(StageSpec spec, int pieceCount) {
-			this.spec = spec;
-			this.outcomes = new PieceOutcome[pieceCount];
-			this.inputsRead = new boolean[pieceCount];
-		}
-
-		private boolean needsNoInputs() {
-			if (!this.started) {
-				return false;
-			}
-			for (boolean read : this.inputsRead) {
-				if (!read) {
-					return false;
-				}
-			}
-			return true;
-		}
-
-		// The pieces without a result are to be made anew.
-		private void rewind() {
-			this.started = false;
-			this.tickets.clear();
-			for (int i = 0; i < this.outcomes.length; i++) {
-				this.inputsRead[i] = this.outcomes[i] != null;
-			}
-		}
-
-		// All results are to be made anew.
-		private void forget() {
-			this.committed += this.done;
-			this.done = 0;
-			this.released = false;
-			Arrays.fill(this.outcomes, null);
-		}
-
-		private boolean isDone() {
-			return this.started && this.done == this.outcomes.length;
-		}
-
-		private List<String> handles() {
-			return Arrays.stream(this.outcomes).filter(Objects::nonNull).map(PieceOutcome::handle).toList();
-		}
-
-	}
-
 }
