Say in comments what binds at the stages

Cause: a newcomer's reading of the change: the class comment of BatchFormer did not name the room for results, two comments were broken over short lines.

--- a/core/src/main/java/org/fulmargap/batch/BatchFormer.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchFormer.java
@@ -20,7 +20,12 @@
  * <p>
  * The most urgent pieces go first: those of more urgent requests, then those that are due
  * earlier. In an overload that order alone would make every request late, so pieces that
- * are late already wait behind those that can still be in time. Confined to one thread.
+ * are late already wait behind those that can still be in time.
+ * <p>
+ * Room for results binds before the time of the endpoints does. The pieces of one stage
+ * of one request share a call where they can, because the results of the first ones take
+ * up room until the last one is done, and results that were read may go when others need
+ * their room. Confined to one thread.
  */
 public final class BatchFormer {
 
@@ -250,9 +255,7 @@
 		return new StageCall(endpoint, List.copyOf(pieces), expectedMs);
 	}
 
-	// While full calls wait, a call that isn't full costs more than a request whose
-	// pieces
-	// are in two calls.
+	// While full calls wait, room in a call is worth more than whole requests.
 	private long fill(List<Piece> pieces, List<PieceGroup> groups, long freeBytes) {
 		long leftBytes = freeBytes;
 		for (PieceGroup group : groups) {
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -150,9 +150,8 @@
 		}
 	}
 
-	// A result that is made long before it is needed takes up room meanwhile: a stage
-	// waits
-	// until no other stage has more stages behind it.
+	// A result that is made long before it is needed takes up room meanwhile. A stage
+	// waits until no other stage has more stages behind it.
 	private boolean isEarly(int index) {
 		long behind = followers(index);
 		for (int i = 0; i < this.stages.size(); i++) {
