--- a/server/src/main/java/org/fulmargap/ledger/LogConfigService.java
+++ b/server/src/main/java/org/fulmargap/ledger/LogConfigService.java
@@ -279,8 +279,10 @@
 	private boolean readToEnd(long nowMs) {
 		try {
 			this.tailer.readToEnd(nowMs);
-			this.table.reachedEnd(nowMs).apply(this.timers);
+			DeferredActions answers = this.table.reachedEnd(nowMs);
+			// The listeners know a version before the caller of its patch gets an answer.
 			notifyListeners();
+			answers.apply(this.timers);
 			return true;
 		}
 		catch (IOException ex) {
--- a/server/src/main/java/org/fulmargap/server/RouterUpdater.java
+++ b/server/src/main/java/org/fulmargap/server/RouterUpdater.java
@@ -17,8 +17,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Updates the router and the admission periodically with the configuration in force, the
- * available endpoints and the members.
+ * Updates the router and the admission with the configuration in force, the available
+ * endpoints and the members: periodically, and at once when the configuration changes.
  */
 final class RouterUpdater implements AutoCloseable {
 
@@ -63,10 +63,11 @@
 	}
 
 	void start() {
+		this.config.onChange((state) -> update());
 		this.scheduler.scheduleWithFixedDelay(this::update, 0, INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private void update() {
+	private synchronized void update() {
 		try {
 			ConfigService.View view = this.config.current();
 			this.invariants.check(view.version() >= this.version, "VERSION_WENT_BACK", "", view.version(),
--- a/server/src/test/java/org/fulmargap/ledger/LogConfigServiceTests.java
+++ b/server/src/test/java/org/fulmargap/ledger/LogConfigServiceTests.java
@@ -1,5 +1,6 @@
 package org.fulmargap.ledger;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -74,6 +75,19 @@
 			}
 		}
 
+		@Test
+		void areKnownToListenersBeforeTheyAreAnswered() {
+			List<String> events = new ArrayList<>();
+			config("vm1").onChange((state) -> {
+				if (state.version() == 1) {
+					events.add("in force");
+				}
+			});
+			patch("vm1", "a", 0, 1).thenRun(() -> events.add("answered"));
+			run(500);
+			assertThat(events).startsWith("in force").contains("answered");
+		}
+
 		@Test
 		void ofConcurrentProposersAreAcceptedOnce() {
 			CompletableFuture<Decision> first = patch("vm1", "a", 0, 1);
--- a/standin/src/main/java/org/fulmargap/standin/EndpointStandIn.java
+++ b/standin/src/main/java/org/fulmargap/standin/EndpointStandIn.java
@@ -94,7 +94,7 @@
 	private void handle(Exchange exchange) {
 		String path = exchange.path();
 		if (path.equals("/control/faults")) {
-			this.faults.handle(exchange, this::applyTriggers);
+			this.faults.handle(exchange, this::applyTriggers, EndpointFaults::withoutTriggers);
 			return;
 		}
 		if (path.equals("/control/executions")) {
@@ -187,7 +187,7 @@
 		}
 	}
 
-	private EndpointFaults applyTriggers(EndpointFaults updated) {
+	private void applyTriggers(EndpointFaults updated) {
 		if (updated.silenceOpenConnections()) {
 			this.server.silenceOpenConnections();
 		}
@@ -202,7 +202,6 @@
 			// connections are closed.
 			this.timer.schedule(this::crash, 50, TimeUnit.MILLISECONDS);
 		}
-		return updated.withoutTriggers();
 	}
 
 	private void crash() {
--- a/standin/src/main/java/org/fulmargap/standin/FaultSettings.java
+++ b/standin/src/main/java/org/fulmargap/standin/FaultSettings.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -42,9 +43,10 @@
 	/**
 	 * Handles a request to read or change the faults.
 	 * @param exchange the request
-	 * @param triggers applies the one-shot faults and returns the faults that stay active
+	 * @param triggers applies the one-shot faults
+	 * @param lasting returns the faults that stay active
 	 */
-	void handle(Exchange exchange, UnaryOperator<T> triggers) {
+	void handle(Exchange exchange, Consumer<T> triggers, UnaryOperator<T> lasting) {
 		if ("GET".equals(exchange.method())) {
 			exchange.respond(200, current());
 			return;
@@ -56,7 +58,7 @@
 			}
 			try {
 				T updated = merge(Json.MAPPER.readTree(body));
-				this.current.set(triggers.apply(updated));
+				replace(updated, triggers, lasting);
 				exchange.respond(200, updated);
 			}
 			catch (UnrecognizedPropertyException ex) {
@@ -68,6 +70,18 @@
 		});
 	}
 
+	/**
+	 * Replaces the faults.
+	 * @param updated the new faults
+	 * @param triggers applies the one-shot faults
+	 * @param lasting returns the faults that stay active
+	 */
+	void replace(T updated, Consumer<T> triggers, UnaryOperator<T> lasting) {
+		// A run that a trigger releases looks at the current faults.
+		this.current.set(lasting.apply(updated));
+		triggers.accept(updated);
+	}
+
 	private T merge(JsonNode patch) throws JsonProcessingException, IOException {
 		if (!(patch instanceof ObjectNode changes)) {
 			throw new IOException("faults must be a JSON object");
--- a/standin/src/main/java/org/fulmargap/standin/PlatformStandIn.java
+++ b/standin/src/main/java/org/fulmargap/standin/PlatformStandIn.java
@@ -71,7 +71,8 @@
 	private void handle(Exchange exchange) {
 		String path = exchange.path();
 		if (path.equals("/control/faults")) {
-			this.faults.handle(exchange, UnaryOperator.identity());
+			this.faults.handle(exchange, (updated) -> {
+			}, UnaryOperator.identity());
 		}
 		else if (path.equals("/control/vms")) {
 			setVms(exchange);
