--- /dev/null
+++ b/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
@@ -0,0 +1,123 @@
+package org.fulmargap.fleet;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against VMs that keep work or a share of limits though they are lost, or lose
+ * them though they live.
+ */
+class FleetViewTests {
+
+	private final FleetView fleet = new FleetView(member("own", 1));
+
+	private static FleetMember member(String name, double capacity) {
+		return new FleetMember(name, "10.0.0.1:1", "a", capacity);
+	}
+
+	@BeforeEach
+	void list() {
+		this.fleet.put(member("large", 1), 0);
+		this.fleet.put(member("small", 0.25), 0);
+	}
+
+	private void confirmAll(long nowMs) {
+		this.fleet.confirm("large", false, nowMs);
+		this.fleet.confirm("small", false, nowMs);
+	}
+
+	@Nested
+	class Liveness {
+
+		@Test
+		void listedVmsArePresumedAliveForSomeTime() {
+			assertThat(FleetViewTests.this.fleet.isAlive("large", FleetView.PRESUMED_MS - 1)).isTrue();
+			assertThat(FleetViewTests.this.fleet.isAlive("large", FleetView.PRESUMED_MS)).isFalse();
+		}
+
+		@Test
+		void confirmationsExpire() {
+			confirmAll(10_000);
+			assertThat(FleetViewTests.this.fleet.isAlive("large", 10_000 + FleetView.CONFIRMATION_MS - 1)).isTrue();
+			assertThat(FleetViewTests.this.fleet.isAlive("large", 10_000 + FleetView.CONFIRMATION_MS)).isFalse();
+		}
+
+		@Test
+		void onlyConfirmedVmsAreReported() {
+			FleetViewTests.this.fleet.confirm("large", true, 100);
+			assertThat(FleetViewTests.this.fleet.confirmed(100)).containsExactly(new FleetView.VmState("large", true));
+		}
+
+		@Test
+		void namesThatAreNotListedAreIgnored() {
+			FleetViewTests.this.fleet.confirm("unknown", false, 100);
+			assertThat(FleetViewTests.this.fleet.isAlive("unknown", 100)).isFalse();
+			assertThat(FleetViewTests.this.fleet.count(100)).isEqualTo(3);
+		}
+
+	}
+
+	@Nested
+	class SharedLimits {
+
+		@Test
+		void areDividedAmongVmsThatWereAliveShortlyBefore() {
+			confirmAll(1_000);
+			FleetViewTests.this.fleet.reachable("large", false);
+			assertThat(FleetViewTests.this.fleet.count(1_000 + FleetView.COUNTED_MS - 1)).isEqualTo(3);
+			assertThat(FleetViewTests.this.fleet.count(1_000 + FleetView.COUNTED_MS)).isEqualTo(1);
+		}
+
+		@Test
+		void areDividedAmongVmsThatWereNotHeardYet() {
+			assertThat(FleetViewTests.this.fleet.count(60_000)).isEqualTo(3);
+		}
+
+	}
+
+	@Nested
+	class Coordinators {
+
+		private String coordinator(long nowMs) {
+			FleetViewTests.this.fleet.expire();
+			return FleetViewTests.this.fleet.coordinatorOf("stage-4", nowMs);
+		}
+
+		@Test
+		void areLargeVms() {
+			confirmAll(0);
+			for (int i = 0; i < 20; i++) {
+				assertThat(FleetViewTests.this.fleet.coordinatorOf("stage-" + i, 0)).isNotEqualTo("small");
+			}
+		}
+
+		@Test
+		void areReplacedWhenTheyAreLostDrainOrCannotBeReached() {
+			FleetView others = new FleetView(member("none", 0));
+			others.put(member("large", 1), 0);
+			assertThat(others.coordinatorOf("stage", 0)).isEqualTo("large");
+			others.confirm("large", true, 0);
+			assertThat(others.coordinatorOf("stage", 0)).isEqualTo("none");
+			others.confirm("large", false, 0);
+			assertThat(others.coordinatorOf("stage", 0)).isEqualTo("large");
+			others.reachable("large", false);
+			assertThat(others.coordinatorOf("stage", 0)).isEqualTo("none");
+			others.reachable("large", true);
+			others.expire();
+			assertThat(others.coordinatorOf("stage", FleetView.CONFIRMATION_MS)).isEqualTo("none");
+		}
+
+		@Test
+		void areOtherVmsThanOneThatDrains() {
+			FleetViewTests.this.fleet.drain();
+			confirmAll(0);
+			assertThat(coordinator(0)).isEqualTo("large");
+			assertThat(coordinator(60_000)).isEqualTo("own");
+		}
+
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMetrics.java
@@ -31,6 +31,15 @@
 		this.registry.counter(name).inc();
 	}
 
+	/**
+	 * Adds a number to a counter.
+	 * @param name the name of the counter
+	 * @param number the number, not negative
+	 */
+	public void add(String name, long number) {
+		this.registry.counter(name).inc(number);
+	}
+
 	/**
 	 * Adds a duration to a timer.
 	 * @param name the name of the timer
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -1,8 +1,9 @@
 package org.fulmargap.entry;
 
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
@@ -23,6 +24,9 @@
 import org.fulmargap.entry.request.ServiceTimes;
 import org.fulmargap.entry.stage.StageCallDispatcher;
 import org.fulmargap.entry.stage.StageClient;
+import org.fulmargap.fleet.EndpointLoad;
+import org.fulmargap.fleet.FleetMember;
+import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.placement.Endpoint;
 import org.fulmargap.placement.PeerLoad;
 import org.fulmargap.placement.Placement;
@@ -46,6 +50,12 @@
 	 */
 	private static final int CRASHES_TO_QUARANTINE = 3;
 
+	/**
+	 * The processor share, in cores, that a Mbit/s of the VM's link supports when it
+	 * relays for others.
+	 */
+	private static final double CORES_PER_MBPS = 0.02;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	/** How long new requests are still accepted after SIGTERM, in milliseconds. */
@@ -102,7 +112,8 @@
 	public EntryVm(NodeSettings settings, int metricsPort) {
 		this.settings = settings;
 		this.metricsPort = metricsPort;
-		this.peers = new PeerNetwork(settings.vm(), System.currentTimeMillis(), this.loop, this.clockMs);
+		this.peers = new PeerNetwork(ownMember(settings), System.currentTimeMillis(), this.loop, this.clockMs,
+				this.metrics);
 		EndpointPool pool = new EndpointPool(this.loop, this.clockMs);
 		SharedRetryBudget retries = new SharedRetryBudget(settings.retryRatio(), settings.retrySlack(),
 				settings.retryWindowMs());
@@ -118,13 +129,19 @@
 		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers);
 	}
 
+	private static FleetMember ownMember(NodeSettings settings) {
+		double capacity = Math.min(settings.processorCores(), settings.linkMbps() * CORES_PER_MBPS);
+		return new FleetMember(settings.vm(), settings.ip() + ':' + settings.firstPeerPort(), settings.failureDomain(),
+				capacity);
+	}
+
 	/**
 	 * Starts to listen for peers, readiness probes and callers, and to read the store.
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
 	public void start() throws InterruptedException {
 		this.peers.start(this.settings.ip(), this.settings.firstPeerPort(), this);
-		this.watch.start(this.settings.vm(), this.settings.ip() + ':' + this.settings.firstPeerPort());
+		this.watch.start(ownMember(this.settings));
 		ReadinessServer readiness = new ReadinessServer(this.loop, this::isReady, this.metrics);
 		String address = this.settings.readinessAddress();
 		readiness.listen(this.settings.ip(), Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
@@ -183,7 +200,7 @@
 	public void received(String peer, PeerMessage message) {
 		long nowMs = this.clockMs.getAsLong();
 		if (message instanceof PeerMessage.Heartbeat heartbeat) {
-			applyHeartbeat(peer, heartbeat, nowMs);
+			this.watch.compareOffsets(peer, heartbeat.nextOffsets(), nowMs);
 		}
 		else if (message instanceof PeerMessage.PromptSent sent) {
 			this.view.directory().find(sent.endpoint()).ifPresent((endpoint) -> recordPeerPrompt(endpoint, sent));
@@ -203,8 +220,8 @@
 		else if (message instanceof PeerMessage.RecordsRequest request) {
 			this.watch.sendRecords(peer, request);
 		}
-		else if (message instanceof PeerMessage.RecordsReply records) {
-			this.watch.received(records);
+		else if (message instanceof PeerMessage.Records records) {
+			this.watch.received(peer, records);
 		}
 		else if (message instanceof PeerMessage.CrashReport crashReport) {
 			this.quarantine.mergeCrashReports(Map.of(crashReport.fingerprint(), List.of(crashReport.endpoint())),
@@ -217,18 +234,15 @@
 		}
 	}
 
-	private void applyHeartbeat(String peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
-		this.admittedWork.recordReport(peer, heartbeat.admittedItems(), nowMs);
-		this.endpointReports.recordReport(peer, heartbeat.availableEndpoints(), nowMs);
-		this.watch.compareOffsets(peer, heartbeat.nextOffsets(), nowMs);
+	@Override
+	public void reported(String peer, LoadReport report) {
+		long nowMs = this.clockMs.getAsLong();
+		this.admittedWork.recordReport(peer, report.admittedItems(), nowMs);
+		report.availableEndpoints().forEach((vm, available) -> this.endpointReports.recordReport(vm, available, nowMs));
 		for (Endpoint endpoint : this.view.directory().all()) {
-			endpoint.recordReport(peer, new PeerLoad(0, 0, nowMs));
-		}
-		for (PeerMessage.Load load : heartbeat.loads()) {
-			this.view.directory()
-				.find(load.endpoint())
-				.ifPresent((endpoint) -> endpoint.recordReport(peer,
-						new PeerLoad(load.inFlight(), load.prefillTokens(), nowMs)));
+			EndpointLoad load = report.loads().get(endpoint.record().id());
+			endpoint.recordReport(peer, (load != null) ? new PeerLoad(load.inFlight(), load.prefillTokens(), nowMs)
+					: new PeerLoad(0, 0, nowMs));
 		}
 	}
 
@@ -250,27 +264,27 @@
 	}
 
 	@Override
-	public Map<String, Double> availableEndpoints() {
-		Map<String, Double> own = this.dispatcher.availableEndpoints();
-		this.endpointReports.recordReport(this.settings.vm(), own, this.clockMs.getAsLong());
-		return own;
+	public boolean isStoreReached() {
+		return this.watch.isStoreReached();
 	}
 
 	@Override
-	public Map<String, int[]> admittedItems() {
-		return this.admittedWork.own();
+	public Set<String> awaitedPeers() {
+		return this.stages.awaitedPeers();
 	}
 
 	@Override
-	public List<PeerMessage.Load> loads() {
-		List<PeerMessage.Load> loads = new ArrayList<>();
+	public LoadReport ownReport() {
+		Map<String, Double> available = this.dispatcher.availableEndpoints();
+		this.endpointReports.recordReport(this.settings.vm(), available, this.clockMs.getAsLong());
+		Map<String, EndpointLoad> loads = new HashMap<>();
 		for (Endpoint endpoint : this.view.directory().all()) {
 			if (endpoint.ownInFlight() > 0) {
-				loads.add(new PeerMessage.Load(endpoint.record().id(), endpoint.ownInFlight(),
-						endpoint.ownPrefillTokens()));
+				loads.put(endpoint.record().id(),
+						new EndpointLoad(endpoint.ownInFlight(), endpoint.ownPrefillTokens()));
 			}
 		}
-		return loads;
+		return new LoadReport(loads, this.admittedWork.own(), Map.of(this.settings.vm(), available));
 	}
 
 	@Override
--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -19,7 +19,8 @@
 
 	private static final long FIRST_RETRY_DELAY_MS = 100;
 
-	private static final long MAX_RETRY_DELAY_MS = 800;
+	/** How often a tail that is not needed looks whether it is now, in milliseconds. */
+	private static final long IDLE_CHECK_MS = 100;
 
 	private final StoreClient store;
 
@@ -33,13 +34,18 @@
 
 	private final Runnable outageListener;
 
+	private final Need need;
+
 	private long nextOffset = -1;
 
 	private long retryDelayMs = FIRST_RETRY_DELAY_MS;
 
-	private boolean reached;
+	// The records from the known offset on are deleted; the topic is listed again.
+	private boolean expired;
+
+	private volatile boolean reached;
 
-	private boolean failing;
+	private volatile boolean failing;
 
 	/**
 	 * Creates a tail that starts with the newest record of each key.
@@ -51,21 +57,38 @@
 	 * @param pages receives the pages, on the tail's thread
 	 * @param outageListener called on the tail's thread when an outage of the store
 	 * begins and when it ends
+	 * @param need whether and from where on the topic is to be read
 	 */
 	StoreTail(StoreClient store, StoreTopic topic, long minIntervalMs, LongSupplier clockMs, Consumer<StorePage> pages,
-			Runnable outageListener) {
+			Runnable outageListener, Need need) {
 		this.store = store;
 		this.topic = topic;
 		this.minIntervalMs = minIntervalMs;
 		this.clockMs = clockMs;
 		this.pages = pages;
 		this.outageListener = outageListener;
+		this.need = need;
+	}
+
+	/**
+	 * Returns whether the last read succeeded.
+	 * @return {@code true} if it did
+	 */
+	boolean isReached() {
+		return this.reached && !this.failing;
 	}
 
 	@Override
 	public void run() {
 		try {
 			while (!Thread.currentThread().isInterrupted()) {
+				if (!this.need.isNeeded()) {
+					Thread.sleep(IDLE_CHECK_MS);
+					continue;
+				}
+				if (!this.expired) {
+					this.nextOffset = Math.max(this.nextOffset, this.need.nextOffset());
+				}
 				long startedAtMs = this.clockMs.getAsLong();
 				long delayMs = readPage() - (this.clockMs.getAsLong() - startedAtMs);
 				if (delayMs > 0) {
@@ -83,6 +106,7 @@
 		try {
 			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic)
 					: this.store.read(this.topic, this.nextOffset, WAIT_MS);
+			this.expired = false;
 			this.nextOffset = page.nextOffset();
 			this.retryDelayMs = FIRST_RETRY_DELAY_MS;
 			if (!this.reached || this.failing) {
@@ -107,6 +131,7 @@
 	private long failed(StoreException ex) {
 		if (ex.type() == StoreException.Type.EXPIRED) {
 			EventLog.state("store_gap").with("topic", this.topic).with("offset", this.nextOffset).write();
+			this.expired = true;
 			this.nextOffset = -1;
 			return 0;
 		}
@@ -120,8 +145,33 @@
 			this.outageListener.run();
 		}
 		long delayMs = this.retryDelayMs;
-		this.retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, this.retryDelayMs * 2);
+		this.retryDelayMs = Math.min(this.need.maxRetryDelayMs(), this.retryDelayMs * 2);
 		return delayMs;
 	}
 
+	/**
+	 * What a VM needs to read by itself. Called on the tail's thread.
+	 */
+	interface Need {
+
+		/**
+		 * Returns whether the topic is to be read.
+		 * @return {@code false} while other VMs relay its records
+		 */
+		boolean isNeeded();
+
+		/**
+		 * Returns the offset up to which the records are known.
+		 * @return the offset; -1 if none are
+		 */
+		long nextOffset();
+
+		/**
+		 * Returns the longest delay before a failed read is repeated.
+		 * @return the delay in milliseconds
+		 */
+		long maxRetryDelayMs();
+
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -7,11 +7,15 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.fleet.FleetMember;
+import org.fulmargap.fleet.RecordLag;
 import org.fulmargap.placement.EndpointDirectory;
 import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.platform.EndpointRecordDecoder;
@@ -41,9 +45,24 @@
 	 */
 	private static final long OUTAGE_EXPIRY_MS = 2_500;
 
-	/** How long this VM is behind a peer before it requests records, in milliseconds. */
+	/**
+	 * How long this VM is behind a peer before it requests records, in milliseconds,
+	 * while it reads the store itself.
+	 */
 	private static final long BEHIND_MS = 900;
 
+	/** The longest delay before a hub repeats a failed read, in milliseconds. */
+	private static final long HUB_RETRY_DELAY_MS = 800;
+
+	/**
+	 * The longest delay before another VM repeats a failed read, in milliseconds. There
+	 * are many of them, and the hubs of all get the records of one that succeeds.
+	 */
+	private static final long MEMBER_RETRY_DELAY_MS = 3_000;
+
+	/** How often it is decided whether this VM reads the store, in milliseconds. */
+	private static final long NEED_INTERVAL_MS = 100;
+
 	/** The delay before the write of this VM's address is retried, in milliseconds. */
 	private static final long REGISTER_RETRY_DELAY_MS = 500;
 
@@ -59,10 +78,18 @@
 
 	private final Map<StoreTopic, TopicView> topics = new EnumMap<>(StoreTopic.class);
 
-	private final Map<StoreTopic, Long> behindSinceMs = new EnumMap<>(StoreTopic.class);
+	private final Map<StoreTopic, RecordLag> lags = new EnumMap<>(StoreTopic.class);
+
+	private final Map<StoreTopic, AtomicLong> nextOffsets = new EnumMap<>(StoreTopic.class);
+
+	private final Map<StoreTopic, StoreTail> tails = new EnumMap<>(StoreTopic.class);
 
 	private final List<Thread> threads = new ArrayList<>();
 
+	private volatile boolean hub = true;
+
+	private volatile boolean relayed;
+
 	private long storeOutageAtMs = Long.MIN_VALUE / 2;
 
 	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers) {
@@ -73,22 +100,45 @@
 		this.peers = peers;
 		for (StoreTopic topic : StoreTopic.values()) {
 			this.topics.put(topic, new TopicView());
+			this.lags.put(topic, new RecordLag());
+			this.nextOffsets.put(topic, new AtomicLong(-1));
 		}
 	}
 
-	void start(String vm, String peerAddress) {
+	void start(FleetMember own) {
 		follow(StoreTopic.OPERATOR, OPERATOR_INTERVAL_MS);
 		follow(StoreTopic.ENDPOINTS, ENDPOINTS_INTERVAL_MS);
-		run("register", () -> register(vm, peerAddress));
+		StoreTail members = tail(StoreTopic.MEMBERS, MEMBERS_INTERVAL_MS, () -> {
+		});
+		run("register", () -> register(own, members));
+		this.loop.scheduleWithFixedDelay(this::updateNeed, NEED_INTERVAL_MS, NEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
 	private void follow(StoreTopic topic, long minIntervalMs) {
-		StoreTail tail = new StoreTail(this.store, topic, minIntervalMs, this.clockMs,
-				(page) -> this.loop.execute(() -> apply(topic, page)),
-				() -> this.loop.execute(() -> this.storeOutageAtMs = this.clockMs.getAsLong()));
+		StoreTail tail = tail(topic, minIntervalMs, () -> this.storeOutageAtMs = this.clockMs.getAsLong());
+		this.tails.put(topic, tail);
 		run("tail-" + topic, tail);
 	}
 
+	private StoreTail tail(StoreTopic topic, long minIntervalMs, Runnable outageListener) {
+		return new StoreTail(this.store, topic, minIntervalMs, this.clockMs,
+				(page) -> this.loop.execute(() -> apply(topic, page)), () -> this.loop.execute(outageListener),
+				new TailNeed(topic));
+	}
+
+	private void updateNeed() {
+		this.hub = this.peers.isHub();
+		this.relayed = this.peers.isStoreRelayed();
+	}
+
+	/**
+	 * Returns whether this VM reads the store itself, without failures.
+	 * @return {@code true} if the last reads of configuration and endpoints succeeded
+	 */
+	boolean isStoreReached() {
+		return this.hub && this.tails.values().stream().allMatch(StoreTail::isReached);
+	}
+
 	private void run(String name, Runnable task) {
 		Thread thread = new Thread(task, name);
 		thread.setDaemon(true);
@@ -98,25 +148,22 @@
 
 	// Writes the address of this VM before it reads those of the others, so that of two
 	// VMs that start together at least one finds the other.
-	private void register(String vm, String peerAddress) {
+	private void register(FleetMember own, StoreTail members) {
 		try {
-			while (!put(vm, peerAddress)) {
+			while (!put(own)) {
 				Thread.sleep(REGISTER_RETRY_DELAY_MS);
 			}
-			new StoreTail(this.store, StoreTopic.MEMBERS, MEMBERS_INTERVAL_MS, this.clockMs,
-					(page) -> this.loop.execute(() -> apply(StoreTopic.MEMBERS, page)), () -> {
-					})
-				.run();
+			members.run();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
 	}
 
-	private boolean put(String vm, String peerAddress) {
+	private boolean put(FleetMember own) {
 		try {
-			this.store.put(StoreTopic.MEMBERS, vm, peerAddress.getBytes(StandardCharsets.UTF_8));
-			EventLog.state("registered").with("vm", vm).with("address", peerAddress).write();
+			this.store.put(StoreTopic.MEMBERS, own.name(), own.toText().getBytes(StandardCharsets.UTF_8));
+			EventLog.state("registered").with("vm", own.name()).with("address", own.address()).write();
 			return true;
 		}
 		catch (StoreException ex) {
@@ -126,7 +173,15 @@
 	}
 
 	private void apply(StoreTopic topic, StorePage page) {
+		long previousOffset = this.topics.get(topic).nextOffset();
 		StorePage fresh = this.topics.get(topic).apply(page);
+		long nextOffset = this.topics.get(topic).nextOffset();
+		this.nextOffsets.get(topic).set(nextOffset);
+		this.lags.get(topic).advanced(nextOffset);
+		if (nextOffset > previousOffset && previousOffset >= 0) {
+			StorePage news = new StorePage(fresh.records(), nextOffset, false);
+			this.peers.sendToMembers(new PeerMessage.Records(topic, previousOffset, news));
+		}
 		switch (topic) {
 			case OPERATOR -> applyOperatorPage(fresh);
 			case ENDPOINTS -> applyEndpointPage(fresh);
@@ -148,30 +203,28 @@
 
 	/**
 	 * Compares the offsets of this VM with those of a peer, and requests records from the
-	 * peer if this VM has been behind for 900 ms: the store may refuse its calls, or its
-	 * connection to the store may have stopped delivering.
+	 * peer if this VM is behind: the store may refuse its calls, its connection to the
+	 * store may have stopped delivering, or the hub's message was lost.
 	 * @param peer the name of the peer
 	 * @param offsets the peer's next offset of each topic, in the order of the topics
 	 * @param nowMs the current time in milliseconds
 	 */
 	void compareOffsets(String peer, List<Long> offsets, long nowMs) {
+		long patienceMs = (isStoreReached()) ? BEHIND_MS : 0;
 		for (StoreTopic topic : StoreTopic.values()) {
-			boolean behind = topic.ordinal() < offsets.size()
-					&& offsets.get(topic.ordinal()) > this.topics.get(topic).nextOffset();
-			if (!behind) {
-				this.behindSinceMs.remove(topic);
-				continue;
-			}
-			Long sinceMs = this.behindSinceMs.putIfAbsent(topic, nowMs);
-			if (sinceMs != null && nowMs - sinceMs > BEHIND_MS) {
-				this.behindSinceMs.put(topic, nowMs);
-				long from = this.topics.get(topic).nextOffset();
-				EventLog.state("records_wanted").with("topic", topic).with("peer", peer).with("offset", from).write();
-				this.peers.send(peer, new PeerMessage.RecordsRequest(topic, from));
+			if (topic.ordinal() < offsets.size()
+					&& this.lags.get(topic).shouldRequest(offsets.get(topic.ordinal()), patienceMs, nowMs)) {
+				request(peer, topic);
 			}
 		}
 	}
 
+	private void request(String peer, StoreTopic topic) {
+		long from = this.topics.get(topic).nextOffset();
+		EventLog.state("records_wanted").with("topic", topic).with("peer", peer).with("offset", from).write();
+		this.peers.send(peer, new PeerMessage.RecordsRequest(topic, from));
+	}
+
 	/**
 	 * Sends the requested records to a peer, unless this VM has not read the topic.
 	 * @param peer the name of the peer
@@ -180,16 +233,21 @@
 	void sendRecords(String peer, PeerMessage.RecordsRequest request) {
 		StorePage page = this.topics.get(request.topic()).since(request.from());
 		if (page.nextOffset() >= 0) {
-			this.peers.send(peer, new PeerMessage.RecordsReply(request.topic(), page));
+			this.peers.send(peer, new PeerMessage.Records(request.topic(), request.from(), page));
 		}
 	}
 
 	/**
-	 * Applies records that a peer relayed.
+	 * Applies records that a peer relayed, unless records before them are missing.
+	 * @param peer the name of the peer
 	 * @param records the records
 	 */
-	void received(PeerMessage.RecordsReply records) {
-		this.behindSinceMs.remove(records.topic());
+	void received(String peer, PeerMessage.Records records) {
+		boolean complete = records.page().isComplete();
+		if (!complete && records.from() > this.topics.get(records.topic()).nextOffset()) {
+			request(peer, records.topic());
+			return;
+		}
 		apply(records.topic(), records.page());
 	}
 
@@ -284,14 +342,56 @@
 				this.peers.removePeer(record.key());
 			}
 			else {
-				this.peers.updatePeer(record.key(), new String(record.value(), StandardCharsets.UTF_8));
+				updateMember(record);
 			}
 		}
 	}
 
+	private void updateMember(KeyedRecord record) {
+		try {
+			this.peers.updatePeer(FleetMember.parse(record.key(), new String(record.value(), StandardCharsets.UTF_8)));
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.state("member_record_refused")
+				.with("key", record.key())
+				.with("offset", record.offset())
+				.with("cause", ex.getMessage())
+				.write();
+		}
+	}
+
 	@Override
 	public void close() {
 		this.threads.forEach(Thread::interrupt);
 	}
 
+	/**
+	 * Hubs read the store. Other VMs read it only at their start and while no hub relays
+	 * its records.
+	 */
+	private final class TailNeed implements StoreTail.Need {
+
+		private final StoreTopic topic;
+
+		private TailNeed(StoreTopic topic) {
+			this.topic = topic;
+		}
+
+		@Override
+		public boolean isNeeded() {
+			return StoreWatch.this.hub || !StoreWatch.this.relayed || nextOffset() < 0;
+		}
+
+		@Override
+		public long nextOffset() {
+			return StoreWatch.this.nextOffsets.get(this.topic).get();
+		}
+
+		@Override
+		public long maxRetryDelayMs() {
+			return (StoreWatch.this.hub) ? HUB_RETRY_DELAY_MS : MEMBER_RETRY_DELAY_MS;
+		}
+
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/TopicView.java
+++ b/entry/src/main/java/org/fulmargap/entry/TopicView.java
@@ -21,6 +21,9 @@
 
 	private long nextOffset = -1;
 
+	// Removals before this offset are not known.
+	private long removalsFrom = Long.MAX_VALUE;
+
 	/**
 	 * Applies a page.
 	 * @param page the page
@@ -41,6 +44,9 @@
 		if (page.isComplete()) {
 			addRemovals(page, listed, fresh);
 		}
+		if (this.nextOffset < 0) {
+			this.removalsFrom = (page.isComplete()) ? page.nextOffset() : 0;
+		}
 		this.nextOffset = Math.max(this.nextOffset, page.nextOffset());
 		return new StorePage(fresh, page.nextOffset(), page.isComplete());
 	}
@@ -59,19 +65,21 @@
 
 	/**
 	 * Returns the newest record of each key whose offset is not below the given one, in
-	 * the order of the offsets.
-	 * @param from the first offset; if negative, the page is complete and has no removals
+	 * the order of the offsets. The page is a complete one without removals if this view
+	 * doesn't know all removals from that offset on.
+	 * @param from the first offset
 	 * @return the records
 	 */
 	StorePage since(long from) {
+		boolean complete = from < this.removalsFrom;
 		List<KeyedRecord> records = new ArrayList<>();
 		for (KeyedRecord record : this.newest.values()) {
-			if (record.offset() >= from && !(from < 0 && record.isRemoval())) {
+			if ((complete) ? !record.isRemoval() : record.offset() >= from) {
 				records.add(record);
 			}
 		}
 		records.sort(Comparator.comparingLong(KeyedRecord::offset));
-		return new StorePage(records, this.nextOffset, from < 0);
+		return new StorePage(records, this.nextOffset, complete);
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -8,6 +8,10 @@
 
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.entry.stage.WorkItemOutcome;
+import org.fulmargap.fleet.EndpointLoad;
+import org.fulmargap.fleet.FleetMember;
+import org.fulmargap.fleet.FleetView;
+import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.PromptPart;
 import org.fulmargap.platform.KeyedRecord;
@@ -41,21 +45,12 @@
 
 	private static void write(MessageBufferPacker out, PeerMessage message, long nowMs) throws IOException {
 		if (message instanceof PeerMessage.Hello hello) {
-			out.packInt(Type.HELLO.ordinal()).packString(hello.vm()).packLong(hello.startedAtMs());
-			out.packString(hello.address());
+			FleetMember sender = hello.sender();
+			out.packInt(Type.HELLO.ordinal()).packString(sender.name()).packString(sender.address());
+			out.packString(sender.failureDomain()).packDouble(sender.capacity()).packLong(hello.startedAtMs());
 		}
 		else if (message instanceof PeerMessage.Heartbeat heartbeat) {
-			out.packInt(Type.HEARTBEAT.ordinal()).packBoolean(heartbeat.draining()).packBoolean(heartbeat.receiving());
-			out.packArrayHeader(heartbeat.loads().size());
-			for (PeerMessage.Load load : heartbeat.loads()) {
-				out.packString(load.endpoint()).packInt(load.inFlight()).packLong(load.prefillTokens());
-			}
-			writeAdmitted(out, heartbeat.admittedItems());
-			writeAvailable(out, heartbeat.availableEndpoints());
-			out.packArrayHeader(heartbeat.nextOffsets().size());
-			for (long offset : heartbeat.nextOffsets()) {
-				out.packLong(offset);
-			}
+			writeHeartbeat(out, heartbeat);
 		}
 		else if (message instanceof PeerMessage.PromptSent sent) {
 			out.packInt(Type.PROMPT_SENT.ordinal()).packString(sent.endpoint());
@@ -68,11 +63,32 @@
 			}
 		}
 		else {
-			writeOther(out, message);
+			writeOther(out, message, nowMs);
+		}
+	}
+
+	private static void writeHeartbeat(MessageBufferPacker out, PeerMessage.Heartbeat heartbeat) throws IOException {
+		out.packInt(Type.HEARTBEAT.ordinal()).packInt(heartbeat.relation().ordinal());
+		out.packBoolean(heartbeat.draining()).packBoolean(heartbeat.receiving()).packBoolean(heartbeat.storeReached());
+		LoadReport report = heartbeat.report();
+		out.packMapHeader(report.loads().size());
+		for (Map.Entry<String, EndpointLoad> endpoint : report.loads().entrySet()) {
+			EndpointLoad load = endpoint.getValue();
+			out.packString(endpoint.getKey()).packInt(load.inFlight()).packLong(load.prefillTokens());
+		}
+		writeAdmitted(out, report.admittedItems());
+		out.packMapHeader(report.availableEndpoints().size());
+		for (Map.Entry<String, Map<String, Double>> vm : report.availableEndpoints().entrySet()) {
+			out.packString(vm.getKey());
+			writeAvailable(out, vm.getValue());
+		}
+		out.packArrayHeader(heartbeat.nextOffsets().size());
+		for (long offset : heartbeat.nextOffsets()) {
+			out.packLong(offset);
 		}
 	}
 
-	private static void writeOther(MessageBufferPacker out, PeerMessage message) throws IOException {
+	private static void writeOther(MessageBufferPacker out, PeerMessage message, long nowMs) throws IOException {
 		if (message instanceof PeerMessage.Outcomes outcomes) {
 			out.packInt(Type.OUTCOMES.ordinal()).packArrayHeader(outcomes.outcomes().size());
 			for (WorkItemOutcome outcome : outcomes.outcomes()) {
@@ -92,8 +108,23 @@
 		else if (message instanceof PeerMessage.RecordsRequest request) {
 			out.packInt(Type.RECORDS_REQUEST.ordinal()).packInt(request.topic().ordinal()).packLong(request.from());
 		}
-		else if (message instanceof PeerMessage.RecordsReply records) {
-			out.packInt(Type.RECORDS_REPLY.ordinal());
+		else if (message instanceof PeerMessage.LiveVms live) {
+			out.packInt(Type.LIVE_VMS.ordinal()).packArrayHeader(live.vms().size());
+			for (FleetView.VmState vm : live.vms()) {
+				out.packString(vm.name()).packBoolean(vm.draining());
+			}
+		}
+		else if (message instanceof PeerMessage.Batch batch) {
+			out.packInt(Type.BATCH.ordinal()).packArrayHeader(batch.messages().size());
+			for (PeerMessage part : batch.messages()) {
+				write(out, part, nowMs);
+			}
+		}
+		else if (message instanceof PeerMessage.Ping ping) {
+			out.packInt(Type.PING.ordinal()).packBoolean(ping.answer()).packBoolean(ping.receiving());
+		}
+		else if (message instanceof PeerMessage.Records records) {
+			out.packInt(Type.RECORDS.ordinal());
 			writeRecords(out, records);
 		}
 		else if (message instanceof PeerMessage.CrashReport crashReport) {
@@ -152,9 +183,12 @@
 		return offsets;
 	}
 
-	private static void writeRecords(MessageBufferPacker out, PeerMessage.RecordsReply message) throws IOException {
+	private static void writeRecords(MessageBufferPacker out, PeerMessage.Records message) throws IOException {
 		StorePage page = message.page();
-		out.packInt(message.topic().ordinal()).packLong(page.nextOffset()).packBoolean(page.isComplete());
+		out.packInt(message.topic().ordinal())
+			.packLong(message.from())
+			.packLong(page.nextOffset())
+			.packBoolean(page.isComplete());
 		out.packArrayHeader(page.records().size());
 		for (KeyedRecord record : page.records()) {
 			out.packString(record.key()).packLong(record.offset()).packBinaryHeader(record.value().length);
@@ -162,8 +196,9 @@
 		}
 	}
 
-	private static PeerMessage.RecordsReply readRecords(MessageUnpacker in) throws IOException {
+	private static PeerMessage.Records readRecords(MessageUnpacker in) throws IOException {
 		StoreTopic topic = readTopic(in);
+		long from = in.unpackLong();
 		long nextOffset = in.unpackLong();
 		boolean complete = in.unpackBoolean();
 		List<KeyedRecord> records = new ArrayList<>();
@@ -172,7 +207,7 @@
 			long offset = in.unpackLong();
 			records.add(new KeyedRecord(key, in.readPayload(in.unpackBinaryHeader()), offset));
 		}
-		return new PeerMessage.RecordsReply(topic, new StorePage(records, nextOffset, complete));
+		return new PeerMessage.Records(topic, from, new StorePage(records, nextOffset, complete));
 	}
 
 	private static StoreTopic readTopic(MessageUnpacker in) throws IOException {
@@ -217,26 +252,71 @@
 	 */
 	static PeerMessage decode(byte[] bytes, long nowMs) throws IOException {
 		try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
-			int type = in.unpackInt();
-			if (type < 0 || type >= Type.values().length) {
-				throw new IOException("unknown message type: " + type);
-			}
-			return Type.values()[type].read(in, nowMs);
+			return read(in, nowMs);
 		}
 		catch (RuntimeException ex) {
 			throw new IOException("malformed message", ex);
 		}
 	}
 
+	private static PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+		int type = in.unpackInt();
+		if (type < 0 || type >= Type.values().length) {
+			throw new IOException("unknown message type: " + type);
+		}
+		return Type.values()[type].read(in, nowMs);
+	}
+
+	private static PeerMessage.Batch readBatch(MessageUnpacker in, long nowMs) throws IOException {
+		List<PeerMessage> messages = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			PeerMessage part = PeerCodec.read(in, nowMs);
+			if (part instanceof PeerMessage.Batch) {
+				throw new IOException("a batch inside a batch");
+			}
+			messages.add(part);
+		}
+		return new PeerMessage.Batch(messages);
+	}
+
+	private static PeerMessage.Hello readHello(MessageUnpacker in) throws IOException {
+		FleetMember sender = new FleetMember(in.unpackString(), in.unpackString(), in.unpackString(),
+				in.unpackDouble());
+		return new PeerMessage.Hello(sender, in.unpackLong());
+	}
+
 	private static PeerMessage.Heartbeat readHeartbeat(MessageUnpacker in) throws IOException {
+		PeerRelation relation = readRelation(in);
 		boolean draining = in.unpackBoolean();
 		boolean receiving = in.unpackBoolean();
-		List<PeerMessage.Load> loads = new ArrayList<>();
+		boolean storeReached = in.unpackBoolean();
+		Map<String, EndpointLoad> loads = new HashMap<>();
+		for (int i = readMapSize(in); i > 0; i--) {
+			loads.put(in.unpackString(), new EndpointLoad(in.unpackInt(), in.unpackLong()));
+		}
+		Map<String, int[]> admitted = readAdmitted(in);
+		Map<String, Map<String, Double>> available = new HashMap<>();
+		for (int i = readMapSize(in); i > 0; i--) {
+			available.put(in.unpackString(), readAvailable(in));
+		}
+		return new PeerMessage.Heartbeat(relation, draining, receiving, storeReached,
+				new LoadReport(loads, admitted, available), readOffsets(in));
+	}
+
+	private static PeerRelation readRelation(MessageUnpacker in) throws IOException {
+		int relation = in.unpackInt();
+		if (relation < 0 || relation >= PeerRelation.values().length) {
+			throw new IOException("unknown relation: " + relation);
+		}
+		return PeerRelation.values()[relation];
+	}
+
+	private static PeerMessage.LiveVms readLiveVms(MessageUnpacker in) throws IOException {
+		List<FleetView.VmState> vms = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
-			loads.add(new PeerMessage.Load(in.unpackString(), in.unpackInt(), in.unpackLong()));
+			vms.add(new FleetView.VmState(in.unpackString(), in.unpackBoolean()));
 		}
-		return new PeerMessage.Heartbeat(draining, receiving, loads, readAdmitted(in), readAvailable(in),
-				readOffsets(in));
+		return new PeerMessage.LiveVms(vms);
 	}
 
 	private static Prompt readPrompt(MessageUnpacker in) throws IOException {
@@ -310,7 +390,7 @@
 		HELLO {
 			@Override
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
-				return new PeerMessage.Hello(in.unpackString(), in.unpackLong(), in.unpackString());
+				return readHello(in);
 			}
 		},
 
@@ -372,11 +452,32 @@
 			}
 		},
 
-		RECORDS_REPLY {
+		RECORDS {
 			@Override
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
 				return readRecords(in);
 			}
+		},
+
+		LIVE_VMS {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return readLiveVms(in);
+			}
+		},
+
+		BATCH {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return readBatch(in, nowMs);
+			}
+		},
+
+		PING {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.Ping(in.unpackBoolean(), in.unpackBoolean());
+			}
 		};
 
 		abstract PeerMessage read(MessageUnpacker in, long nowMs) throws IOException;
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
@@ -1,7 +1,9 @@
 package org.fulmargap.entry.peer;
 
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
+
+import org.fulmargap.fleet.LoadReport;
 
 /**
  * Handles the messages of other entry VMs and supplies the content of heartbeats. Called
@@ -16,6 +18,13 @@
 	 */
 	void received(String peer, PeerMessage message);
 
+	/**
+	 * Handles a new load report, which replaces the last one of its sender.
+	 * @param peer the name of the sender
+	 * @param report the report; {@link LoadReport#NONE} if the sender reports no longer
+	 */
+	void reported(String peer, LoadReport report);
+
 	/**
 	 * Handles the loss of a peer: it is silent, its connection closed, it receives
 	 * nothing from this VM, it restarted or it left. May be called several times for one
@@ -26,27 +35,26 @@
 
 	/**
 	 * Returns the load that this VM puts on endpoints, for heartbeats.
-	 * @return the loads of the endpoints with requests in flight
+	 * @return the load
 	 */
-	List<PeerMessage.Load> loads();
+	LoadReport ownReport();
 
 	/**
-	 * Returns the work items that this VM's requests still need, for heartbeats.
-	 * @return the numbers of work items by rank, by service
+	 * Returns the next offset of each topic of the store, for heartbeats.
+	 * @return the offsets in the order of the topics; -1 for a topic that was not read
 	 */
-	Map<String, int[]> admittedItems();
+	List<Long> nextOffsets();
 
 	/**
-	 * Returns the available endpoints of the services that this VM coordinates, for
-	 * heartbeats.
-	 * @return the number of endpoints of usual speed, by service
+	 * Returns whether this VM reads the store itself, without failures.
+	 * @return {@code true} if its last reads succeeded
 	 */
-	Map<String, Double> availableEndpoints();
+	boolean isStoreReached();
 
 	/**
-	 * Returns the next offset of each topic of the store, for heartbeats.
-	 * @return the offsets in the order of the topics; -1 for a topic that was not read
+	 * Returns the VMs that have work of this VM.
+	 * @return their names
 	 */
-	List<Long> nextOffsets();
+	Set<String> awaitedPeers();
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -1,10 +1,12 @@
 package org.fulmargap.entry.peer;
 
 import java.util.List;
-import java.util.Map;
 
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.entry.stage.WorkItemOutcome;
+import org.fulmargap.fleet.FleetMember;
+import org.fulmargap.fleet.FleetView;
+import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
@@ -17,40 +19,47 @@
 	/**
 	 * The first message on a connection.
 	 *
-	 * @param vm the name of the sender
+	 * @param sender the sender
 	 * @param startedAtMs when it started, in milliseconds since the epoch
-	 * @param address the address that it listens on, as {@code IP:port}
 	 */
-	record Hello(String vm, long startedAtMs, String address) implements PeerMessage {
+	record Hello(FleetMember sender, long startedAtMs) implements PeerMessage {
 	}
 
 	/**
-	 * Reports that the sender is alive, its load and its read positions in the store.
+	 * Names the VMs whose state the sender's next heartbeats confirm. Sent when the list
+	 * has changed, before the heartbeat.
 	 *
+	 * @param vms the VMs that are alive, without the sender
+	 */
+	record LiveVms(List<FleetView.VmState> vms) implements PeerMessage {
+	}
+
+	/**
+	 * Reports that the sender is alive, the load and its read positions in the store.
+	 *
+	 * @param relation what the receiver is to the sender, which decides on the content of
+	 * the report
 	 * @param draining whether the sender is shutting down
 	 * @param receiving whether the sender currently receives messages from the receiver;
 	 * a connection can stop delivering without being closed, which only its receiving end
 	 * notices
-	 * @param loads the requests in flight, only for endpoints with some
-	 * @param admittedItems the numbers of work items that its requests still need, by
-	 * rank, by service
-	 * @param availableEndpoints the available endpoints of the services that the sender
-	 * coordinates, in units of endpoints of usual speed
+	 * @param storeReached whether the sender gets the newest records of the store
+	 * @param report the load of the sender and of VMs that it reports for
 	 * @param nextOffsets the next offset of each topic of the store, in the order of the
 	 * topics; -1 for a topic that was not read
 	 */
-	record Heartbeat(boolean draining, boolean receiving, List<Load> loads, Map<String, int[]> admittedItems,
-			Map<String, Double> availableEndpoints, List<Long> nextOffsets) implements PeerMessage {
+	record Heartbeat(PeerRelation relation, boolean draining, boolean receiving, boolean storeReached,
+			LoadReport report, List<Long> nextOffsets) implements PeerMessage {
 	}
 
 	/**
-	 * Requests in flight at one endpoint.
+	 * Asks for a sign of life from a VM that exchanges no heartbeats with the sender, or
+	 * gives it.
 	 *
-	 * @param endpoint the name of the endpoint
-	 * @param inFlight the number of requests
-	 * @param prefillTokens the prompt tokens that the endpoint has not processed yet
+	 * @param answer whether this is the answer
+	 * @param receiving whether the sender currently receives messages from the receiver
 	 */
-	record Load(String endpoint, int inFlight, long prefillTokens) {
+	record Ping(boolean answer, boolean receiving) implements PeerMessage {
 	}
 
 	/**
@@ -63,12 +72,14 @@
 	}
 
 	/**
-	 * The records that answer a {@link RecordsRequest}.
+	 * Records that answer a {@link RecordsRequest}, or new ones for a VM that relies on
+	 * the sender.
 	 *
 	 * @param topic the topic
+	 * @param from the first offset that the page covers; ignored if it is complete
 	 * @param page the records
 	 */
-	record RecordsReply(StoreTopic topic, StorePage page) implements PeerMessage {
+	record Records(StoreTopic topic, long from, StorePage page) implements PeerMessage {
 	}
 
 	/**
@@ -126,4 +137,12 @@
 	record CrashReport(String fingerprint, String endpoint) implements PeerMessage {
 	}
 
+	/**
+	 * Several messages in one frame, in the order in which they are to be handled.
+	 *
+	 * @param messages the messages, none of which is a batch
+	 */
+	record Batch(List<PeerMessage> messages) implements PeerMessage {
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -1,60 +1,48 @@
 package org.fulmargap.entry.peer;
 
-import java.net.InetSocketAddress;
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
+import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
+import org.fulmargap.fleet.FleetMember;
+import org.fulmargap.fleet.FleetView;
+import org.fulmargap.fleet.Hubs;
+import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.LoadReports;
 
 /**
- * The connections to the other entry VMs. Each VM sends only on connections that it
- * opened and reads only from those that it accepted. Confined to its event loop.
+ * The messages between entry VMs. Hubs exchange heartbeats with all other hubs, the other
+ * VMs with one hub; all further messages go directly to the VM that they are for. Each VM
+ * sends only on connections that it opened and reads only from those that it accepted.
+ * Confined to its event loop.
  */
 public final class PeerNetwork {
 
-	/** The interval of heartbeats to each peer, in milliseconds. */
+	/** The number of bytes that state the length of a frame. */
+	static final int LENGTH_BYTES = 4;
+
+	/** The interval of heartbeats, in milliseconds. */
 	private static final long HEARTBEAT_MS = 250;
 
-	/** A peer counts as lost after this time without a message, in milliseconds. */
+	/** A peer counts as lost after this time without an expected message, in ms. */
 	private static final long LOST_AFTER_MS = 900;
 
-	/** A peer counts in shared limits until this long after its last message, in ms. */
-	private static final long COUNTED_MS = 20_000;
-
-	/** The first delay before a connection is retried, in milliseconds; it doubles. */
-	private static final long RECONNECT_MS = 400;
-
-	/** The longest delay before a connection is retried, in milliseconds. */
-	private static final long MAX_RECONNECT_MS = 5_000;
-
-	private static final int CONNECT_TIMEOUT_MS = 500;
-
-	private static final int MAX_FRAME_BYTES = 4 << 20;
-
-	private static final int LENGTH_BYTES = 4;
-
-	/** Messages to a peer are dropped while more bytes than this are unsent. */
-	private static final int MAX_UNSENT_BYTES = 1 << 20;
+	/**
+	 * A peer that has work of this VM and exchanges no heartbeats with it is pinged after
+	 * this time without a message, in milliseconds.
+	 */
+	private static final long PING_AFTER_MS = 500;
 
-	private final String ownName;
+	private final FleetView fleet;
 
 	private final long startedAtMs;
 
@@ -62,11 +50,19 @@
 
 	private final LongSupplier clockMs;
 
-	private final Map<String, Peer> peers = new HashMap<>();
+	private final EntryMetrics metrics;
+
+	private final Map<String, Peer> peers = new TreeMap<>();
+
+	private final LoadReports reports = new LoadReports();
+
+	private final EventRelay events = new EventRelay();
 
 	private PeerListener listener;
 
-	private String ownAddress;
+	private Hubs hubs;
+
+	private String ownHub;
 
 	private boolean draining;
 
@@ -74,16 +70,19 @@
 
 	/**
 	 * Creates a network without peers.
-	 * @param ownName the name of this VM
+	 * @param own this VM
 	 * @param startedAtMs when this process started, in milliseconds since the epoch
 	 * @param loop the event loop
 	 * @param clockMs the current time in milliseconds
+	 * @param metrics counts messages and bytes
 	 */
-	public PeerNetwork(String ownName, long startedAtMs, EventLoop loop, LongSupplier clockMs) {
-		this.ownName = ownName;
+	public PeerNetwork(FleetMember own, long startedAtMs, EventLoop loop, LongSupplier clockMs, EntryMetrics metrics) {
+		this.fleet = new FleetView(own);
 		this.startedAtMs = startedAtMs;
 		this.loop = loop;
 		this.clockMs = clockMs;
+		this.metrics = metrics;
+		this.hubs = this.fleet.hubs(clockMs.getAsLong());
 	}
 
 	/**
@@ -95,42 +94,19 @@
 	 */
 	public void start(String ip, int port, PeerListener newListener) throws InterruptedException {
 		this.listener = newListener;
-		this.ownAddress = ip + ':' + port;
-		new ServerBootstrap().group(this.loop)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_REUSEADDR, true)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(new ChannelInitializer<Channel>() {
-				@Override
-				protected void initChannel(Channel channel) {
-					channel.pipeline().addLast(decoder(), new Receiver());
-				}
-			})
-			.bind(new InetSocketAddress(ip, port))
-			.sync();
+		new PeerServer(this.loop, this.clockMs, new Inbox()).listen(ip, port);
 		this.loop.scheduleWithFixedDelay(this::tick, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private static LengthFieldBasedFrameDecoder decoder() {
-		return new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
-	}
-
 	/**
-	 * Adds a VM or updates its address, and connects to it if the address is new. The
-	 * name of this VM is ignored.
-	 * @param vm the name of the VM
-	 * @param address its address as {@code IP:port}
+	 * Adds a VM or updates its address. This VM itself is ignored.
+	 * @param member the VM
 	 */
-	public void updatePeer(String vm, String address) {
-		if (vm.equals(this.ownName)) {
-			return;
-		}
-		Peer peer = this.peers.computeIfAbsent(vm, (name) -> new Peer(name));
-		if (!address.equals(peer.address)) {
-			peer.address = address;
-			peer.disconnect();
-			peer.reconnectMs = RECONNECT_MS;
-			peer.connect();
+	public void updatePeer(FleetMember member) {
+		this.fleet.put(member, this.clockMs.getAsLong());
+		Peer known = this.peers.get(member.name());
+		if (known != null) {
+			known.link().address(member.address());
 		}
 	}
 
@@ -139,20 +115,21 @@
 	 * @param vm the name of the VM
 	 */
 	public void removePeer(String vm) {
+		this.fleet.remove(vm);
 		Peer peer = this.peers.remove(vm);
 		if (peer != null) {
-			peer.removed = true;
-			peer.disconnect();
-			peer.markLost("left");
+			peer.link().close();
+			lose(peer, "left");
 		}
 	}
 
 	/**
-	 * Reports to the peers that this VM is shutting down; its services get other
-	 * coordinators.
+	 * Reports to the peers that this VM is shutting down; others take over what it does
+	 * for them.
 	 */
 	public void drain() {
 		this.draining = true;
+		this.fleet.drain();
 		tick();
 	}
 
@@ -161,347 +138,387 @@
 	 * @return the name
 	 */
 	public String ownName() {
-		return this.ownName;
+		return this.fleet.own().name();
 	}
 
 	/**
-	 * Returns the number of entry VMs over which shared limits are divided: this one, the
-	 * peers with a message in the last 20 s, and those that have not sent any yet.
+	 * Returns the number of entry VMs over which shared limits are divided: this one,
+	 * those that were alive in the last 20 s, and those that were not heard of yet.
 	 * @return the number
 	 */
 	public int vmCount() {
-		long nowMs = this.clockMs.getAsLong();
-		int count = 1;
-		for (Peer peer : this.peers.values()) {
-			boolean counted = peer.lastContactAtMs == Long.MIN_VALUE || nowMs - peer.lastContactAtMs < COUNTED_MS;
-			count += (counted) ? 1 : 0;
-		}
-		return count;
+		return this.fleet.count(this.clockMs.getAsLong());
 	}
 
 	/**
-	 * Returns the coordinator of a service, as seen by this VM: the one with the highest
-	 * hash of service and name among this VM and the connected peers that are not
-	 * draining. A draining VM names itself only if there is no other.
+	 * Returns the coordinator of a service, as seen by this VM.
 	 * @param service the name of the service
 	 * @return the name of the coordinator
 	 */
 	public String coordinatorOf(String service) {
-		String best = this.ownName;
-		int bestRank = (this.draining) ? Integer.MIN_VALUE : rank(service, this.ownName);
-		for (Peer peer : this.peers.values()) {
-			if (peer.alive && !peer.draining && peer.isConnected()) {
-				int rank = rank(service, peer.name);
-				if (rank > bestRank) {
-					best = peer.name;
-					bestRank = rank;
-				}
-			}
-		}
-		return best;
+		return this.fleet.coordinatorOf(service, this.clockMs.getAsLong());
 	}
 
-	private static int rank(String service, String vm) {
-		int hash = (service + '@' + vm).hashCode() * 0x9E3779B9;
-		return (hash ^ (hash >>> 15)) * 0x85EBCA6B;
+	/**
+	 * Returns whether this VM is a hub, which reads the store for others.
+	 * @return {@code true} if it is one
+	 */
+	public boolean isHub() {
+		return this.ownHub == null;
+	}
+
+	/**
+	 * Returns whether the hub of this VM relays the records of the store.
+	 * @return {@code true} if it sends heartbeats and gets the newest records
+	 */
+	public boolean isStoreRelayed() {
+		Peer hub = (this.ownHub != null) ? this.peers.get(this.ownHub) : null;
+		return hub != null && hub.relation() == PeerRelation.MEMBER && hub.isStoreReached();
 	}
 
 	/**
-	 * Sends a message to a peer.
-	 * @param vm the name of the peer
+	 * Sends a message to a VM.
+	 * @param vm the name of the VM
 	 * @param message the message
-	 * @return {@code false} if it was dropped because there is no connection or too many
-	 * bytes are unsent; {@code true} does not mean that it was received
+	 * @return {@code false} if it was dropped because the VM is unknown or not reachable,
+	 * or too many bytes are unsent; {@code true} does not mean that it was received
 	 */
 	public boolean send(String vm, PeerMessage message) {
 		Peer peer = this.peers.get(vm);
-		return peer != null && peer.send(message);
+		if (peer == null && this.fleet.find(vm).isPresent()) {
+			peer = peer(vm, this.fleet.find(vm).get().address());
+		}
+		return peer != null && send(peer, message);
+	}
+
+	private boolean send(Peer peer, PeerMessage message) {
+		byte[] frame = PeerCodec.encode(message, this.clockMs.getAsLong());
+		boolean sent = peer.link().send(frame);
+		if (sent) {
+			this.metrics.count("peer_sent");
+			this.metrics.add("peer_sent_bytes", frame.length);
+		}
+		return sent;
 	}
 
 	/**
-	 * Sends a message to all connected peers.
+	 * Sends a message to the VMs that rely on this one.
 	 * @param message the message
 	 */
-	public void sendAll(PeerMessage message) {
-		byte[] frame = encode(message);
-		this.peers.values().forEach((peer) -> peer.send(frame));
+	public void sendToMembers(PeerMessage message) {
+		this.peers.values().stream().filter(Peer::isMember).forEach((member) -> send(member, message));
+	}
+
+	/**
+	 * Tells all VMs of an event: at once if this VM exchanges heartbeats with all of
+	 * them, else with the next heartbeats.
+	 * @param event a message about the event
+	 */
+	public void announce(PeerMessage event) {
+		if (!isHub() || hasMembers()) {
+			this.events.add(ownName(), event);
+			return;
+		}
+		for (String hub : this.hubs.names()) {
+			if (!hub.equals(ownName())) {
+				send(hub, event);
+			}
+		}
+	}
+
+	private boolean hasMembers() {
+		return this.peers.values().stream().anyMatch(Peer::isMember);
 	}
 
-	private byte[] encode(PeerMessage message) {
-		return PeerCodec.encode(message, this.clockMs.getAsLong());
+	private Peer peer(String name, String address) {
+		Peer known = this.peers.get(name);
+		if (known == null) {
+			LinkListener linkListener = new LinkListener();
+			known = new Peer(name, new PeerLink(this.loop, linkListener));
+			linkListener.peer = known;
+			known.link().address(address);
+			this.peers.put(name, known);
+		}
+		return known;
 	}
 
 	private void tick() {
 		long nowMs = this.clockMs.getAsLong();
 		boolean paused = nowMs - this.lastTickAtMs > LOST_AFTER_MS;
 		this.lastTickAtMs = nowMs;
-		// With many peers, encoding is most of a heartbeat's cost, so it is done once.
-		HeartbeatContent content = HeartbeatContent.of(this.listener);
-		byte[] toAlive = encode(content.heartbeat(this.draining, true));
-		byte[] toLost = encode(content.heartbeat(this.draining, false));
-		for (Peer peer : List.copyOf(this.peers.values())) {
-			peer.send((peer.alive) ? toAlive : toLost);
-			// After a pause of this process, messages that have arrived are read first.
-			if (!paused && peer.alive && nowMs - peer.lastContactAtMs > LOST_AFTER_MS) {
-				peer.markLost("silent");
-				peer.disconnect();
-				peer.connect();
+		this.fleet.expire();
+		// After a pause of this process, messages that have arrived are read first.
+		if (!paused) {
+			List.copyOf(this.peers.values()).forEach((peer) -> checkSilence(peer, nowMs));
+		}
+		chooseHub(nowMs);
+		updateExpectations(nowMs);
+		dropReports();
+		sendHeartbeats(nowMs);
+		this.events.clear();
+	}
+
+	private void chooseHub(long nowMs) {
+		this.hubs = this.fleet.hubs(nowMs);
+		boolean isHub = this.hubs.names().contains(ownName());
+		String chosen = (isHub) ? null : this.hubs.hubOf(this.fleet.own()).map(FleetMember::name).orElse(null);
+		if (!Objects.equals(chosen, this.ownHub)) {
+			EventLog.state("hub_chosen")
+				.with("hub", (chosen != null) ? chosen : ownName())
+				.with("hubs", this.hubs.names().size())
+				.with("vms", this.fleet.count(nowMs))
+				.write();
+		}
+		this.ownHub = chosen;
+	}
+
+	private Set<String> heartbeatTargets() {
+		return (isHub()) ? this.hubs.names() : Set.of(this.ownHub);
+	}
+
+	private void updateExpectations(long nowMs) {
+		Set<String> awaited = this.listener.awaitedPeers();
+		Set<String> targets = heartbeatTargets();
+		for (String target : targets) {
+			this.fleet.find(target).ifPresent((member) -> peer(target, member.address()));
+		}
+		for (Peer peer : this.peers.values()) {
+			boolean exchanges = targets.contains(peer.name()) || peer.relation() != null;
+			peer.expect(exchanges || awaited.contains(peer.name()), nowMs);
+			if (peer.isExpected() && !exchanges && peer.silentMs(nowMs) > PING_AFTER_MS) {
+				send(peer, new PeerMessage.Ping(false, peer.isAlive()));
 			}
 		}
 	}
 
-	private void received(Receiver receiver, PeerMessage message) {
-		long nowMs = this.clockMs.getAsLong();
-		if (message instanceof PeerMessage.Hello hello) {
-			receiver.peer = this.peers.computeIfAbsent(hello.vm(), (name) -> new Peer(name));
-			receiver.peer.receiver = receiver;
-			receiver.peer.helloReceived(hello, nowMs);
-			return;
+	private void checkSilence(Peer peer, long nowMs) {
+		boolean exchanges = heartbeatTargets().contains(peer.name()) || peer.relation() != null;
+		long limitMs = (exchanges) ? LOST_AFTER_MS : PING_AFTER_MS + LOST_AFTER_MS;
+		if (peer.isExpected() && peer.silentMs(nowMs) > limitMs) {
+			lose(peer, "silent");
+			peer.link().reopen();
+			peer.expect(false, nowMs);
 		}
-		Peer peer = receiver.peer;
-		if (peer == null) {
-			return;
-		}
-		peer.messageReceived(nowMs);
-		if (message instanceof PeerMessage.Heartbeat heartbeat) {
-			peer.heartbeatReceived(heartbeat, nowMs);
+		else if (!peer.isExpected() && peer.isAlive() && !this.fleet.isAlive(peer.name(), nowMs)) {
+			// No other VM has heard of it; whether it can be reached from here is not
+			// known.
+			lose(peer, "expired");
+			this.fleet.reachable(peer.name(), true);
 		}
-		this.listener.received(peer.name, message);
 	}
 
-	/**
-	 * The content that the heartbeats to all peers have in common.
-	 */
-	private record HeartbeatContent(List<PeerMessage.Load> loads, Map<String, int[]> admittedItems,
-			Map<String, Double> availableEndpoints, List<Long> nextOffsets) {
-
-		private static HeartbeatContent of(PeerListener listener) {
-			return new HeartbeatContent(listener.loads(), listener.admittedItems(), listener.availableEndpoints(),
-					listener.nextOffsets());
+	// Deletes the reports of peers that no longer report to this VM, whose load now
+	// arrives on another way.
+	private void dropReports() {
+		for (String vm : this.reports.vms()) {
+			Peer peer = this.peers.get(vm);
+			if (peer == null || !reportsTo(peer)) {
+				dropReport(vm);
+			}
 		}
+	}
 
-		private PeerMessage.Heartbeat heartbeat(boolean draining, boolean receiving) {
-			return new PeerMessage.Heartbeat(draining, receiving, this.loads, this.admittedItems,
-					this.availableEndpoints, this.nextOffsets);
+	private void dropReport(String vm) {
+		if (this.reports.remove(vm)) {
+			this.listener.reported(vm, LoadReport.NONE);
 		}
-
 	}
 
-	/**
-	 * Another entry VM.
-	 */
-	private final class Peer {
-
-		private final String name;
-
-		private String address;
-
-		private Channel channel;
-
-		private boolean connecting;
-
-		private long reconnectMs = RECONNECT_MS;
-
-		private long lastContactAtMs = Long.MIN_VALUE;
-
-		private long peerStartedAtMs;
+	private boolean reportsTo(Peer peer) {
+		return peer.isMember() || (peer.relation() == PeerRelation.OTHER_HUB && isHub())
+				|| (peer.relation() == PeerRelation.MEMBER && peer.name().equals(this.ownHub));
+	}
 
-		private long connectedAtMs;
+	private void sendHeartbeats(long nowMs) {
+		List<String> members = this.peers.values().stream().filter(Peer::isMember).map(Peer::name).toList();
+		LoadReport own = this.listener.ownReport();
+		List<Long> offsets = this.listener.nextOffsets();
+		boolean storeReached = this.listener.isStoreReached();
+		boolean anyStoreReached = storeReached
+				|| this.peers.values().stream().anyMatch((peer) -> reportsTo(peer) && peer.isStoreReached());
+		Set<String> targets = heartbeatTargets();
+		for (Peer peer : List.copyOf(this.peers.values())) {
+			if (peer.isMember()) {
+				Collection<String> others = without(this.reports.vms(), peer.name());
+				send(peer,
+						new PeerMessage.Heartbeat(PeerRelation.MEMBER, this.draining, true, anyStoreReached,
+								this.reports.sum(own, others, nowMs), offsets),
+						this.fleet.confirmed(nowMs), without(this.peers.keySet(), peer.name()));
+			}
+			else if (targets.contains(peer.name()) || peer.relation() == PeerRelation.OTHER_HUB) {
+				PeerRelation relation = (isHub() || peer.relation() == PeerRelation.OTHER_HUB) ? PeerRelation.OTHER_HUB
+						: PeerRelation.OWN_HUB;
+				send(peer, new PeerMessage.Heartbeat(relation, this.draining, peer.isAlive(), storeReached,
+						this.reports.sum(own, members, nowMs), offsets), stateOf(members), members);
+			}
+		}
+	}
 
-		private Receiver receiver;
+	private static List<String> without(Collection<String> names, String excluded) {
+		return names.stream().filter((name) -> !name.equals(excluded)).toList();
+	}
 
-		private boolean alive;
+	private List<FleetView.VmState> stateOf(List<String> members) {
+		List<FleetView.VmState> states = new ArrayList<>();
+		for (String name : members) {
+			Peer member = this.peers.get(name);
+			states.add(new FleetView.VmState(name, member.isDraining()));
+			states.addAll(member.liveVms());
+		}
+		return states;
+	}
 
-		private boolean draining;
+	// Events of this VM go to all, those of peers only to VMs that don't get them on
+	// another way.
+	private void send(Peer peer, PeerMessage.Heartbeat heartbeat, List<FleetView.VmState> vms,
+			Collection<String> eventSources) {
+		List<PeerMessage> messages = new ArrayList<>();
+		if (peer.replaceSentVms(vms)) {
+			messages.add(new PeerMessage.LiveVms(vms));
+		}
+		messages.addAll(this.events.of((source) -> source.equals(ownName()) || eventSources.contains(source)));
+		messages.add(heartbeat);
+		send(peer, (messages.size() == 1) ? heartbeat : new PeerMessage.Batch(messages));
+	}
 
-		private boolean removed;
+	private void lose(Peer peer, String reason) {
+		if (peer.isAlive()) {
+			EventLog.state("peer_lost")
+				.with("peer", peer.name())
+				.with("reason", reason)
+				.with("silent_ms", peer.silentMs(this.clockMs.getAsLong()))
+				.write();
+		}
+		peer.lost();
+		this.fleet.reachable(peer.name(), false);
+		dropReport(peer.name());
+		this.listener.peerLost(peer.name());
+	}
 
-		private Peer(String name) {
-			this.name = name;
+	private void heard(Peer peer, long nowMs) {
+		if (peer.heard(nowMs)) {
+			EventLog.state("peer_heard").with("peer", peer.name()).write();
 		}
+		this.fleet.reachable(peer.name(), true);
+		this.fleet.confirm(peer.name(), peer.isDraining(), nowMs);
+	}
 
-		private boolean isConnected() {
-			return this.channel != null && this.channel.isActive();
+	private void receive(Peer peer, PeerMessage message, long nowMs) {
+		if (message instanceof PeerMessage.Batch batch) {
+			batch.messages().forEach((part) -> receive(peer, part, nowMs));
 		}
-
-		private void connect() {
-			if (this.connecting || this.removed || this.address == null || isConnected()) {
-				return;
-			}
-			this.connecting = true;
-			int colon = this.address.lastIndexOf(':');
-			new Bootstrap().group(PeerNetwork.this.loop)
-				.channel(NioSocketChannel.class)
-				.option(ChannelOption.TCP_NODELAY, true)
-				.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-				.handler(new ChannelInitializer<Channel>() {
-					@Override
-					protected void initChannel(Channel opened) {
-						opened.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES), new Sender(Peer.this));
-					}
-				})
-				.connect(new InetSocketAddress(this.address.substring(0, colon),
-						Integer.parseInt(this.address.substring(colon + 1))))
-				.addListener((future) -> {
-					this.connecting = false;
-					if (!future.isSuccess()) {
-						reconnectLater();
-					}
-				});
-		}
-
-		private void reconnectLater() {
-			PeerNetwork.this.loop.schedule(this::connect, this.reconnectMs, TimeUnit.MILLISECONDS);
-			this.reconnectMs = Math.min(MAX_RECONNECT_MS, this.reconnectMs * 2);
-		}
-
-		private void connected(Channel opened) {
-			this.channel = opened;
-			this.connectedAtMs = PeerNetwork.this.clockMs.getAsLong();
-			this.reconnectMs = RECONNECT_MS;
-			send(new PeerMessage.Hello(PeerNetwork.this.ownName, PeerNetwork.this.startedAtMs,
-					PeerNetwork.this.ownAddress));
-			send(HeartbeatContent.of(PeerNetwork.this.listener).heartbeat(PeerNetwork.this.draining, this.alive));
-		}
-
-		private void disconnected(Channel closed) {
-			if (closed == this.channel) {
-				this.channel = null;
-				markLost("disconnected");
-				reconnectLater();
-			}
+		else if (message instanceof PeerMessage.LiveVms live) {
+			peer.liveVms(live.vms());
 		}
-
-		private void disconnect() {
-			Channel open = this.channel;
-			this.channel = null;
-			if (open != null) {
-				open.close();
-			}
-		}
-
-		private boolean send(PeerMessage message) {
-			return isConnected() && send(encode(message));
+		else if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			receiveHeartbeat(peer, heartbeat, nowMs);
 		}
-
-		private boolean send(byte[] frame) {
-			if (!isConnected()) {
-				return false;
+		else if (message instanceof PeerMessage.Ping ping) {
+			reopenIfDeaf(peer, ping.receiving(), nowMs);
+			if (!ping.answer()) {
+				send(peer, new PeerMessage.Ping(true, true));
 			}
-			if (this.channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
-				return false;
-			}
-			this.channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
-			return true;
 		}
-
-		private void helloReceived(PeerMessage.Hello hello, long nowMs) {
-			if (this.peerStartedAtMs != hello.startedAtMs()) {
-				markLost("restarted");
-				this.draining = false;
+		else {
+			boolean event = message instanceof PeerMessage.PromptSent || message instanceof PeerMessage.CrashReport;
+			if (event && (!isHub() || hasMembers())) {
+				this.events.add(peer.name(), message);
 			}
-			this.peerStartedAtMs = hello.startedAtMs();
-			if (this.address == null) {
-				this.address = hello.address();
-			}
-			messageReceived(nowMs);
-			this.reconnectMs = RECONNECT_MS;
-			connect();
+			this.listener.received(peer.name(), message);
 		}
+	}
 
-		private void messageReceived(long nowMs) {
-			this.lastContactAtMs = nowMs;
-			if (!this.alive) {
-				this.alive = true;
-				EventLog.state("peer_heard").with("peer", this.name).write();
-			}
+	private void receiveHeartbeat(Peer peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
+		if (peer.reported(heartbeat)) {
+			EventLog.state("peer_draining").with("peer", peer.name()).write();
 		}
-
-		private void heartbeatReceived(PeerMessage.Heartbeat heartbeat, long nowMs) {
-			if (heartbeat.draining() && !this.draining) {
-				this.draining = true;
-				EventLog.state("peer_draining").with("peer", this.name).write();
-			}
-			boolean notReceiving = !heartbeat.receiving() && isConnected()
-					&& nowMs - this.connectedAtMs > LOST_AFTER_MS;
-			if (notReceiving) {
-				markLost("deaf");
-				disconnect();
-				connect();
+		this.fleet.confirm(peer.name(), peer.isDraining(), nowMs);
+		for (FleetView.VmState vm : peer.liveVms()) {
+			Peer direct = this.peers.get(vm.name());
+			boolean heardDirectly = direct != null && direct.isAlive() && direct.relation() != null;
+			if (!heardDirectly) {
+				this.fleet.confirm(vm.name(), vm.draining(), nowMs);
 			}
 		}
-
-		private void markLost(String reason) {
-			if (this.alive) {
-				EventLog.state("peer_lost")
-					.with("peer", this.name)
-					.with("reason", reason)
-					.with("silent_ms", PeerNetwork.this.clockMs.getAsLong() - this.lastContactAtMs)
-					.write();
-			}
-			this.alive = false;
-			PeerNetwork.this.listener.peerLost(this.name);
+		reopenIfDeaf(peer, heartbeat.receiving(), nowMs);
+		if (reportsTo(peer)) {
+			this.reports.put(peer.name(), heartbeat.report(), nowMs);
+			this.listener.reported(peer.name(), heartbeat.report());
 		}
+		this.listener.received(peer.name(), heartbeat);
+	}
 
+	// The other end gets nothing on this VM's connection, though it may look open here.
+	private void reopenIfDeaf(Peer peer, boolean receiving, long nowMs) {
+		if (!receiving && peer.link().isConnected() && peer.connectedMs(nowMs) > LOST_AFTER_MS) {
+			lose(peer, "deaf");
+			peer.link().reopen();
+		}
 	}
 
 	/**
-	 * Handles the sending end of a connection.
+	 * Handles what arrives on the connections from other VMs.
 	 */
-	private static final class Sender extends SimpleChannelInboundHandler<ByteBuf> {
-
-		private final Peer peer;
-
-		private Sender(Peer peer) {
-			this.peer = peer;
-		}
+	private final class Inbox implements PeerServer.Listener {
 
 		@Override
-		public void channelActive(ChannelHandlerContext context) {
-			this.peer.connected(context.channel());
-		}
-
-		@Override
-		protected void channelRead0(ChannelHandlerContext context, ByteBuf unexpected) {
-			context.close();
+		public void received(PeerServer.Receiver receiver, PeerMessage message, int bytes) {
+			PeerNetwork.this.metrics.count("peer_received");
+			PeerNetwork.this.metrics.add("peer_received_bytes", bytes);
+			long nowMs = PeerNetwork.this.clockMs.getAsLong();
+			if (message instanceof PeerMessage.Hello hello) {
+				greet(receiver, hello, nowMs);
+			}
+			else if (receiver.peer() != null) {
+				heard(receiver.peer(), nowMs);
+				receive(receiver.peer(), message, nowMs);
+			}
 		}
 
-		@Override
-		public void channelInactive(ChannelHandlerContext context) {
-			this.peer.disconnected(context.channel());
+		private void greet(PeerServer.Receiver receiver, PeerMessage.Hello hello, long nowMs) {
+			FleetMember sender = hello.sender();
+			PeerNetwork.this.fleet.put(sender, nowMs);
+			Peer peer = peer(sender.name(), sender.address());
+			receiver.peer(peer);
+			if (peer.greeted(receiver, hello.startedAtMs())) {
+				lose(peer, "restarted");
+			}
+			heard(peer, nowMs);
+			peer.link().resetDelay();
+			peer.link().open();
 		}
 
 		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			context.close();
+		public void closed(PeerServer.Receiver receiver) {
+			Peer peer = receiver.peer();
+			if (peer != null && peer.isReceiver(receiver)) {
+				peer.receiverClosed();
+				lose(peer, "closed");
+			}
 		}
 
 	}
 
 	/**
-	 * Handles the receiving end of a connection.
+	 * Handles changes of the connection to another VM.
 	 */
-	private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+	private final class LinkListener implements PeerLink.Listener {
 
 		private Peer peer;
 
 		@Override
-		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
-			received(this, PeerCodec.decode(ByteBufUtil.getBytes(frame), PeerNetwork.this.clockMs.getAsLong()));
-		}
-
-		@Override
-		public void channelInactive(ChannelHandlerContext context) {
-			if (this.peer != null && this.peer.receiver == this) {
-				this.peer.receiver = null;
-				this.peer.markLost("closed");
+		public void connected() {
+			long nowMs = PeerNetwork.this.clockMs.getAsLong();
+			this.peer.linkConnected(nowMs);
+			send(this.peer, new PeerMessage.Hello(PeerNetwork.this.fleet.own(), PeerNetwork.this.startedAtMs));
+			if (!this.peer.isAlive()) {
+				send(this.peer, new PeerMessage.Ping(false, true));
 			}
 		}
 
 		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			EventLog.state("peer_frame_refused").with("cause", cause).write();
-			context.close();
+		public void disconnected() {
+			lose(this.peer, "disconnected");
 		}
 
 	}
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
@@ -0,0 +1,116 @@
+package org.fulmargap.entry.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.LongSupplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import org.fulmargap.entry.EventLog;
+
+/**
+ * Accepts the connections on which other VMs send. Confined to the event loop.
+ */
+final class PeerServer {
+
+	private static final int MAX_FRAME_BYTES = 4 << 20;
+
+	private final EventLoop loop;
+
+	private final LongSupplier clockMs;
+
+	private final Listener listener;
+
+	PeerServer(EventLoop loop, LongSupplier clockMs, Listener listener) {
+		this.loop = loop;
+		this.clockMs = clockMs;
+		this.listener = listener;
+	}
+
+	void listen(String ip, int port) throws InterruptedException {
+		new ServerBootstrap().group(this.loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline()
+						.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, PeerNetwork.LENGTH_BYTES, 0,
+								PeerNetwork.LENGTH_BYTES), new Receiver());
+				}
+			})
+			.bind(new InetSocketAddress(ip, port))
+			.sync();
+	}
+
+	/**
+	 * Is told of what arrives.
+	 */
+	interface Listener {
+
+		/**
+		 * Handles a message.
+		 * @param receiver identifies the connection
+		 * @param message the message
+		 * @param bytes the size of its frame in bytes
+		 */
+		void received(Receiver receiver, PeerMessage message, int bytes);
+
+		/**
+		 * Handles the end of a connection.
+		 * @param receiver identifies the connection
+		 */
+		void closed(Receiver receiver);
+
+	}
+
+	/**
+	 * The receiving end of a connection.
+	 */
+	final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+
+		private Peer peer;
+
+		/**
+		 * Returns the sender.
+		 * @return the VM, or {@code null} before its greeting
+		 */
+		Peer peer() {
+			return this.peer;
+		}
+
+		void peer(Peer newPeer) {
+			this.peer = newPeer;
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
+			byte[] bytes = ByteBufUtil.getBytes(frame);
+			PeerMessage message = PeerCodec.decode(bytes, PeerServer.this.clockMs.getAsLong());
+			PeerServer.this.listener.received(this, message, bytes.length);
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			PeerServer.this.listener.closed(this);
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			EventLog.state("peer_frame_refused").with("cause", cause).write();
+			context.close();
+		}
+
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -388,7 +388,7 @@
 				.with("age_ms", nowMs - flow.arrivedAtMs)
 				.write();
 			if (!prompt.parts().isEmpty()) {
-				flow.services.peers().sendAll(new PeerMessage.PromptSent(this.endpoint.record().id(), prompt));
+				flow.services.peers().announce(new PeerMessage.PromptSent(this.endpoint.record().id(), prompt));
 			}
 			this.cancellable = flow.services.pool().send(this.endpoint.record().address(), httpRequest(nowMs), this);
 			startResponseTimeout();
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -64,7 +64,7 @@
 	public void confirmCrash(String endpoint, long nowMs) {
 		this.quarantine.confirmCrash(endpoint, nowMs).forEach((fingerprint, endpoints) -> {
 			EventLog.state("strike").with("endpoint", endpoint).with("fingerprint", fingerprint).write();
-			this.peers.sendAll(new PeerMessage.CrashReport(fingerprint, endpoint));
+			this.peers.announce(new PeerMessage.CrashReport(fingerprint, endpoint));
 		});
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -15,11 +17,10 @@
 
 /**
  * Submits work items to the coordinator of their service, the entry VM that makes the
- * calls of the service. Each VM determines the coordinator by itself: the VM with the
- * highest hash among itself and the connected peers, without those that are lost or
- * draining. When a coordinator is lost, its work items are submitted again to the next
- * one. While two VMs both act as coordinator, the calls of each hold fewer work items.
- * Confined to the event loop.
+ * calls of the service. Each VM determines the coordinator by itself, from the VMs that
+ * it knows to be alive. When a coordinator is lost, its work items are submitted again to
+ * the next one. While two VMs both act as coordinator, the calls of each hold fewer work
+ * items. Confined to the event loop.
  */
 public final class StageClient {
 
@@ -229,6 +230,17 @@
 		ofPeer.forEach((key) -> this.cancellations.remove(key).run());
 	}
 
+	/**
+	 * Returns the VMs that have work items of this VM.
+	 * @return their names, without this VM
+	 */
+	public Set<String> awaitedPeers() {
+		Set<String> awaited = new HashSet<>();
+		this.submissions.values().forEach((submission) -> awaited.add(submission.coordinator));
+		awaited.remove(this.peers.ownName());
+		return awaited;
+	}
+
 	private static final class Submission {
 
 		private final String service;
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -323,7 +323,7 @@
 				refusing.fault(StoreStandIn.Fault.BUSY);
 				EntryVmTests.this.installation.vm("vm-1", refusing);
 				EntryVmTests.this.installation.store()
-					.put(CallerWire.MEMBER_TOPIC, "vm-1", EntryVmTests.this.installation.peerAddress(1));
+					.put(CallerWire.MEMBER_TOPIC, "vm-1", EntryVmTests.this.installation.peerAddress(1) + " a 1");
 				EntryVmTests.this.installation.awaitReady();
 				EntryVmTests.this.installation.store()
 					.put(CallerWire.OPERATOR_TOPIC, "config",
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -69,7 +69,7 @@
 	EntryVm vm(String name, StoreStandIn ownStore) throws IOException, InterruptedException {
 		String ip = "127.0.0.1:";
 		NodeSettings node = new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
-				ownStore.address(), 2_000, 8_000, 0.2, 54, 10_000);
+				ownStore.address(), 2_000, 8_000, 0.2, 54, 10_000, 1, 1_000);
 		EntryVm vm = new EntryVm(node, freePort());
 		vm.start();
 		this.settings.add(node);
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -6,6 +6,10 @@
 
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.entry.stage.WorkItemOutcome;
+import org.fulmargap.fleet.EndpointLoad;
+import org.fulmargap.fleet.FleetMember;
+import org.fulmargap.fleet.FleetView;
+import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.PromptPart;
 import org.fulmargap.platform.KeyedRecord;
@@ -23,7 +27,11 @@
 
 	@Test
 	void decodedMessagesEqualTheEncodedOnes() throws IOException {
-		List<PeerMessage> messages = List.of(new PeerMessage.Hello("vm-1", 5, "10.0.0.1:7"),
+		List<PeerMessage> messages = List.of(new PeerMessage.Hello(new FleetMember("vm-1", "10.0.0.1:7", "a", 1.5), 5),
+				new PeerMessage.LiveVms(List.of(new FleetView.VmState("vm-2", true))),
+				new PeerMessage.Ping(true, false),
+				new PeerMessage.Batch(
+						List.of(new PeerMessage.Cancellation(1), new PeerMessage.CrashReport("print", "engine"))),
 				new PeerMessage.RecordsRequest(StoreTopic.ENDPOINTS, -1),
 				new PeerMessage.PromptSent("engine", new Prompt(10, 2, List.of(new PromptPart("aa", 6)))),
 				new PeerMessage.Outcomes(List.of(WorkItemOutcome.done(3, "handle", "a"), WorkItemOutcome.failed(4))),
@@ -36,23 +44,28 @@
 
 	@Test
 	void heartbeatsAreDecodedWithAllFields() throws IOException {
-		PeerMessage.Heartbeat sent = new PeerMessage.Heartbeat(true, false, List.of(new PeerMessage.Load("e", 2, 900)),
-				Map.of("stage", new int[] { 1, 0, 2, 0 }), Map.of("stage", 2.5), List.of(4L, -1L));
+		LoadReport report = new LoadReport(Map.of("e", new EndpointLoad(2, 900)),
+				Map.of("stage", new int[] { 1, 0, 2, 0 }), Map.of("vm-1", Map.of("stage", 2.5)));
+		PeerMessage.Heartbeat sent = new PeerMessage.Heartbeat(PeerRelation.MEMBER, true, false, true, report,
+				List.of(4L, -1L));
 		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(PeerCodec.encode(sent, 0), 0);
-		assertThat(received.loads()).isEqualTo(sent.loads());
-		assertThat(received.availableEndpoints()).isEqualTo(sent.availableEndpoints());
+		assertThat(received.report().loads()).isEqualTo(report.loads());
+		assertThat(received.report().availableEndpoints()).isEqualTo(report.availableEndpoints());
+		assertThat(received.relation()).isEqualTo(PeerRelation.MEMBER);
 		assertThat(received.draining()).isTrue();
 		assertThat(received.receiving()).isFalse();
+		assertThat(received.storeReached()).isTrue();
 		assertThat(received.nextOffsets()).containsExactly(4L, -1L);
-		assertThat(received.admittedItems().get("stage")).containsExactly(1, 0, 2, 0);
+		assertThat(received.report().admittedItems().get("stage")).containsExactly(1, 0, 2, 0);
 	}
 
 	@Test
 	void recordsAreDecodedWithTopicAndOffset() throws IOException {
 		StorePage page = new StorePage(List.of(new KeyedRecord("config", new byte[] { 1, 2 }, 6)), 7, true);
-		PeerMessage.RecordsReply received = (PeerMessage.RecordsReply) PeerCodec
-			.decode(PeerCodec.encode(new PeerMessage.RecordsReply(StoreTopic.OPERATOR, page), 0), 0);
+		PeerMessage.Records received = (PeerMessage.Records) PeerCodec
+			.decode(PeerCodec.encode(new PeerMessage.Records(StoreTopic.OPERATOR, 3, page), 0), 0);
 		assertThat(received.topic()).isEqualTo(StoreTopic.OPERATOR);
+		assertThat(received.from()).isEqualTo(3);
 		assertThat(received.page().nextOffset()).isEqualTo(7);
 		assertThat(received.page().isComplete()).isTrue();
 		assertThat(received.page().records().get(0).value()).containsExactly(1, 2);
