End the exchange of heartbeats explicitly, read the store less often

Cause: FleetTests with 15 VMs found that a VM and its hub may both answer the other's heartbeat as one between hubs, for good, if they disagree for a moment at the start: each answer was the reason for the next. A VM that changed its hub looked lost to the old one, which then cancelled its work items.

Change: an answer to a heartbeat says so and is not answered; a VM that leaves a hub says so. Reads of the store wait 3 s (members' addresses 10 s), and a member reads by itself only after it has been without a hub for 1 s.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -188,6 +188,16 @@
 			.write();
 	}
 
+	/**
+	 * Returns whether this VM gets the records of the store from a hub.
+	 * @return {@code true} if it does; {@code false} if it reads them itself
+	 */
+	boolean followsAHub() {
+		return this.loop.submit(() -> !this.peers.isHub() && this.peers.isStoreRelayed())
+			.awaitUninterruptibly()
+			.getNow();
+	}
+
 	private int pendingItems() throws InterruptedException {
 		return this.loop.submit(this.dispatcher::pendingCount).awaitUninterruptibly().getNow();
 	}
--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -14,9 +14,6 @@
  */
 final class StoreTail implements Runnable {
 
-	/** How long the store holds a read open for new records, in milliseconds. */
-	private static final long WAIT_MS = 2_000;
-
 	private static final long FIRST_RETRY_DELAY_MS = 100;
 
 	/** How often a tail that is not needed looks whether it is now, in milliseconds. */
@@ -26,6 +23,8 @@
 
 	private final StoreTopic topic;
 
+	private final long waitMs;
+
 	private final long minIntervalMs;
 
 	private final LongSupplier clockMs;
@@ -51,6 +50,7 @@
 	 * Creates a tail that starts with the newest record of each key.
 	 * @param store the store
 	 * @param topic the topic
+	 * @param waitMs how long the store holds a read open for new records, in milliseconds
 	 * @param minIntervalMs the shortest time between the starts of two reads, in
 	 * milliseconds; one read then returns several changes, because each call is charged
 	 * @param clockMs the current time in milliseconds
@@ -59,10 +59,11 @@
 	 * begins and when it ends
 	 * @param need whether and from where on the topic is to be read
 	 */
-	StoreTail(StoreClient store, StoreTopic topic, long minIntervalMs, LongSupplier clockMs, Consumer<StorePage> pages,
-			Runnable outageListener, Need need) {
+	StoreTail(StoreClient store, StoreTopic topic, long waitMs, long minIntervalMs, LongSupplier clockMs,
+			Consumer<StorePage> pages, Runnable outageListener, Need need) {
 		this.store = store;
 		this.topic = topic;
+		this.waitMs = waitMs;
 		this.minIntervalMs = minIntervalMs;
 		this.clockMs = clockMs;
 		this.pages = pages;
@@ -105,7 +106,7 @@
 	private long readPage() {
 		try {
 			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic)
-					: this.store.read(this.topic, this.nextOffset, WAIT_MS);
+					: this.store.read(this.topic, this.nextOffset, this.waitMs);
 			this.expired = false;
 			this.nextOffset = page.nextOffset();
 			this.retryDelayMs = FIRST_RETRY_DELAY_MS;
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -33,6 +33,24 @@
  */
 final class StoreWatch implements AutoCloseable {
 
+	/**
+	 * How long the store holds a read open, in milliseconds. If a connection silently
+	 * stops delivering, this VM notices at the end of the read.
+	 */
+	private static final long WAIT_MS = 3_000;
+
+	/**
+	 * How long the store holds a read of the members open, in milliseconds. New VMs also
+	 * make themselves known to the hubs.
+	 */
+	private static final long MEMBERS_WAIT_MS = 10_000;
+
+	/**
+	 * How long a VM that is no hub waits for one to relay records before it reads them
+	 * itself, in milliseconds: enough to find a new hub.
+	 */
+	private static final long RELAY_GRACE_MS = 1_000;
+
 	private static final long OPERATOR_INTERVAL_MS = 200;
 
 	private static final long ENDPOINTS_INTERVAL_MS = 600;
@@ -90,6 +108,8 @@
 
 	private volatile boolean relayed;
 
+	private long relayedAtMs;
+
 	private long storeOutageAtMs = Long.MIN_VALUE / 2;
 
 	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers) {
@@ -108,27 +128,31 @@
 	void start(FleetMember own) {
 		follow(StoreTopic.OPERATOR, OPERATOR_INTERVAL_MS);
 		follow(StoreTopic.ENDPOINTS, ENDPOINTS_INTERVAL_MS);
-		StoreTail members = tail(StoreTopic.MEMBERS, MEMBERS_INTERVAL_MS, () -> {
+		StoreTail members = tail(StoreTopic.MEMBERS, MEMBERS_WAIT_MS, MEMBERS_INTERVAL_MS, () -> {
 		});
 		run("register", () -> register(own, members));
 		this.loop.scheduleWithFixedDelay(this::updateNeed, NEED_INTERVAL_MS, NEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
 	private void follow(StoreTopic topic, long minIntervalMs) {
-		StoreTail tail = tail(topic, minIntervalMs, () -> this.storeOutageAtMs = this.clockMs.getAsLong());
+		StoreTail tail = tail(topic, WAIT_MS, minIntervalMs, () -> this.storeOutageAtMs = this.clockMs.getAsLong());
 		this.tails.put(topic, tail);
 		run("tail-" + topic, tail);
 	}
 
-	private StoreTail tail(StoreTopic topic, long minIntervalMs, Runnable outageListener) {
-		return new StoreTail(this.store, topic, minIntervalMs, this.clockMs,
+	private StoreTail tail(StoreTopic topic, long waitMs, long minIntervalMs, Runnable outageListener) {
+		return new StoreTail(this.store, topic, waitMs, minIntervalMs, this.clockMs,
 				(page) -> this.loop.execute(() -> apply(topic, page)), () -> this.loop.execute(outageListener),
 				new TailNeed(topic));
 	}
 
 	private void updateNeed() {
+		long nowMs = this.clockMs.getAsLong();
 		this.hub = this.peers.isHub();
-		this.relayed = this.peers.isStoreRelayed();
+		if (this.peers.isStoreRelayed()) {
+			this.relayedAtMs = nowMs;
+		}
+		this.relayed = nowMs - this.relayedAtMs < RELAY_GRACE_MS;
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/peer/Peer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/Peer.java
@@ -32,7 +32,9 @@
 
 	private boolean draining;
 
-	private PeerRelation relation;
+	private PeerRelation relation = PeerRelation.NONE;
+
+	private boolean exchanging;
 
 	private boolean storeReached;
 
@@ -65,7 +67,7 @@
 		this.receiver = newReceiver;
 		this.startedAtMs = newStartedAtMs;
 		this.liveVms = List.of();
-		this.relation = null;
+		this.relation = PeerRelation.NONE;
 		this.draining = this.draining && !restarted;
 		return restarted;
 	}
@@ -76,7 +78,7 @@
 
 	void receiverClosed() {
 		this.receiver = null;
-		this.relation = null;
+		this.relation = PeerRelation.NONE;
 	}
 
 	void linkConnected(long nowMs) {
@@ -111,7 +113,7 @@
 
 	void lost() {
 		this.alive = false;
-		this.relation = null;
+		this.relation = PeerRelation.NONE;
 		this.storeReached = false;
 	}
 
@@ -129,12 +131,31 @@
 
 	/**
 	 * Returns what this VM is to the other one, by its newest heartbeat.
-	 * @return the relation, or {@code null} if it sends no heartbeats
+	 * @return the relation; {@code NONE} if it sends no heartbeats
 	 */
 	PeerRelation relation() {
 		return this.relation;
 	}
 
+	/**
+	 * Returns whether the VM sends heartbeats to this one.
+	 * @return {@code true} if its last one did not end the exchange
+	 */
+	boolean sendsHeartbeats() {
+		return this.relation != PeerRelation.NONE;
+	}
+
+	/**
+	 * Records whether this VM sends heartbeats to the other one.
+	 * @param isExchanging whether it does from now on
+	 * @return whether it did so far
+	 */
+	boolean replaceExchanging(boolean isExchanging) {
+		boolean previous = this.exchanging;
+		this.exchanging = isExchanging;
+		return previous;
+	}
+
 	/**
 	 * Returns whether the VM relies on this one.
 	 * @return {@code true} if this VM is its hub
@@ -143,6 +164,14 @@
 		return this.relation == PeerRelation.OWN_HUB;
 	}
 
+	/**
+	 * Returns whether the VM reports to this one as to a hub on which it doesn't rely.
+	 * @return {@code true} if it does
+	 */
+	boolean isOtherHub() {
+		return this.relation == PeerRelation.OTHER_HUB || this.relation == PeerRelation.HUB_ANSWER;
+	}
+
 	/**
 	 * Records whether messages of the VM are expected.
 	 * @param isExpected whether it should send messages
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -283,7 +283,7 @@
 			this.fleet.find(target).ifPresent((member) -> peer(target, member.address()));
 		}
 		for (Peer peer : this.peers.values()) {
-			boolean exchanges = targets.contains(peer.name()) || peer.relation() != null;
+			boolean exchanges = targets.contains(peer.name()) || peer.sendsHeartbeats();
 			peer.expect(exchanges || awaited.contains(peer.name()), nowMs);
 			if (peer.isExpected() && !exchanges && peer.silentMs(nowMs) > PING_AFTER_MS) {
 				send(peer, new PeerMessage.Ping(false, peer.isAlive()));
@@ -292,7 +292,7 @@
 	}
 
 	private void checkSilence(Peer peer, long nowMs) {
-		boolean exchanges = heartbeatTargets().contains(peer.name()) || peer.relation() != null;
+		boolean exchanges = heartbeatTargets().contains(peer.name()) || peer.sendsHeartbeats();
 		long limitMs = (exchanges) ? LOST_AFTER_MS : PING_AFTER_MS + LOST_AFTER_MS;
 		if (peer.isExpected() && peer.silentMs(nowMs) > limitMs) {
 			lose(peer, "silent");
@@ -325,7 +325,7 @@
 	}
 
 	private boolean reportsTo(Peer peer) {
-		return peer.isMember() || (peer.relation() == PeerRelation.OTHER_HUB && isHub())
+		return peer.isMember() || (peer.isOtherHub() && isHub())
 				|| (peer.relation() == PeerRelation.MEMBER && peer.name().equals(this.ownHub));
 	}
 
@@ -346,14 +346,25 @@
 						this.fleet.confirmed(nowMs), without(this.peers.keySet(), peer.name()));
 			}
 			else if (targets.contains(peer.name()) || peer.relation() == PeerRelation.OTHER_HUB) {
-				PeerRelation relation = (isHub() || peer.relation() == PeerRelation.OTHER_HUB) ? PeerRelation.OTHER_HUB
-						: PeerRelation.OWN_HUB;
-				send(peer, new PeerMessage.Heartbeat(relation, this.draining, peer.isAlive(), storeReached,
-						this.reports.sum(own, members, nowMs), offsets), stateOf(members), members);
+				send(peer,
+						new PeerMessage.Heartbeat(relationTo(peer, targets), this.draining, peer.isAlive(),
+								storeReached, this.reports.sum(own, members, nowMs), offsets),
+						stateOf(members), members);
+			}
+			else if (peer.replaceExchanging(false)) {
+				send(peer, new PeerMessage.Heartbeat(PeerRelation.NONE, this.draining, true, storeReached,
+						LoadReport.NONE, offsets));
 			}
 		}
 	}
 
+	private PeerRelation relationTo(Peer peer, Set<String> targets) {
+		if (!targets.contains(peer.name())) {
+			return PeerRelation.HUB_ANSWER;
+		}
+		return (isHub()) ? PeerRelation.OTHER_HUB : PeerRelation.OWN_HUB;
+	}
+
 	private static List<String> without(Collection<String> names, String excluded) {
 		return names.stream().filter((name) -> !name.equals(excluded)).toList();
 	}
@@ -372,6 +383,7 @@
 	// another way.
 	private void send(Peer peer, PeerMessage.Heartbeat heartbeat, List<FleetView.VmState> vms,
 			Collection<String> eventSources) {
+		peer.replaceExchanging(true);
 		List<PeerMessage> messages = new ArrayList<>();
 		if (peer.replaceSentVms(vms)) {
 			messages.add(new PeerMessage.LiveVms(vms));
@@ -435,7 +447,7 @@
 		this.fleet.confirm(peer.name(), peer.isDraining(), nowMs);
 		for (FleetView.VmState vm : peer.liveVms()) {
 			Peer direct = this.peers.get(vm.name());
-			boolean heardDirectly = direct != null && direct.isAlive() && direct.relation() != null;
+			boolean heardDirectly = direct != null && direct.isAlive() && direct.sendsHeartbeats();
 			if (!heardDirectly) {
 				this.fleet.confirm(vm.name(), vm.draining(), nowMs);
 			}
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerRelation.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerRelation.java
@@ -15,9 +15,18 @@
 	/** Both are hubs: the heartbeat reports for the same VMs. */
 	OTHER_HUB,
 
+	/**
+	 * The receiver sends heartbeats to the sender as to a hub, but the sender doesn't
+	 * count it as one: the heartbeat reports as to a hub and asks for no answer.
+	 */
+	HUB_ANSWER,
+
 	/**
 	 * The receiver relies on the sender: the heartbeat reports for all other VMs.
 	 */
-	MEMBER
+	MEMBER,
+
+	/** The sender no longer exchanges heartbeats with the receiver. */
+	NONE
 
 }
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -77,6 +77,10 @@
 		return vm;
 	}
 
+	EntryVm vm(int vm) {
+		return this.vms.get(vm);
+	}
+
 	String peerAddress(int vm) {
 		return "127.0.0.1:" + this.settings.get(vm).firstPeerPort();
 	}
