--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
@@ -28,8 +28,10 @@
 	/**
 	 * Receives a part of the body.
 	 * @param content the bytes, valid only during this method
+	 * @return {@code false} if the answer is too large; the call then fails as
+	 * {@link CallFailure#WRONG_ANSWER} and its connection is closed
 	 */
-	void received(ByteBuf content);
+	boolean received(ByteBuf content);
 
 	/**
 	 * Handles the end of a complete answer.
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -21,6 +21,12 @@
 
 	private static final int FIRST_FINAL_STATUS = 200;
 
+	/** Further interim answers and answers to other calls close the connection. */
+	private static final int MAX_SKIPPED_ANSWERS = 16;
+
+	/** Larger answers to other calls close the connection. */
+	private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
 	private final EndpointPool pool;
 
 	private final String address;
@@ -33,6 +39,10 @@
 
 	private boolean skipping;
 
+	private int skippedAnswers;
+
+	private long skippedBytes;
+
 	private boolean closesAfterAnswer;
 
 	private long idleTimeoutMs = -1;
@@ -65,6 +75,8 @@
 		this.call = newCall;
 		this.requestWritten = false;
 		this.skipping = false;
+		this.skippedAnswers = 0;
+		this.skippedBytes = 0;
 		this.channel.writeAndFlush(request).addListener((future) -> {
 			this.requestWritten = future.isSuccess();
 			if (!future.isSuccess()) {
@@ -124,6 +136,10 @@
 		boolean foreign = !expected.isEmpty() && !answer.attemptId().isEmpty() && !answer.attemptId().equals(expected);
 		this.skipping = status < FIRST_FINAL_STATUS || foreign;
 		if (this.skipping) {
+			this.skippedAnswers++;
+			if (this.skippedAnswers > MAX_SKIPPED_ANSWERS) {
+				fail(CallFailure.WRONG_ANSWER);
+			}
 			return;
 		}
 		this.closesAfterAnswer = answer.closes();
@@ -132,10 +148,18 @@
 	}
 
 	private void readContent(HttpContent content) {
-		if (!this.skipping && content.content().isReadable()) {
-			this.call.received(content.content());
+		if (this.skipping) {
+			this.skippedBytes += content.content().readableBytes();
+			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+				fail(CallFailure.WRONG_ANSWER);
+			}
+			return;
+		}
+		if (content.content().isReadable() && !this.call.received(content.content())) {
+			fail(CallFailure.WRONG_ANSWER);
+			return;
 		}
-		if (content instanceof LastHttpContent && !this.skipping && this.call != null) {
+		if (content instanceof LastHttpContent && this.call != null) {
 			EndpointCall completed = this.call;
 			this.call = null;
 			// If the answer is complete before the request is written, the endpoint may
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
@@ -24,6 +24,14 @@
 
 	private String lastEventId;
 
+	/**
+	 * Returns the size of the partial event at the end of the stream so far.
+	 * @return the number of bytes
+	 */
+	int partialBytes() {
+		return this.pending.readableBytes();
+	}
+
 	/**
 	 * Adds bytes of the stream.
 	 * @param content the bytes
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -61,6 +61,12 @@
 	 */
 	private static final long STREAM_RESPONSE_TIMEOUT_MS = 1_500;
 
+	/** The size of the largest answer that is not a stream, in bytes. */
+	private static final int MAX_ANSWER_BYTES = 8 << 20;
+
+	/** The size of the largest event of a stream, in bytes. */
+	private static final int MAX_EVENT_BYTES = 1 << 20;
+
 	/**
 	 * How long a request waits before it is dispatched again when no endpoint could be
 	 * chosen, and how long an endpoint that refused a call gets no further calls, in
@@ -448,10 +454,10 @@
 		}
 
 		@Override
-		public void received(ByteBuf content) {
+		public boolean received(ByteBuf content) {
 			if (this.buffered != null) {
 				this.buffered.writeBytes(content);
-				return;
+				return this.buffered.readableBytes() <= MAX_ANSWER_BYTES;
 			}
 			ByteBuf wholeEvents = RequestFlow.this.events.add(content);
 			if (wholeEvents != null) {
@@ -459,6 +465,7 @@
 				restartResponseTimeout();
 				forward(wholeEvents);
 			}
+			return RequestFlow.this.events.partialBytes() <= MAX_EVENT_BYTES;
 		}
 
 		private void restartResponseTimeout() {
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -80,6 +80,12 @@
 	 */
 	private static final long FREE_DELAY_MS = 8;
 
+	/** The timeout of a call that releases results, in milliseconds. */
+	private static final long FREE_TIMEOUT_MS = 2_000;
+
+	/** The size of the largest answer to a call, in bytes. */
+	private static final int MAX_ANSWER_BYTES = 1 << 20;
+
 	private final EventLoop loop;
 
 	private final LongSupplier clockMs;
@@ -221,9 +227,7 @@
 		this.releasedByAddress.clear();
 		freed.forEach((address, handles) -> {
 			if (!address.isEmpty()) {
-				this.pool.send(address,
-						StageRequests.post(address, StageCalls.FREE_PATH, StageCalls.encodeFree(handles), null),
-						new FreeCall(address, handles));
+				new FreeCall(address, handles).send();
 			}
 		});
 	}
@@ -399,8 +403,9 @@
 		}
 
 		@Override
-		public void received(ByteBuf content) {
+		public boolean received(ByteBuf content) {
 			this.body.writeBytes(content);
+			return this.body.readableBytes() <= MAX_ANSWER_BYTES;
 		}
 
 		@Override
@@ -531,11 +536,31 @@
 
 		private final List<String> handles;
 
+		private long unusedBytes;
+
+		private Future<?> timeout;
+
+		private EndpointPool.Cancellable cancellable;
+
 		private FreeCall(String address, List<String> handles) {
 			this.address = address;
 			this.handles = handles;
 		}
 
+		private void send() {
+			// The timeout exists before the call can end.
+			this.timeout = StageCallDispatcher.this.loop.schedule(this::timedOut, FREE_TIMEOUT_MS,
+					TimeUnit.MILLISECONDS);
+			this.cancellable = StageCallDispatcher.this.pool.send(this.address,
+					StageRequests.post(this.address, StageCalls.FREE_PATH, StageCalls.encodeFree(this.handles), null),
+					this);
+		}
+
+		private void timedOut() {
+			this.cancellable.cancel();
+			failed(CallFailure.TIMED_OUT);
+		}
+
 		@Override
 		public String attemptId() {
 			return "";
@@ -547,17 +572,20 @@
 		}
 
 		@Override
-		public void received(ByteBuf content) {
-			// The body is not used.
+		public boolean received(ByteBuf content) {
+			this.unusedBytes += content.readableBytes();
+			return this.unusedBytes <= MAX_ANSWER_BYTES;
 		}
 
 		@Override
 		public void ended() {
+			this.timeout.cancel(false);
 			recordFreed(this.address, this.handles);
 		}
 
 		@Override
 		public void failed(CallFailure failure) {
+			this.timeout.cancel(false);
 			EventLog.state("free_failed")
 				.with("address", this.address)
 				.with("results", this.handles.size())
