Wake up idle VMs less often

Cause: each VM woke up 20 times a second for stage calls that only coordinators make, and 30 times for reads of the store that hubs make for it; at 95 VMs these are 5,000 wake-ups a second. An exception in a heartbeat would have ended all further ones.

Change: the tick of stage calls runs only while work items are pending, tails wait until they are needed, and a failing heartbeat is logged and followed by the next one.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -273,6 +273,11 @@
 		return this.watch.nextOffsets();
 	}
 
+	@Override
+	public void hubsChosen(long nowMs) {
+		this.watch.updateNeed(nowMs);
+	}
+
 	@Override
 	public boolean isStoreReached() {
 		return this.watch.isStoreReached();
--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -16,9 +16,6 @@
 
 	private static final long FIRST_RETRY_DELAY_MS = 100;
 
-	/** How often a tail that is not needed looks whether it is now, in milliseconds. */
-	private static final long IDLE_CHECK_MS = 100;
-
 	private final StoreClient store;
 
 	private final StoreTopic topic;
@@ -83,10 +80,7 @@
 	public void run() {
 		try {
 			while (!Thread.currentThread().isInterrupted()) {
-				if (!this.need.isNeeded()) {
-					Thread.sleep(IDLE_CHECK_MS);
-					continue;
-				}
+				awaitNeed();
 				if (!this.expired) {
 					this.nextOffset = Math.max(this.nextOffset, this.need.nextOffset());
 				}
@@ -103,6 +97,19 @@
 		}
 	}
 
+	private synchronized void awaitNeed() throws InterruptedException {
+		while (!this.need.isNeeded()) {
+			wait();
+		}
+	}
+
+	/**
+	 * Makes the tail read again if that is needed now.
+	 */
+	synchronized void needChanged() {
+		notifyAll();
+	}
+
 	private long readPage() {
 		try {
 			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic)
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
@@ -78,9 +77,6 @@
 	 */
 	private static final long MEMBER_RETRY_DELAY_MS = 3_000;
 
-	/** How often it is decided whether this VM reads the store, in milliseconds. */
-	private static final long NEED_INTERVAL_MS = 100;
-
 	/** The delay before the write of this VM's address is retried, in milliseconds. */
 	private static final long REGISTER_RETRY_DELAY_MS = 500;
 
@@ -123,36 +119,39 @@
 			this.lags.put(topic, new RecordLag());
 			this.nextOffsets.put(topic, new AtomicLong(-1));
 		}
-	}
-
-	void start(FleetMember own) {
-		follow(StoreTopic.OPERATOR, OPERATOR_INTERVAL_MS);
-		follow(StoreTopic.ENDPOINTS, ENDPOINTS_INTERVAL_MS);
-		StoreTail members = tail(StoreTopic.MEMBERS, MEMBERS_WAIT_MS, MEMBERS_INTERVAL_MS, () -> {
+		Runnable outageListener = () -> this.storeOutageAtMs = this.clockMs.getAsLong();
+		addTail(StoreTopic.OPERATOR, WAIT_MS, OPERATOR_INTERVAL_MS, outageListener);
+		addTail(StoreTopic.ENDPOINTS, WAIT_MS, ENDPOINTS_INTERVAL_MS, outageListener);
+		addTail(StoreTopic.MEMBERS, MEMBERS_WAIT_MS, MEMBERS_INTERVAL_MS, () -> {
 		});
-		run("register", () -> register(own, members));
-		this.loop.scheduleWithFixedDelay(this::updateNeed, NEED_INTERVAL_MS, NEED_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private void follow(StoreTopic topic, long minIntervalMs) {
-		StoreTail tail = tail(topic, WAIT_MS, minIntervalMs, () -> this.storeOutageAtMs = this.clockMs.getAsLong());
-		this.tails.put(topic, tail);
-		run("tail-" + topic, tail);
+	void start(FleetMember own) {
+		run("tail-operator", this.tails.get(StoreTopic.OPERATOR));
+		run("tail-endpoints", this.tails.get(StoreTopic.ENDPOINTS));
+		run("register", () -> register(own));
 	}
 
-	private StoreTail tail(StoreTopic topic, long waitMs, long minIntervalMs, Runnable outageListener) {
-		return new StoreTail(this.store, topic, waitMs, minIntervalMs, this.clockMs,
-				(page) -> this.loop.execute(() -> apply(topic, page)), () -> this.loop.execute(outageListener),
-				new TailNeed(topic));
+	private void addTail(StoreTopic topic, long waitMs, long minIntervalMs, Runnable outageListener) {
+		this.tails.put(topic,
+				new StoreTail(this.store, topic, waitMs, minIntervalMs, this.clockMs,
+						(page) -> this.loop.execute(() -> apply(topic, page)), () -> this.loop.execute(outageListener),
+						new TailNeed(topic)));
 	}
 
-	private void updateNeed() {
-		long nowMs = this.clockMs.getAsLong();
+	/**
+	 * Decides whether this VM reads the store by itself. Called with each heartbeat.
+	 * @param nowMs the current time in milliseconds
+	 */
+	void updateNeed(long nowMs) {
 		this.hub = this.peers.isHub();
 		if (this.peers.isStoreRelayed()) {
 			this.relayedAtMs = nowMs;
 		}
 		this.relayed = nowMs - this.relayedAtMs < RELAY_GRACE_MS;
+		if (this.hub || !this.relayed) {
+			this.tails.values().forEach(StoreTail::needChanged);
+		}
 	}
 
 	/**
@@ -160,7 +159,8 @@
 	 * @return {@code true} if the last reads of configuration and endpoints succeeded
 	 */
 	boolean isStoreReached() {
-		return this.hub && this.tails.values().stream().allMatch(StoreTail::isReached);
+		return this.hub && this.tails.get(StoreTopic.OPERATOR).isReached()
+				&& this.tails.get(StoreTopic.ENDPOINTS).isReached();
 	}
 
 	private void run(String name, Runnable task) {
@@ -172,12 +172,12 @@
 
 	// Writes the address of this VM before it reads those of the others, so that of two
 	// VMs that start together at least one finds the other.
-	private void register(FleetMember own, StoreTail members) {
+	private void register(FleetMember own) {
 		try {
 			while (!put(own)) {
 				Thread.sleep(REGISTER_RETRY_DELAY_MS);
 			}
-			members.run();
+			this.tails.get(StoreTopic.MEMBERS).run();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
@@ -33,6 +33,12 @@
 	 */
 	void peerLost(String peer);
 
+	/**
+	 * Handles the regular choice of hubs, whether it changed or not.
+	 * @param nowMs the current time in milliseconds
+	 */
+	void hubsChosen(long nowMs);
+
 	/**
 	 * Returns the load that this VM puts on endpoints, for heartbeats.
 	 * @return the load
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -95,7 +95,7 @@
 	public void start(String ip, int port, PeerListener newListener) throws InterruptedException {
 		this.listener = newListener;
 		new PeerServer(this.loop, this.clockMs, new Inbox()).listen(ip, port);
-		this.loop.scheduleWithFixedDelay(this::tick, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::safeTick, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -242,6 +242,16 @@
 		return known;
 	}
 
+	private void safeTick() {
+		try {
+			tick();
+		}
+		catch (RuntimeException ex) {
+			// An exception would end the heartbeats of this VM for good.
+			EventLog.state("heartbeat_failed").with("cause", ex).write();
+		}
+	}
+
 	private void tick() {
 		long nowMs = this.clockMs.getAsLong();
 		boolean paused = nowMs - this.lastTickAtMs > LOST_AFTER_MS;
@@ -252,6 +262,7 @@
 			List.copyOf(this.peers.values()).forEach((peer) -> checkSilence(peer, nowMs));
 		}
 		chooseHub(nowMs);
+		this.listener.hubsChosen(nowMs);
 		updateExpectations(nowMs);
 		dropReports();
 		sendHeartbeats(nowMs);
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -104,6 +104,8 @@
 
 	private final Map<String, List<String>> releasedByAddress = new HashMap<>();
 
+	private boolean tickScheduled;
+
 	/**
 	 * Creates a dispatcher.
 	 * @param loop the event loop
@@ -123,7 +125,6 @@
 		this.retryBudget = retryBudget;
 		this.vmCount = vmCount;
 		this.metrics = metrics;
-		loop.scheduleWithFixedDelay(this::tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -149,6 +150,7 @@
 		queue.pendingItems.put(item, pending);
 		queue.scheduler.add(item);
 		queue.scheduleDispatch();
+		scheduleTick();
 		return () -> queue.cancel(item);
 	}
 
@@ -232,8 +234,19 @@
 		});
 	}
 
+	private void scheduleTick() {
+		if (!this.tickScheduled) {
+			this.tickScheduled = true;
+			this.loop.schedule(this::tick, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	private void tick() {
+		this.tickScheduled = false;
 		this.queues.values().forEach(ServiceQueue::dispatch);
+		if (this.queues.values().stream().anyMatch((queue) -> !queue.pendingItems.isEmpty())) {
+			scheduleTick();
+		}
 	}
 
 	/**
