--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.BatchScheduler;
+import org.fulmargap.batch.RecentHandles;
 import org.fulmargap.batch.StageCall;
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.catalog.ServiceSpec;
@@ -74,6 +75,12 @@
 
 	private static final long BYTES_PER_KB = 1_000;
 
+	/**
+	 * How many results of a service are remembered to detect copies of answers: those of
+	 * some seconds.
+	 */
+	private static final int REMEMBERED_HANDLES = 10_000;
+
 	/**
 	 * How long released results are collected before they are sent to their endpoints, in
 	 * milliseconds.
@@ -258,6 +265,8 @@
 
 		private final BatchScheduler scheduler;
 
+		private final RecentHandles recentHandles = new RecentHandles(REMEMBERED_HANDLES);
+
 		private final Map<WorkItem, PendingItem> pendingItems = new HashMap<>();
 
 		private boolean dispatchScheduled;
@@ -457,6 +466,12 @@
 				retryAll("malformed", true, nowMs);
 				return;
 			}
+			if (!this.queue.recentHandles.add(handles(results))) {
+				// The answer to this call is still to come on the connection.
+				this.cancellable.cancel();
+				retryAll("copy", true, nowMs);
+				return;
+			}
 			this.call.endpoint().succeeded(nowMs - this.startedAtMs, this.call.expectedMs(), nowMs);
 			StageCallDispatcher.this.metrics.time("stage_call", nowMs - this.startedAtMs);
 			for (int i = 0; i < results.size(); i++) {
@@ -464,6 +479,10 @@
 			}
 		}
 
+		private static List<String> handles(List<WorkItemResult> results) {
+			return results.stream().filter((result) -> result.failure() == null).map(WorkItemResult::handle).toList();
+		}
+
 		private void deliver(WorkItem item, WorkItemResult result, long nowMs) {
 			Endpoint endpoint = this.call.endpoint();
 			if (result.failure() == null) {
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 
 import org.fulmargap.platform.standin.CallerWire;
+import org.fulmargap.platform.standin.CopyingStageStandIn;
 import org.fulmargap.platform.standin.EndpointStandIn;
 import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.fulmargap.platform.standin.StoreStandIn;
@@ -132,6 +133,23 @@
 			}
 		}
 
+		@Test
+		void aLateSecondAnswerToAStageCallIsDiscarded() throws Exception {
+			CopyingStageStandIn stage = new CopyingStageStandIn();
+			try (RawEndpointStandIn endpoint = new RawEndpointStandIn(stage)) {
+				EntryVmTests.this.installation.store()
+					.put(CallerWire.ENDPOINT_TOPIC, "raw-1", endpoint.record("stage"));
+				endpoint("pool-1", "pool");
+				startVms(1);
+				for (int i = 0; i < 6; i++) {
+					EntryVmTests.this.installation
+						.send(EntryVmTests.this.installation.pipeline(0).setHeader(CallerWire.ITEM_COUNTS, "2,2"));
+				}
+				assertThat(stage.copies()).isPositive();
+				assertThat(stage.foreignInputs()).isZero();
+			}
+		}
+
 		@Test
 		void anAnswerWithoutLengthEndsWithItsConnection() throws Exception {
 			try (RawEndpointStandIn endpoint = new RawEndpointStandIn(RawEndpointStandIn.Answer.WITHOUT_LENGTH)) {
