Spend no retry budget on endpoints that can't be reached; keep earned retries

A VM of a fleet of 95 could never save more than one retry: its share of the slack is 0.8 in a window, and the cap held for the retries that its own requests earn as well. Stage calls are made by one VM for the whole fleet, which had a 95th of the slack.

Earned retries are kept for a third of the window, apart from the slack. The slack of stage services is divided by at most four coordinators.

--- a/core/src/main/java/org/fulmargap/placement/SharedRetryBudget.java
+++ b/core/src/main/java/org/fulmargap/placement/SharedRetryBudget.java
@@ -15,6 +15,12 @@
 	 */
 	private static final double SAFETY = 0.7;
 
+	/**
+	 * The part of the window in which retries that first requests have added to the
+	 * budget are kept.
+	 */
+	private static final double KEPT_WINDOW = 0.35;
+
 	private final Map<String, Bucket> buckets = new HashMap<>();
 
 	private final double ratio;
@@ -38,10 +44,12 @@
 	/**
 	 * Records a first request, which adds a part of a retry to the budget.
 	 * @param service the name of the service
+	 * @param nowMs the current time in milliseconds
 	 */
-	public void firstRequest(String service) {
-		Bucket bucket = this.buckets.computeIfAbsent(service, (name) -> new Bucket());
-		bucket.tokens += this.ratio;
+	public void firstRequest(String service, long nowMs) {
+		Bucket bucket = bucket(service);
+		bucket.decay(nowMs, this.windowMs * KEPT_WINDOW);
+		bucket.earned += this.ratio;
 	}
 
 	/**
@@ -52,31 +60,56 @@
 	 * @return {@code true} if the retry may be made
 	 */
 	public boolean tryRetry(String service, int vmCount, long nowMs) {
-		Bucket bucket = this.buckets.computeIfAbsent(service, (name) -> new Bucket());
+		Bucket bucket = bucket(service);
+		bucket.decay(nowMs, this.windowMs * KEPT_WINDOW);
 		// Half of the share is refilled over the window and at most half is saved up, so
 		// that no window exceeds the share.
 		double halfShare = this.slack / Math.max(1, vmCount) / 2;
-		if (bucket.refilledAtMs == Long.MIN_VALUE) {
-			bucket.tokens += halfShare;
-		}
-		else {
-			bucket.tokens += halfShare * (nowMs - bucket.refilledAtMs) / this.windowMs;
-		}
-		bucket.refilledAtMs = nowMs;
-		bucket.tokens = Math.min(bucket.tokens, Math.max(1, halfShare));
-		if (bucket.tokens < 1) {
-			return false;
-		}
-		bucket.tokens--;
-		return true;
+		bucket.refill(halfShare, nowMs, this.windowMs);
+		return bucket.take();
+	}
+
+	private Bucket bucket(String service) {
+		return this.buckets.computeIfAbsent(service, (name) -> new Bucket());
 	}
 
 	private static final class Bucket {
 
-		private double tokens;
+		// Retries that first requests have added.
+		private double earned;
+
+		private long decayedAtMs = Long.MIN_VALUE;
+
+		// Retries of the slack.
+		private double spare;
 
 		private long refilledAtMs = Long.MIN_VALUE;
 
+		private void decay(long nowMs, double keptMs) {
+			if (this.decayedAtMs != Long.MIN_VALUE) {
+				this.earned *= Math.exp((this.decayedAtMs - nowMs) / keptMs);
+			}
+			this.decayedAtMs = nowMs;
+		}
+
+		private void refill(double halfShare, long nowMs, long windowMs) {
+			double added = (this.refilledAtMs == Long.MIN_VALUE) ? halfShare
+					: halfShare * (nowMs - this.refilledAtMs) / windowMs;
+			this.refilledAtMs = nowMs;
+			// A part of a retry is kept, or a small share would never allow one.
+			this.spare = Math.min(this.spare + added, Math.max(1, halfShare));
+		}
+
+		private boolean take() {
+			if (this.earned + this.spare < 1) {
+				return false;
+			}
+			double fromEarned = Math.min(1, this.earned);
+			this.earned -= fromEarned;
+			this.spare -= 1 - fromEarned;
+			return true;
+		}
+
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -56,6 +56,12 @@
 	 */
 	private static final double CORES_PER_MBPS = 0.02;
 
+	/**
+	 * The number of VMs that may make the calls of one stage service at the same time,
+	 * because they don't hear each other. They share the retries.
+	 */
+	private static final int MAX_COORDINATORS = 4;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	/** How long new requests are still accepted after SIGTERM, in milliseconds. */
@@ -118,7 +124,7 @@
 		SharedRetryBudget retries = new SharedRetryBudget(settings.retryRatio(), settings.retrySlack(),
 				settings.retryWindowMs());
 		this.dispatcher = new StageCallDispatcher(this.loop, this.clockMs, this.view, pool, retries,
-				this.peers::vmCount, this.metrics);
+				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.metrics);
 		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine, pool, this.stages, this.admittedWork,
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
@@ -8,6 +8,9 @@
 	/** The connection could not be opened, so nothing was sent. */
 	NOT_CONNECTED(false),
 
+	/** The endpoint answered that it has not run the request. */
+	REFUSED(false),
+
 	/** The connection broke after the request, or a part of it, was sent. */
 	CONNECTION_LOST(true),
 
@@ -23,6 +26,15 @@
 		this.mayHaveRun = mayHaveRun;
 	}
 
+	/**
+	 * Returns whether the request may have reached the endpoint, which uses up a part of
+	 * the retry budget when it is sent again.
+	 * @return {@code false} if nothing was sent
+	 */
+	public boolean mayHaveArrived() {
+		return this != NOT_CONNECTED;
+	}
+
 	/**
 	 * Returns whether the request may have run.
 	 * @return {@code false} if it can't have run
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -169,7 +169,7 @@
 	void start() {
 		this.deadlineTimer = this.services.loop()
 			.schedule(this::deadlinePassed, this.deadlineAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
-		this.services.retryBudget().firstRequest(this.service.name());
+		this.services.retryBudget().firstRequest(this.service.name(), this.arrivedAtMs);
 		if (isAdmitted()) {
 			this.stageRun.start();
 		}
@@ -315,8 +315,8 @@
 		finish();
 	}
 
-	private void callFailed(Call failed, CallFailure failure, boolean mayHaveRun) {
-		if (mayHaveRun) {
+	private void callFailed(Call failed, CallFailure failure) {
+		if (failure.mayHaveRun()) {
 			this.runs++;
 		}
 		String id = failed.endpoint.record().id();
@@ -324,14 +324,15 @@
 		long nowMs = this.services.nowMs();
 		boolean resumable = this.answerBegun && this.route.resumable();
 		boolean allowed = (!this.answerBegun || resumable)
-				&& RetryRule.mayRetry(this.route.isRetryable(), mayHaveRun, this.runs, this.route.maxAttempts(),
-						this.calls)
+				&& RetryRule.mayRetry(this.route.isRetryable(), failure.mayHaveRun(), this.runs,
+						this.route.maxAttempts(), this.calls)
 				&& this.services.quarantine().verdict(this.fingerprint, nowMs) != CrashQuarantine.Verdict.QUARANTINED
-				&& this.services.retryBudget().tryRetry(this.service.name(), this.services.peers().vmCount(), nowMs);
+				&& (!failure.mayHaveArrived() || this.services.retryBudget()
+					.tryRetry(this.service.name(), this.services.peers().vmCount(), nowMs));
 		EventLog.request("call_failed", this.request.attemptId())
 			.with("endpoint", id)
 			.with("failure", failure)
-			.with("maybe_ran", mayHaveRun)
+			.with("maybe_ran", failure.mayHaveRun())
 			.with("after_ms", nowMs - failed.sentAtMs)
 			.with("repeat", allowed)
 			.write();
@@ -532,7 +533,7 @@
 			boolean valid = !this.answer.isSuccess() || this.answer.signed();
 			if (!valid) {
 				this.endpoint.failed(false, nowMs);
-				flow.callFailed(this, CallFailure.WRONG_ANSWER, true);
+				flow.callFailed(this, CallFailure.WRONG_ANSWER);
 				return;
 			}
 			boolean mayRetry = this.answer.isServerError() && flow.route.isRetryable()
@@ -575,7 +576,7 @@
 			else {
 				this.endpoint.refused(nowMs + NO_ENDPOINT_PAUSE_MS);
 			}
-			RequestFlow.this.callFailed(this, CallFailure.NOT_CONNECTED, false);
+			RequestFlow.this.callFailed(this, CallFailure.REFUSED);
 		}
 
 		@Override
@@ -590,7 +591,7 @@
 			else if (failure == CallFailure.NOT_CONNECTED) {
 				flow.services.confirmCrash(this.endpoint.record().id(), nowMs);
 			}
-			flow.callFailed(this, failure, failure.mayHaveRun());
+			flow.callFailed(this, failure);
 		}
 
 		private void cancel() {
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -427,6 +427,19 @@
 			assertThat(core.mostRunsOfOneAttempt()).isEqualTo(1);
 		}
 
+		@Test
+		void endpointsThatCannotBeReachedCostNoRetries() throws Exception {
+			for (int i = 0; i < 3; i++) {
+				endpoint("core-" + i, "core").close();
+			}
+			endpoint("core-9", "core");
+			EntryVmTests.this.installation.withoutRetries();
+			startVms(1);
+			for (int i = 0; i < 4; i++) {
+				assertThat(send("/push/x").statusCode()).isEqualTo(200);
+			}
+		}
+
 		@Test
 		void aCompactedTopicIsListedAgain() throws Exception {
 			endpoint("core-1", "core");
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -42,6 +42,10 @@
 
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
+	private double retryRatio = 0.2;
+
+	private double retrySlack = 54;
+
 	private final AtomicInteger lastAttempt = new AtomicInteger();
 
 	Installation() throws IOException {
@@ -69,7 +73,7 @@
 	EntryVm vm(String name, StoreStandIn ownStore) throws IOException, InterruptedException {
 		String ip = "127.0.0.1:";
 		NodeSettings node = new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
-				ownStore.address(), 2_000, 8_000, 0.2, 54, 10_000, 1, 1_000);
+				ownStore.address(), 2_000, 8_000, this.retryRatio, this.retrySlack, 10_000, 1, 1_000);
 		EntryVm vm = new EntryVm(node, freePort());
 		vm.start();
 		this.settings.add(node);
@@ -77,6 +81,14 @@
 		return vm;
 	}
 
+	/**
+	 * Makes VMs that are started from now on have no retry budget.
+	 */
+	void withoutRetries() {
+		this.retryRatio = 0;
+		this.retrySlack = 0;
+	}
+
 	EntryVm vm(int vm) {
 		return this.vms.get(vm);
 	}
