Answer each request that was read before a planned stop ends

Cause: after SIGTERM a VM ended once no request was in flight; a request that was read between this check and the exit was cut off without an answer.

Change: before it ends, the VM closes its listener, stops reading from callers and waits once more for requests in flight.

Measured: CallerServerTests (does not compile on the code before), EntryProcessTests and EntryVmTests pass.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -182,11 +182,10 @@
 			this.callers.closeUnused();
 		});
 		long limitMs = this.settings.graceMs() - EXIT_MARGIN_MS;
-		boolean busy = true;
-		while (busy && this.clockMs.getAsLong() - startedAtMs < limitMs) {
-			Thread.sleep(POLL_MS);
-			busy = busyConnections() > 0 || pendingItems() > 0;
-		}
+		awaitIdle(startedAtMs + limitMs);
+		// A request may have arrived since the last check. After this none is read.
+		this.loop.submit(this.callers::stopReading).awaitUninterruptibly();
+		awaitIdle(startedAtMs + limitMs);
 		EventLog.state("stopped")
 			.with("vm", this.settings.vm())
 			.with("unfinished", busyConnections())
@@ -194,6 +193,12 @@
 			.write();
 	}
 
+	private void awaitIdle(long limitAtMs) throws InterruptedException {
+		while ((busyConnections() > 0 || pendingItems() > 0) && this.clockMs.getAsLong() < limitAtMs) {
+			Thread.sleep(POLL_MS);
+		}
+	}
+
 	/**
 	 * Returns whether this VM gets the records of the store from a hub.
 	 * @return {@code true} if it does; {@code false} if it reads them itself
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -125,6 +125,10 @@
 		return this.current != null;
 	}
 
+	void stopReading() {
+		this.context.channel().config().setAutoRead(false);
+	}
+
 	void closeIfUnused() {
 		if (this.current == null) {
 			this.context.close();
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -42,6 +42,8 @@
 
 	private boolean draining;
 
+	private Channel listener;
+
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param loop the event loop of all connections
@@ -74,9 +76,10 @@
 					addHandlers(channel);
 				}
 			});
-		bootstrap
+		this.listener = bootstrap
 			.bind(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
-			.sync();
+			.sync()
+			.channel();
 		this.loop.scheduleWithFixedDelay(this::closeIdle, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
@@ -109,6 +112,15 @@
 		List.copyOf(this.connections).forEach(CallerConnection::closeIfUnused);
 	}
 
+	/**
+	 * Accepts and reads no further requests, so that each one that was read gets its
+	 * answer before the process ends.
+	 */
+	public void stopReading() {
+		this.listener.close();
+		this.connections.forEach(CallerConnection::stopReading);
+	}
+
 	/**
 	 * Returns the number of connections with a request in flight.
 	 * @return the number
--- /dev/null
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -0,0 +1,103 @@
+package org.fulmargap.entry.caller;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import org.fulmargap.catalog.RequestLimits;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Guards against requests that are read by a process that ends before it answers them.
+ */
+class CallerServerTests {
+
+	private static final byte[] REQUEST = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
+		.getBytes(StandardCharsets.US_ASCII);
+
+	private static final int SILENCE_MS = 300;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = (EventLoop) this.group.next();
+
+	private final AtomicInteger handled = new AtomicInteger();
+
+	private CallerServer server;
+
+	private int port;
+
+	@BeforeEach
+	void start() throws Exception {
+		try (ServerSocket free = new ServerSocket(0)) {
+			this.port = free.getLocalPort();
+		}
+		this.server = new CallerServer(this.loop, System::currentTimeMillis, () -> RequestLimits.DEFAULT,
+				(request, exchange) -> {
+					request.release();
+					this.handled.incrementAndGet();
+					exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+					return () -> {
+					};
+				});
+		this.server.listen("127.0.0.1:" + this.port);
+	}
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	private Socket connect() throws IOException {
+		Socket socket = new Socket();
+		socket.connect(new InetSocketAddress("127.0.0.1", this.port), SILENCE_MS);
+		socket.setSoTimeout(SILENCE_MS);
+		return socket;
+	}
+
+	private static void send(Socket socket) throws IOException {
+		socket.getOutputStream().write(REQUEST);
+		socket.getOutputStream().flush();
+	}
+
+	private static void readAnswer(Socket socket) throws IOException {
+		InputStream in = socket.getInputStream();
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			head.append((char) in.read());
+		}
+		assertThat(head.toString()).startsWith("HTTP/1.1 204");
+	}
+
+	@Test
+	void noRequestIsReadAfterTheEndOfReading() throws Exception {
+		try (Socket socket = connect()) {
+			send(socket);
+			readAnswer(socket);
+			this.loop.submit(this.server::stopReading).sync();
+			send(socket);
+			assertThatExceptionOfType(SocketTimeoutException.class).isThrownBy(() -> readAnswer(socket));
+			assertThat(this.handled).hasValue(1);
+			assertThat(this.server.busyConnections()).isZero();
+		}
+		assertThatExceptionOfType(ConnectException.class).isThrownBy(this::connect);
+	}
+
+}
