Probe a silent stream's engine before the stream is cut

Cause: a retryable stream without a whole event for 1.5 s was cut and continued at another engine, also when its engine was sound and only slow; its work was then done twice. (Streams that send a byte now and then were ended already.)

Change: after 1.5 s the engine is probed by a connection; the stream is cut at once if it is not reachable, else after 2 s more.

Measured: EntryVmTests.aSlowStreamThatIsSoundIsNotCut failed before and passes; aStalledStreamContinuesAtAnotherEndpoint passed before and passes.

--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -56,10 +56,17 @@
 	private static final long MIN_RESPONSE_TIMEOUT_MS = 120;
 
 	/**
-	 * A retryable call with a streaming response times out when no whole event arrives
-	 * for this time, in milliseconds, so that another endpoint can continue the stream.
+	 * When no whole event of a retryable stream arrives for this time, in milliseconds,
+	 * its endpoint is probed. If it is not reachable, the call times out, so that another
+	 * endpoint can continue the stream.
 	 */
-	private static final long STREAM_RESPONSE_TIMEOUT_MS = 1_500;
+	private static final long STREAM_SILENCE_MS = 1_500;
+
+	/**
+	 * How much longer the stream may be silent if its endpoint is reachable, in
+	 * milliseconds: it may only be slow.
+	 */
+	private static final long STREAM_STALLED_MS = 2_000;
 
 	/** The size of the largest answer that is not a stream, in bytes. */
 	private static final int MAX_ANSWER_BYTES = 8 << 20;
@@ -406,11 +413,30 @@
 			if (!flow.route.isRetryable() || flow.runs + 1 >= flow.route.maxAttempts()) {
 				return;
 			}
+			if (flow.route.kind().isStreaming()) {
+				schedule(this::probeSilentStream, STREAM_SILENCE_MS);
+				return;
+			}
 			double expectedMs = flow.services.serviceTimes().expectedMs(flow.service.name());
-			long timeoutMs = (flow.route.kind().isStreaming()) ? STREAM_RESPONSE_TIMEOUT_MS
-					: (long) Math.max(MIN_RESPONSE_TIMEOUT_MS, expectedMs * RESPONSE_TIMEOUT_FACTOR);
-			this.responseTimeout = flow.services.loop()
-				.schedule(this::responseTimedOut, timeoutMs, TimeUnit.MILLISECONDS);
+			schedule(this::responseTimedOut,
+					(long) Math.max(MIN_RESPONSE_TIMEOUT_MS, expectedMs * RESPONSE_TIMEOUT_FACTOR));
+		}
+
+		private void schedule(Runnable timeout, long delayMs) {
+			this.responseTimeout = RequestFlow.this.services.loop().schedule(timeout, delayMs, TimeUnit.MILLISECONDS);
+		}
+
+		private void probeSilentStream() {
+			Future<?> silence = this.responseTimeout;
+			RequestFlow.this.services.pool().probe(this.endpoint.record().address(), (reachable) -> {
+				boolean stillSilent = !this.closed && this.responseTimeout == silence;
+				if (stillSilent && reachable) {
+					schedule(this::responseTimedOut, STREAM_STALLED_MS);
+				}
+				else if (stillSilent) {
+					responseTimedOut();
+				}
+			});
 		}
 
 		private void responseTimedOut() {
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -150,6 +150,34 @@
 			}
 		}
 
+		@Test
+		void aSlowStreamThatIsSoundIsNotCut() throws Exception {
+			assertThat(streamOf(RawEndpointStandIn.Answer.SLOW_STREAM).body()).isEqualTo(ALL_EVENTS);
+		}
+
+		@Test
+		void aStalledStreamContinuesAtAnotherEndpoint() throws Exception {
+			HttpResponse<String> response = streamOf(RawEndpointStandIn.Answer.STALLED_STREAM);
+			assertThat(response.statusCode()).isEqualTo(200);
+			assertThat(response.body()).isEqualTo(ALL_EVENTS);
+		}
+
+		// The other engine only continues streams, so that the raw one gets the request.
+		private HttpResponse<String> streamOf(RawEndpointStandIn.Answer answer) throws Exception {
+			try (RawEndpointStandIn engine = new RawEndpointStandIn(answer)) {
+				EntryVmTests.this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "raw-1", engine.record("pool"));
+				endpoint("stage-1", "stage");
+				startVms(1);
+				CompletableFuture<HttpResponse<String>> response = EntryVmTests.this.installation
+					.sendAsync(EntryVmTests.this.installation.pipeline(0));
+				Thread.sleep(700);
+				if (answer == RawEndpointStandIn.Answer.STALLED_STREAM) {
+					endpoint("pool-1", "pool");
+				}
+				return response.get();
+			}
+		}
+
 		@Test
 		void anAnswerWithoutLengthEndsWithItsConnection() throws Exception {
 			try (RawEndpointStandIn endpoint = new RawEndpointStandIn(RawEndpointStandIn.Answer.WITHOUT_LENGTH)) {
