--- a/core/src/test/java/org/fulmargap/placement/SharedRetryBudgetProperties.java
+++ b/core/src/test/java/org/fulmargap/placement/SharedRetryBudgetProperties.java
@@ -8,7 +8,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
-
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
