--- a/entry/src/main/java/org/fulmargap/entry/peer/Peer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/Peer.java
@@ -16,7 +16,7 @@
 
 	private final PeerLink link;
 
-	private Object receiver;
+	private PeerServer.Receiver receiver;
 
 	private long startedAtMs;
 
@@ -62,7 +62,7 @@
 	 * @param newStartedAtMs when the VM started, in milliseconds since the epoch
 	 * @return whether the VM restarted since the last greeting
 	 */
-	boolean greeted(Object newReceiver, long newStartedAtMs) {
+	boolean greeted(PeerServer.Receiver newReceiver, long newStartedAtMs) {
 		boolean restarted = this.startedAtMs != 0 && this.startedAtMs != newStartedAtMs;
 		this.receiver = newReceiver;
 		this.startedAtMs = newStartedAtMs;
@@ -72,7 +72,7 @@
 		return restarted;
 	}
 
-	boolean isReceiver(Object candidate) {
+	boolean isReceiver(PeerServer.Receiver candidate) {
 		return this.receiver == candidate;
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -342,33 +342,38 @@
 
 	private void sendHeartbeats(long nowMs) {
 		List<String> members = this.peers.values().stream().filter(Peer::isMember).map(Peer::name).toList();
-		LoadReport own = this.listener.ownReport();
-		List<Long> offsets = this.listener.nextOffsets();
-		boolean storeReached = this.listener.isStoreReached();
-		boolean anyStoreReached = storeReached
-				|| this.peers.values().stream().anyMatch((peer) -> reportsTo(peer) && peer.isStoreReached());
+		OwnState own = new OwnState(this.listener.ownReport(), this.listener.nextOffsets(),
+				this.listener.isStoreReached());
 		Set<String> targets = heartbeatTargets();
 		for (Peer peer : List.copyOf(this.peers.values())) {
 			if (peer.isMember()) {
-				Collection<String> others = without(this.reports.vms(), peer.name());
-				send(peer,
-						new PeerMessage.Heartbeat(PeerRelation.MEMBER, this.draining, true, anyStoreReached,
-								this.reports.sum(own, others, nowMs), offsets),
-						this.fleet.confirmed(nowMs), without(this.peers.keySet(), peer.name()));
+				sendToMember(peer, own, nowMs);
 			}
 			else if (targets.contains(peer.name()) || peer.relation() == PeerRelation.OTHER_HUB) {
-				send(peer,
-						new PeerMessage.Heartbeat(relationTo(peer, targets), this.draining, peer.isAlive(),
-								storeReached, this.reports.sum(own, members, nowMs), offsets),
-						stateOf(members), members);
+				sendToHub(peer, relationTo(peer, targets), own, members, nowMs);
 			}
 			else if (peer.replaceExchanging(false)) {
-				send(peer, new PeerMessage.Heartbeat(PeerRelation.NONE, this.draining, true, storeReached,
-						LoadReport.NONE, offsets));
+				send(peer, new PeerMessage.Heartbeat(PeerRelation.NONE, this.draining, true, own.storeReached(),
+						LoadReport.NONE, own.nextOffsets()));
 			}
 		}
 	}
 
+	private void sendToMember(Peer member, OwnState own, long nowMs) {
+		Collection<String> others = without(this.reports.vms(), member.name());
+		boolean storeReached = own.storeReached()
+				|| this.peers.values().stream().anyMatch((peer) -> reportsTo(peer) && peer.isStoreReached());
+		PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(PeerRelation.MEMBER, this.draining, true,
+				storeReached, this.reports.sum(own.report(), others, nowMs), own.nextOffsets());
+		send(member, heartbeat, this.fleet.confirmed(nowMs), without(this.peers.keySet(), member.name()));
+	}
+
+	private void sendToHub(Peer hub, PeerRelation relation, OwnState own, List<String> members, long nowMs) {
+		PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(relation, this.draining, hub.isAlive(),
+				own.storeReached(), this.reports.sum(own.report(), members, nowMs), own.nextOffsets());
+		send(hub, heartbeat, stateOf(members), members);
+	}
+
 	private PeerRelation relationTo(Peer peer, Set<String> targets) {
 		if (!targets.contains(peer.name())) {
 			return PeerRelation.HUB_ANSWER;
@@ -479,6 +484,12 @@
 		}
 	}
 
+	/**
+	 * What this VM reports of itself in all heartbeats of one round.
+	 */
+	private record OwnState(LoadReport report, List<Long> nextOffsets, boolean storeReached) {
+	}
+
 	/**
 	 * Handles what arrives on the connections from other VMs.
 	 */
