Close a connection whose answer may belong to another call

What callers saw: requests that ran with single results of other requests (MIXED).

Cause: answers to stage calls have no identity. Commit recognised a late copy only by results that were delivered before. A refusal, a server error, a body that can't be read, failures of all work items and any answer to a release ended the call and left the connection in the pool. Where such an answer was a late copy, the true answer was read as the answer to the next call, and each later call on that connection got the answer to the one before.

Change: a call says whether the answer is known to be its own: requests by the attempt id, stage calls by results that were never delivered, releases by a success without results. Any other answer closes its connection, with a log line. The connection is given back to the pool after the answer was judged.

Why it works: a connection carries a further call only while every answer so far belonged to its call, so whatever still comes on it is a copy, and a copy is never taken for an own answer of a stage call.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
@@ -35,8 +35,11 @@
 
 	/**
 	 * Handles the end of a complete answer.
+	 * @return whether the answer is known to belong to this call; if it may be a late
+	 * copy of an earlier answer, the connection is closed, because the true answer may
+	 * still follow
 	 */
-	void ended();
+	boolean ended();
 
 	/**
 	 * Handles the failure of the call. The answer is missing or incomplete.
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -1,5 +1,7 @@
 package org.fulmargap.entry.endpoint;
 
+import java.net.InetSocketAddress;
+
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -9,13 +11,14 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.fulmargap.entry.EventLog;
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.EndpointHeaders;
 
 /**
  * A connection to an endpoint, which carries one call at a time. An answer with the
- * attempt id of another call is skipped; bytes that arrive while no call is in flight
- * close the connection.
+ * attempt id of another call is skipped. An answer that may belong to another call closes
+ * the connection, and so do bytes that arrive while no call is in flight.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
@@ -160,21 +163,34 @@
 			return;
 		}
 		if (content instanceof LastHttpContent && this.call != null) {
-			EndpointCall completed = this.call;
-			this.call = null;
-			// If the answer is complete before the request is written, the endpoint may
-			// not have read the whole request, so the connection can't be reused.
-			if (this.closesAfterAnswer || !this.requestWritten) {
-				this.channel.close();
-			}
-			else {
-				this.idleSinceMs = this.pool.nowMs();
-				this.pool.release(this);
-			}
-			completed.ended();
+			endCall();
 		}
 	}
 
+	private void endCall() {
+		EndpointCall completed = this.call;
+		this.call = null;
+		boolean attributed = completed.ended();
+		if (!attributed) {
+			EventLog.state("answer_not_attributed")
+				.with("address", this.address)
+				.with("local_port", localPort())
+				.write();
+		}
+		// If the answer is complete before the request is written, the endpoint may not
+		// have read the whole request, so the connection can't be reused.
+		if (!attributed || this.closesAfterAnswer || !this.requestWritten) {
+			this.channel.close();
+			return;
+		}
+		this.idleSinceMs = this.pool.nowMs();
+		this.pool.release(this);
+	}
+
+	private int localPort() {
+		return (this.channel.localAddress() instanceof InetSocketAddress local) ? local.getPort() : 0;
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		fail(CallFailure.CONNECTION_LOST);
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -532,8 +532,13 @@
 		}
 
 		@Override
-		public void ended() {
+		public boolean ended() {
 			close();
+			handleEnd();
+			return !attemptId().isEmpty() && attemptId().equals(this.answer.attemptId());
+		}
+
+		private void handleEnd() {
 			RequestFlow flow = RequestFlow.this;
 			long nowMs = flow.services.nowMs();
 			if (this.answer.notExecuted()) {
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -430,20 +430,23 @@
 			return this.body.readableBytes() <= MAX_ANSWER_BYTES;
 		}
 
+		// Answers to stage calls have no attempt id. Only results that were never
+		// delivered show that an answer is no copy of an earlier one.
 		@Override
-		public void ended() {
+		public boolean ended() {
 			long nowMs = close();
+			this.queue.scheduleDispatch();
 			if (this.answer.isSuccess()) {
-				deliver(nowMs);
+				return deliver(nowMs);
 			}
-			else if (this.answer.notExecuted()) {
+			if (this.answer.notExecuted()) {
 				refused(nowMs);
 			}
 			else {
 				this.call.endpoint().failed(true, nowMs);
 				retryAll("status_" + this.answer.status(), true, nowMs);
 			}
-			this.queue.scheduleDispatch();
+			return false;
 		}
 
 		private void refused(long nowMs) {
@@ -456,7 +459,7 @@
 			retryAll("refused_" + this.answer.status(), true, nowMs);
 		}
 
-		private void deliver(long nowMs) {
+		private boolean deliver(long nowMs) {
 			List<WorkItemResult> results;
 			try {
 				results = StageCalls.decode(ByteBufUtil.getBytes(this.body), this.call.items().size());
@@ -464,19 +467,19 @@
 			catch (MalformedRecordException ex) {
 				this.call.endpoint().failed(true, nowMs);
 				retryAll("malformed", true, nowMs);
-				return;
+				return false;
 			}
-			if (!this.queue.recentHandles.add(handles(results))) {
-				// The answer to this call is still to come on the connection.
-				this.cancellable.cancel();
+			List<String> handles = handles(results);
+			if (!this.queue.recentHandles.add(handles)) {
 				retryAll("copy", true, nowMs);
-				return;
+				return false;
 			}
 			this.call.endpoint().succeeded(nowMs - this.startedAtMs, this.call.expectedMs(), nowMs);
 			StageCallDispatcher.this.metrics.time("stage_call", nowMs - this.startedAtMs);
 			for (int i = 0; i < results.size(); i++) {
 				deliver(this.call.items().get(i), results.get(i), nowMs);
 			}
+			return !handles.isEmpty();
 		}
 
 		private static List<String> handles(List<WorkItemResult> results) {
@@ -568,7 +571,9 @@
 
 		private final List<String> handles;
 
-		private long unusedBytes;
+		private final ByteBuf body = Unpooled.buffer(16);
+
+		private EndpointAnswer answer;
 
 		private Future<?> timeout;
 
@@ -599,20 +604,29 @@
 		}
 
 		@Override
-		public void answered(EndpointAnswer answer, HttpResponse head) {
-			// Any complete response counts as confirmation, whatever its status.
+		public void answered(EndpointAnswer newAnswer, HttpResponse head) {
+			this.answer = newAnswer;
 		}
 
 		@Override
 		public boolean received(ByteBuf content) {
-			this.unusedBytes += content.readableBytes();
-			return this.unusedBytes <= MAX_ANSWER_BYTES;
+			this.body.writeBytes(content);
+			return this.body.readableBytes() <= MAX_ANSWER_BYTES;
 		}
 
 		@Override
-		public void ended() {
-			this.timeout.cancel(false);
-			recordFreed(this.address, this.handles);
+		public boolean ended() {
+			boolean freed = this.answer.isSuccess() && StageCalls.isFreeAnswer(ByteBufUtil.getBytes(this.body));
+			if (freed) {
+				this.timeout.cancel(false);
+				recordFreed(this.address, this.handles);
+			}
+			else {
+				failed(CallFailure.WRONG_ANSWER);
+			}
+			// A copy of the answer to an earlier release is not noticed here, but by the
+			// next call with work items.
+			return freed;
 		}
 
 		@Override
