Remember answers to stage calls as long as a copy may follow

Cause: copies were recognised by the last 10,000 results of a service. A connection that waits in the pool while others deliver that many results may still send a copy of an older answer, which then passes as new.

Change: the first handle of each of the last 10,000 answers is remembered as well, since a copy has all results of its answer, and a connection is closed after 100 calls. Results are remembered as before.

Test change: theOldestHandlesAreForgotten is now theOldestAnswersAreForgotten, because a first handle is remembered longer than it asked; largeAnswersDoNotDisplaceOneAnother is new.

--- a/core/src/main/java/org/fulmargap/batch/RecentHandles.java
+++ b/core/src/main/java/org/fulmargap/batch/RecentHandles.java
@@ -7,8 +7,10 @@
 
 /**
  * Detects answers to stage calls that were delivered before. An endpoint may send an
- * answer a second time, late, on a connection that carries the next call. Stage calls
- * have no identity, but each result has a new handle. Confined to one thread.
+ * answer a second time, late, on a connection that carries another call. Stage calls have
+ * no identity, but each result has a new handle. The first handle of an answer is
+ * remembered longer than the others, because a copy has all of them. Confined to one
+ * thread.
  */
 public final class RecentHandles {
 
@@ -16,9 +18,12 @@
 
 	private final Set<String> handles = new LinkedHashSet<>();
 
+	private final Set<String> firstHandles = new LinkedHashSet<>();
+
 	/**
 	 * Creates an empty memory.
-	 * @param capacity how many handles are remembered
+	 * @param capacity how many handles, and how many answers by their first handle, are
+	 * remembered
 	 */
 	public RecentHandles(int capacity) {
 		if (capacity < 1) {
@@ -33,17 +38,25 @@
 	 * @return {@code false} if the answer is a copy of an earlier one
 	 */
 	public boolean add(Collection<String> answer) {
-		for (String handle : answer) {
-			if (this.handles.contains(handle)) {
-				return false;
-			}
+		if (answer.stream().anyMatch(this::isKnown)) {
+			return false;
 		}
 		this.handles.addAll(answer);
-		for (Iterator<String> oldest = this.handles.iterator(); this.handles.size() > this.capacity;) {
+		trim(this.handles);
+		answer.stream().findFirst().ifPresent(this.firstHandles::add);
+		trim(this.firstHandles);
+		return true;
+	}
+
+	private boolean isKnown(String handle) {
+		return this.handles.contains(handle) || this.firstHandles.contains(handle);
+	}
+
+	private void trim(Set<String> remembered) {
+		for (Iterator<String> oldest = remembered.iterator(); remembered.size() > this.capacity;) {
 			oldest.next();
 			oldest.remove();
 		}
-		return true;
 	}
 
 }
--- a/core/src/test/java/org/fulmargap/batch/RecentHandlesTests.java
+++ b/core/src/test/java/org/fulmargap/batch/RecentHandlesTests.java
@@ -28,11 +28,19 @@
 	}
 
 	@Test
-	void theOldestHandlesAreForgotten() {
-		this.recent.add(List.of("a", "b"));
-		this.recent.add(List.of("c", "d"));
+	void largeAnswersDoNotDisplaceOneAnother() {
+		assertThat(this.recent.add(List.of("a", "b", "c"))).isTrue();
+		assertThat(this.recent.add(List.of("d", "e", "f"))).isTrue();
+		assertThat(this.recent.add(List.of("a", "b", "c"))).isFalse();
+	}
+
+	@Test
+	void theOldestAnswersAreForgotten() {
+		for (String answer : List.of("a", "b", "c", "d")) {
+			this.recent.add(List.of(answer));
+		}
+		assertThat(this.recent.add(List.of("b"))).isFalse();
 		assertThat(this.recent.add(List.of("a"))).isTrue();
-		assertThat(this.recent.add(List.of("d"))).isFalse();
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -30,6 +30,12 @@
 	/** Larger answers to other calls close the connection. */
 	private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+	/**
+	 * A connection is closed after this number of calls, so that copies of answers can be
+	 * recognised with a bounded memory.
+	 */
+	private static final int MAX_CALLS = 100;
+
 	private final EndpointPool pool;
 
 	private final String address;
@@ -38,6 +44,8 @@
 
 	private EndpointCall call;
 
+	private int calls;
+
 	private boolean requestWritten;
 
 	private boolean skipping;
@@ -76,6 +84,7 @@
 
 	void send(FullHttpRequest request, EndpointCall newCall) {
 		this.call = newCall;
+		this.calls++;
 		this.requestWritten = false;
 		this.skipping = false;
 		this.skippedAnswers = 0;
@@ -179,7 +188,7 @@
 		}
 		// If the answer is complete before the request is written, the endpoint may not
 		// have read the whole request, so the connection can't be reused.
-		if (!attributed || this.closesAfterAnswer || !this.requestWritten) {
+		if (!attributed || this.closesAfterAnswer || !this.requestWritten || this.calls >= MAX_CALLS) {
 			this.channel.close();
 			return;
 		}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -76,8 +76,8 @@
 	private static final long BYTES_PER_KB = 1_000;
 
 	/**
-	 * How many results of a service are remembered to detect copies of answers: those of
-	 * some seconds.
+	 * How many results and answers of a service are remembered to detect copies: more
+	 * answers than all open connections to it can have carried.
 	 */
 	private static final int REMEMBERED_HANDLES = 10_000;
 
