Drop messages that a peer's previous process sent

Cause: a VM that was suspended reads, when it wakes up, the greeting of a restarted peer on a new connection and then frames of the process before on the old one, in any order. Work items read after the greeting were queued, their times counted from now, and no later event cancelled them; their outcomes went to the new process, whose item ids start again.

Change: messages count only from the newest connection of a peer.

--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -503,12 +503,18 @@
 			if (message instanceof PeerMessage.Hello hello) {
 				greet(receiver, hello, nowMs);
 			}
-			else if (receiver.peer() != null) {
+			else if (isCurrent(receiver)) {
 				heard(receiver.peer(), nowMs);
 				receive(receiver.peer(), message, nowMs);
 			}
 		}
 
+		// Messages that are read from an older connection after the greeting on a new one
+		// may come from a previous process of the VM.
+		private boolean isCurrent(PeerServer.Receiver receiver) {
+			return receiver.peer() != null && receiver.peer().isReceiver(receiver);
+		}
+
 		private void greet(PeerServer.Receiver receiver, PeerMessage.Hello hello, long nowMs) {
 			FleetMember sender = hello.sender();
 			PeerNetwork.this.fleet.put(sender, nowMs);
@@ -524,10 +530,9 @@
 
 		@Override
 		public void closed(PeerServer.Receiver receiver) {
-			Peer peer = receiver.peer();
-			if (peer != null && peer.isReceiver(receiver)) {
-				peer.receiverClosed();
-				lose(peer, "closed");
+			if (isCurrent(receiver)) {
+				receiver.peer().receiverClosed();
+				lose(receiver.peer(), "closed");
 			}
 		}
 
