Queue a work item that a peer submits again only once

What callers would see: requests that wait until their deadline.

Cause: a peer that takes its connection for broken submits its work items again to the same coordinator. If the first call ended while the copy waited, the copy had no pending entry any more; forming the next call failed with a NullPointerException, and the slot and result space reserved for it were never given back. Copies that differed by a millisecond ran twice.

Change: the end of a work item also removes a waiting copy; a work item that comes again replaces the earlier one of the same peer and id.

Measured: StageClientTests.aWorkItemThatAPeerSubmitsAgainDoesNotOccupyTheEndpointForEver failed before (no further call within 5 s) and passes.

--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -344,6 +344,8 @@
 		private void finish(WorkItem item, WorkItemOutcome outcome) {
 			PendingItem pending = this.pendingItems.remove(item);
 			if (pending != null) {
+				// It waits as well if it was submitted again during the call.
+				this.scheduler.remove(item);
 				pending.outcome.accept(outcome);
 			}
 			else if (outcome.isDone()) {
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -170,13 +170,15 @@
 	}
 
 	/**
-	 * Queues the work items of a peer, and sends their outcomes back to it.
+	 * Queues the work items of a peer, and sends their outcomes back to it. A work item
+	 * that the peer submits again replaces the earlier one.
 	 * @param peer the name of the peer
 	 * @param message the work items
 	 */
 	public void receive(String peer, PeerMessage.WorkItems message) {
 		for (WorkItem item : message.items()) {
 			RemoteItem key = new RemoteItem(peer, item.itemId());
+			cancel(key);
 			Runnable cancellation = this.dispatcher.submit(message.service(), item, (outcome) -> {
 				if (outcome.status().isLast()) {
 					this.cancellations.remove(key);
@@ -194,7 +196,11 @@
 	 * @param message the cancellation
 	 */
 	public void receive(String peer, PeerMessage.Cancellation message) {
-		Runnable cancellation = this.cancellations.remove(new RemoteItem(peer, message.itemId()));
+		cancel(new RemoteItem(peer, message.itemId()));
+	}
+
+	private void cancel(RemoteItem key) {
+		Runnable cancellation = this.cancellations.remove(key);
 		if (cancellation != null) {
 			cancellation.run();
 		}
@@ -227,7 +233,7 @@
 		}
 		lost.forEach(this::dispatch);
 		List<RemoteItem> ofPeer = this.cancellations.keySet().stream().filter((key) -> key.peer.equals(peer)).toList();
-		ofPeer.forEach((key) -> this.cancellations.remove(key).run());
+		ofPeer.forEach(this::cancel);
 	}
 
 	/**
--- /dev/null
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -0,0 +1,119 @@
+package org.fulmargap.entry.stage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.fulmargap.batch.WorkItem;
+import org.fulmargap.entry.EntryMetrics;
+import org.fulmargap.entry.StoreView;
+import org.fulmargap.entry.endpoint.EndpointPool;
+import org.fulmargap.entry.peer.PeerMessage;
+import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.fleet.FleetMember;
+import org.fulmargap.placement.SharedRetryBudget;
+import org.fulmargap.platform.EndpointRecordDecoder;
+import org.fulmargap.platform.KeyedRecord;
+import org.fulmargap.platform.OperatorRecord;
+import org.fulmargap.platform.standin.CallerWire;
+import org.fulmargap.platform.standin.RawEndpointStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link StageClient} as the coordinator of a service with one endpoint.
+ */
+class StageClientTests {
+
+	private static final String ANSWER = "{\"items\":[{\"handle\":\"127.0.0.1:1/%d\"}]}";
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=20\r\nContent-Length: %d\r\n\r\n";
+
+	private static final long WORK_MS = 100;
+
+	private static final long TIMEOUT_MS = 5_000;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = (EventLoop) this.group.next();
+
+	private final Semaphore calls = new Semaphore(0);
+
+	private int handles;
+
+	private RawEndpointStandIn endpoint;
+
+	private StageClient client;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.endpoint = new RawEndpointStandIn((connection, path, body, out) -> {
+			this.calls.release();
+			pause();
+			this.handles++;
+			String answer = ANSWER.formatted(this.handles);
+			out.write(HEAD.formatted(answer.length()) + answer);
+		});
+		StoreView view = new StoreView();
+		KeyedRecord config = new KeyedRecord("config", CallerWire.CONFIG.formatted(1).getBytes(StandardCharsets.UTF_8),
+				0);
+		view.replace(((OperatorRecord.Configuration) OperatorRecord.decode(config)).catalog());
+		byte[] record = this.endpoint.record("stage").getBytes(StandardCharsets.UTF_8);
+		view.put(EndpointRecordDecoder.decode("raw-1", record), 0);
+		EntryMetrics metrics = new EntryMetrics();
+		StageCallDispatcher dispatcher = new StageCallDispatcher(this.loop, System::currentTimeMillis, view,
+				new EndpointPool(this.loop, System::currentTimeMillis), new SharedRetryBudget(0.2, 54, 10_000), () -> 1,
+				metrics);
+		FleetMember own = new FleetMember("vm-0", "127.0.0.1:1", "a", 1);
+		this.client = new StageClient(this.loop, dispatcher,
+				new PeerNetwork(own, 1, this.loop, System::currentTimeMillis, metrics));
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(WORK_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.endpoint.close();
+		this.group.shutdownGracefully();
+	}
+
+	@Test
+	void aWorkItemThatAPeerSubmitsAgainDoesNotOccupyTheEndpointForEver() throws Exception {
+		long nowMs = System.currentTimeMillis();
+		WorkItem twice = item(1, "attempt1", nowMs);
+		submit(twice);
+		awaitCall();
+		submit(twice);
+		submit(item(2, "attempt2", nowMs));
+		awaitCall();
+	}
+
+	private void submit(WorkItem item) {
+		this.loop.submit(() -> this.client.receive("vm-1", new PeerMessage.WorkItems("stage", List.of(item))))
+			.awaitUninterruptibly();
+	}
+
+	private void awaitCall() throws InterruptedException {
+		assertThat(this.calls.tryAcquire(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+	}
+
+	private static WorkItem item(long itemId, String attemptId, long nowMs) {
+		return new WorkItem(itemId, attemptId, 0, 0, "key", List.of(), "", 0, nowMs + TIMEOUT_MS,
+				nowMs + 2 * TIMEOUT_MS, 1_000);
+	}
+
+}
