Start item ids at random in each process

Cause: item ids counted from 1 in each process, so an outcome that a coordinator sent to a VM's previous process, and that arrived after its restart, could match a work item of the new one.

Change: the first id is random.

Measured: StageClientTests.itemIdsOfTwoProcessesOfAVmDiffer failed before and passes.

--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -24,6 +25,12 @@
  */
 public final class StageClient {
 
+	/**
+	 * The highest id before the first one. Ids start at random, so that a late outcome
+	 * for a work item of this VM's previous process matches none of this one.
+	 */
+	private static final int MAX_FIRST_ITEM_ID = Integer.MAX_VALUE;
+
 	private final EventLoop loop;
 
 	private final StageCallDispatcher dispatcher;
@@ -38,7 +45,7 @@
 
 	private final Map<String, List<WorkItemOutcome>> outgoingOutcomes = new LinkedHashMap<>();
 
-	private long lastItemId;
+	private long lastItemId = ThreadLocalRandom.current().nextInt(MAX_FIRST_ITEM_ID);
 
 	private boolean flushScheduled;
 
--- a/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -102,6 +102,13 @@
 		awaitCall();
 	}
 
+	@Test
+	void itemIdsOfTwoProcessesOfAVmDiffer() {
+		StageClient previous = new StageClient(this.loop, null, null);
+		StageClient current = new StageClient(this.loop, null, null);
+		assertThat(current.newItemId()).isNotEqualTo(previous.newItemId());
+	}
+
 	private void submit(WorkItem item) {
 		this.loop.submit(() -> this.client.receive("vm-1", new PeerMessage.WorkItems("stage", List.of(item))))
 			.awaitUninterruptibly();
