Schedule the timeout of a stage call before it is sent

What callers would see: work items that wait until their timeout.

Cause: a write that fails at once ends the call before its timeout exists, and close() failed with a NullPointerException.

Change: the timeout is scheduled first, as for calls that release results.

Measured: no test plays a write that fails at once; the tests of the module pass.

--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -325,15 +325,16 @@
 				.with("free_kb", this.scheduler.freeBytes(call.endpoint(), nowMs) / BYTES_PER_KB)
 				.write();
 			RunningCall running = new RunningCall(this, call, nowMs);
-			String address = call.endpoint().record().address();
-			running.cancellable = StageCallDispatcher.this.pool.send(address, StageRequests.post(address,
-					StageCalls.RUN_PATH, StageCalls.encode(call.items(), nowMs), call.endpoint().record().id()),
-					running);
 			double timeoutMs = Math.max(MIN_CALL_TIMEOUT_MS,
 					call.expectedMs() * CALL_TIMEOUT_FACTOR * Math.max(1, call.endpoint().slowdownFactor()));
 			StageCallDispatcher.this.loop.schedule(running::inputsRead, INPUT_READ_TIME_MS, TimeUnit.MILLISECONDS);
+			// The timeout exists before the call can end.
 			running.timeout = StageCallDispatcher.this.loop.schedule(running::timedOut, (long) timeoutMs,
 					TimeUnit.MILLISECONDS);
+			String address = call.endpoint().record().address();
+			running.cancellable = StageCallDispatcher.this.pool.send(address, StageRequests.post(address,
+					StageCalls.RUN_PATH, StageCalls.encode(call.items(), nowMs), call.endpoint().record().id()),
+					running);
 		}
 
 		private void cancel(WorkItem item) {
