Reject an answer to a stage call that has a result twice

What callers would see: one input twice (MIXED).

Cause: handles were compared with those of earlier answers, but not with each other.

Change: such an answer counts as one that may belong to another call. The test of releases also asserts that its copy was sent.

Measured: RecentHandlesTests.anAnswerWithOneResultTwiceIsNotAccepted is new; it contradicts the code before, which returned true for it.

--- a/core/src/main/java/org/fulmargap/batch/RecentHandles.java
+++ b/core/src/main/java/org/fulmargap/batch/RecentHandles.java
@@ -1,6 +1,7 @@
 package org.fulmargap.batch;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -33,12 +34,14 @@
 	}
 
 	/**
-	 * Adds the handles of an answer unless one of them is known.
+	 * Adds the handles of an answer unless one of them is known or comes twice.
 	 * @param answer the handles
-	 * @return {@code false} if the answer is a copy of an earlier one
+	 * @return {@code false} if the answer is a copy of an earlier one or has a handle
+	 * twice
 	 */
 	public boolean add(Collection<String> answer) {
-		if (answer.stream().anyMatch(this::isKnown)) {
+		boolean repeated = new HashSet<>(answer).size() < answer.size();
+		if (repeated || answer.stream().anyMatch(this::isKnown)) {
 			return false;
 		}
 		this.handles.addAll(answer);
--- a/core/src/test/java/org/fulmargap/batch/RecentHandlesTests.java
+++ b/core/src/test/java/org/fulmargap/batch/RecentHandlesTests.java
@@ -21,6 +21,11 @@
 		assertThat(this.recent.add(List.of("c"))).isTrue();
 	}
 
+	@Test
+	void anAnswerWithOneResultTwiceIsNotAccepted() {
+		assertThat(this.recent.add(List.of("a", "a"))).isFalse();
+	}
+
 	@Test
 	void answersWithoutResultsAreNoCopies() {
 		assertThat(this.recent.add(List.of())).isTrue();
--- a/entry/src/test/java/org/fulmargap/entry/StageAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StageAnswerTests.java
@@ -61,10 +61,11 @@
 
 	@Test
 	void aLateCopyOfTheAnswerToAReleaseIsNotFollowedByTheAnswerToAnotherCall() throws Exception {
-		checkInputsOfOwnRequest(CopiedAnswer.RELEASED);
+		LateCopyStageStandIn stage = checkInputsOfOwnRequest(CopiedAnswer.RELEASED);
+		assertThat(stage.isCopySent()).isTrue();
 	}
 
-	private void checkInputsOfOwnRequest(CopiedAnswer copied) throws Exception {
+	private LateCopyStageStandIn checkInputsOfOwnRequest(CopiedAnswer copied) throws Exception {
 		LateCopyStageStandIn stage = new LateCopyStageStandIn(copied);
 		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(stage)) {
 			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "raw-1", endpoint.record("stage"));
@@ -75,6 +76,7 @@
 			assertThat(stage.foreignInputs()).isZero();
 			assertThat(stage.callsAfterCopy()).isZero();
 			assertThat(answered).isGreaterThan(REQUESTS);
+			return stage;
 		}
 	}
 
