Move the forwarding of a stream's events out of RequestFlow

CallerStream holds what a caller has received of a stream, which may come from several endpoints. No change of behaviour; the buffer of partial events is allocated with the first bytes, as each request has one now. Tests run: EntryVmTests Streams and WrongAnswers, EventSplitterProperties.

--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
@@ -0,0 +1,94 @@
+package org.fulmargap.entry.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import org.fulmargap.entry.caller.CallerExchange;
+
+/**
+ * The stream of events that a caller receives. It starts with the answer of one endpoint
+ * and may be continued by others. Confined to the event loop.
+ */
+final class CallerStream {
+
+	private final CallerExchange exchange;
+
+	private final EventSplitter events = new EventSplitter();
+
+	private boolean begun;
+
+	/**
+	 * Creates a stream.
+	 * @param exchange receives the events
+	 */
+	CallerStream(CallerExchange exchange) {
+		this.exchange = exchange;
+	}
+
+	/**
+	 * Returns whether the caller has received the head of the stream.
+	 * @return {@code true} after the first whole event
+	 */
+	boolean hasBegun() {
+		return this.begun;
+	}
+
+	/**
+	 * Returns the id of the last event that the caller received.
+	 * @return the id, or {@code null} if there is none yet
+	 */
+	String lastEventId() {
+		return this.events.lastEventId();
+	}
+
+	/**
+	 * Returns the size of the partial event at the end of the stream so far.
+	 * @return the number of bytes
+	 */
+	int partialBytes() {
+		return this.events.partialBytes();
+	}
+
+	/**
+	 * Forwards the events that are complete now.
+	 * @param content the next bytes of an endpoint's answer
+	 * @param head the head of this answer; the caller receives the one of the first
+	 * answer that has a whole event
+	 * @return whether there were whole events
+	 */
+	boolean forward(ByteBuf content, HttpResponse head) {
+		ByteBuf wholeEvents = this.events.add(content);
+		if (wholeEvents == null) {
+			return false;
+		}
+		write(wholeEvents, head);
+		return true;
+	}
+
+	private void write(ByteBuf part, HttpResponse head) {
+		if (!this.begun) {
+			this.begun = true;
+			this.exchange.begin(head.status().code(), CallerMessage.toCaller(head.headers()));
+		}
+		this.exchange.write(part);
+	}
+
+	/**
+	 * Discards the partial event of an answer that broke off.
+	 */
+	void discardPartialEvent() {
+		this.events.reset();
+	}
+
+	/**
+	 * Completes the stream.
+	 * @param head the head of the endpoint's answer
+	 */
+	void end(HttpResponse head) {
+		ByteBuf remainder = this.events.remainder();
+		if (remainder.isReadable() || !this.begun) {
+			write(remainder, head);
+		}
+		this.exchange.end();
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
@@ -16,7 +16,7 @@
 
 	private static final byte CARRIAGE_RETURN = '\r';
 
-	private final ByteBuf pending = Unpooled.buffer(256);
+	private final ByteBuf pending = Unpooled.buffer(0);
 
 	private int scanned;
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -10,7 +10,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.PipelineAdmission;
@@ -120,9 +119,7 @@
 	// The calls that may have run.
 	private int runs;
 
-	private boolean answerBegun;
-
-	private EventSplitter events;
+	private final CallerStream stream;
 
 	private boolean finished;
 
@@ -130,6 +127,7 @@
 			Catalog catalog, Route route, ClientAccount account, String fingerprint) {
 		this.services = services;
 		this.exchange = exchange;
+		this.stream = new CallerStream(exchange);
 		this.request = request;
 		this.message = new CallerMessage(http);
 		this.catalog = catalog;
@@ -279,7 +277,7 @@
 			.with("runs", this.runs)
 			.write();
 		this.services.metrics().count("refused_" + refusal.name().toLowerCase(Locale.ROOT));
-		if (this.answerBegun) {
+		if (this.stream.hasBegun()) {
 			finish();
 			this.exchange.abort();
 			return;
@@ -329,8 +327,7 @@
 		String id = failed.endpoint.record().id();
 		this.triedEndpoints.add(id);
 		long nowMs = this.services.nowMs();
-		boolean resumable = this.answerBegun && this.route.resumable();
-		boolean allowed = (!this.answerBegun || resumable)
+		boolean allowed = (!this.stream.hasBegun() || this.route.resumable())
 				&& RetryRule.mayRetry(this.route.isRetryable(), failure.mayHaveRun(), this.runs,
 						this.route.maxAttempts(), this.calls)
 				&& this.services.quarantine().verdict(this.fingerprint, nowMs) != CrashQuarantine.Verdict.QUARANTINED
@@ -347,9 +344,7 @@
 			refuseWithoutEndpoint();
 			return;
 		}
-		if (this.events != null) {
-			this.events.reset();
-		}
+		this.stream.discardPartialEvent();
 		dispatch();
 	}
 
@@ -450,9 +445,8 @@
 			RequestFlow flow = RequestFlow.this;
 			String accountName = (flow.account != null) ? flow.account.name() : null;
 			int priority = (flow.service.engine() != null) ? Math.min(LOWEST_PRIORITY, flow.priority()) : -1;
-			String lastEventId = (flow.events != null) ? flow.events.lastEventId() : null;
 			EndpointRequest sent = new EndpointRequest(this.endpoint.record().id(), flow.deadlineAtMs - nowMs,
-					accountName, priority, flow.stageRun.finalHandles(), lastEventId);
+					accountName, priority, flow.stageRun.finalHandles(), flow.stream.lastEventId());
 			return flow.message.toEndpoint(EndpointHeaders.encode(sent));
 		}
 
@@ -471,9 +465,6 @@
 			if (!isStream()) {
 				this.buffered = Unpooled.buffer();
 			}
-			else if (RequestFlow.this.events == null) {
-				RequestFlow.this.events = new EventSplitter();
-			}
 		}
 
 		private boolean isStream() {
@@ -486,13 +477,11 @@
 				this.buffered.writeBytes(content);
 				return this.buffered.readableBytes() <= MAX_ANSWER_BYTES;
 			}
-			ByteBuf wholeEvents = RequestFlow.this.events.add(content);
-			if (wholeEvents != null) {
+			if (RequestFlow.this.stream.forward(content, this.head)) {
 				recordFirstEvent();
 				restartResponseTimeout();
-				forward(wholeEvents);
 			}
-			return RequestFlow.this.events.partialBytes() <= MAX_EVENT_BYTES;
+			return RequestFlow.this.stream.partialBytes() <= MAX_EVENT_BYTES;
 		}
 
 		private void restartResponseTimeout() {
@@ -502,15 +491,6 @@
 			}
 		}
 
-		private void forward(ByteBuf part) {
-			RequestFlow flow = RequestFlow.this;
-			if (!flow.answerBegun) {
-				flow.answerBegun = true;
-				flow.exchange.begin(this.answer.status(), callerHeaders());
-			}
-			flow.exchange.write(part);
-		}
-
 		private void recordFirstEvent() {
 			if (!this.firstEventReceived) {
 				this.firstEventReceived = true;
@@ -527,10 +507,6 @@
 			}
 		}
 
-		private HttpHeaders callerHeaders() {
-			return CallerMessage.toCaller(this.head.headers());
-		}
-
 		@Override
 		public void ended() {
 			close();
@@ -543,11 +519,7 @@
 			if (this.buffered == null) {
 				flow.runs++;
 				succeeded(nowMs);
-				ByteBuf remainder = flow.events.remainder();
-				if (remainder.isReadable() || !flow.answerBegun) {
-					forward(remainder);
-				}
-				flow.exchange.end();
+				flow.stream.end(this.head);
 				flow.done(this.answer.status());
 				return;
 			}
@@ -580,7 +552,7 @@
 			else {
 				succeeded(nowMs);
 			}
-			flow.exchange.answer(this.answer.status(), callerHeaders(), this.buffered);
+			flow.exchange.answer(this.answer.status(), CallerMessage.toCaller(this.head.headers()), this.buffered);
 			flow.done(this.answer.status());
 		}
 
