Treat a stream that ends inside an event as broken off

Callers got a cut event and then the regular end of the stream when an endpoint ended its answer inside an event: with its connection (no length, no chunks), with the last chunk or with the stated length. RequestFlow forwarded the rest of such an answer as if the stream were complete.

Such a stream is now continued at another endpoint where the route allows it; otherwise the connection to the caller is closed without the last chunk. So is a stream without any event. The failure counts as evidence of a crash like a lost connection, since a crash may end an answer that has neither a length nor chunks.

EventSplitterProperties checks the size of the partial event, as its bytes are no longer handed out.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
@@ -14,6 +14,9 @@
 	/** The connection broke after the request, or a part of it, was sent. */
 	CONNECTION_LOST(true),
 
+	/** The stream ended inside an event, or without any event. */
+	STREAM_CUT(true),
+
 	/** The endpoint sent invalid HTTP or a success without its signature header. */
 	WRONG_ANSWER(true),
 
--- a/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
@@ -60,16 +60,12 @@
 		if (wholeEvents == null) {
 			return false;
 		}
-		write(wholeEvents, head);
-		return true;
-	}
-
-	private void write(ByteBuf part, HttpResponse head) {
 		if (!this.begun) {
 			this.begun = true;
 			this.exchange.begin(head.status().code(), CallerMessage.toCaller(head.headers()));
 		}
-		this.exchange.write(part);
+		this.exchange.write(wholeEvents);
+		return true;
 	}
 
 	/**
@@ -79,15 +75,18 @@
 		this.events.reset();
 	}
 
+	/**
+	 * Returns whether the stream may end here.
+	 * @return {@code false} if it has no event yet or ends inside one
+	 */
+	boolean mayEnd() {
+		return this.begun && this.events.partialBytes() == 0;
+	}
+
 	/**
 	 * Completes the stream.
-	 * @param head the head of the endpoint's answer
 	 */
-	void end(HttpResponse head) {
-		ByteBuf remainder = this.events.remainder();
-		if (remainder.isReadable() || !this.begun) {
-			write(remainder, head);
-		}
+	void end() {
 		this.exchange.end();
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
@@ -75,16 +75,6 @@
 		}
 	}
 
-	/**
-	 * Returns and removes the bytes after the last whole event.
-	 * @return the bytes; empty if there are none
-	 */
-	ByteBuf remainder() {
-		ByteBuf remainder = Unpooled.copiedBuffer(this.pending);
-		reset();
-		return remainder;
-	}
-
 	/**
 	 * Discards the partial event at the end of a broken stream.
 	 */
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -516,14 +516,18 @@
 				notExecuted(nowMs);
 				return;
 			}
-			if (this.buffered == null) {
+			if (this.buffered != null) {
+				endedBuffered(nowMs);
+			}
+			else if (flow.stream.mayEnd()) {
 				flow.runs++;
 				succeeded(nowMs);
-				flow.stream.end(this.head);
+				flow.stream.end();
 				flow.done(this.answer.status());
-				return;
 			}
-			endedBuffered(nowMs);
+			else {
+				failed(CallFailure.STREAM_CUT);
+			}
 		}
 
 		private void endedBuffered(long nowMs) {
@@ -583,7 +587,8 @@
 			RequestFlow flow = RequestFlow.this;
 			long nowMs = flow.services.nowMs();
 			this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
-			if (failure == CallFailure.CONNECTION_LOST) {
+			// A crash may also end an answer that has neither a length nor chunks.
+			if (failure == CallFailure.CONNECTION_LOST || failure == CallFailure.STREAM_CUT) {
 				flow.services.connectionLost(this.endpoint.record(), flow.fingerprint);
 			}
 			else if (failure == CallFailure.NOT_CONNECTED) {
--- /dev/null
+++ b/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
@@ -0,0 +1,171 @@
+package org.fulmargap.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fulmargap.platform.standin.CallerWire;
+import org.fulmargap.platform.standin.RawEndpointStandIn;
+import org.fulmargap.platform.standin.ScriptedAnswers;
+import org.fulmargap.platform.standin.ScriptedAnswers.Framing;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of what a caller receives when the stream of an endpoint breaks off.
+ */
+class BrokenStreamTests {
+
+	/** The callers of these tests wait for five seconds. */
+	private static final long MAX_MS = 2_500;
+
+	private static final String PARTIAL_EVENT = "id: 2\ndata: tok";
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final List<RawEndpointStandIn> engines = new ArrayList<>();
+
+	private Installation installation;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.installation = new Installation();
+		this.installation.endpoint("stage-1", "stage");
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.installation.close();
+		for (RawEndpointStandIn engine : this.engines) {
+			engine.close();
+		}
+	}
+
+	private Received stream(ScriptedAnswers answers, int maxAttempts, boolean resumable) throws Exception {
+		this.installation.store()
+			.put(CallerWire.OPERATOR_TOPIC, "config",
+					CallerWire.CONFIG.formatted(2)
+						.replace("\"max-attempts\":2,\"resumable\":true",
+								"\"max-attempts\":" + maxAttempts + ",\"resumable\":" + resumable));
+		for (int i = 0; i < 4; i++) {
+			RawEndpointStandIn engine = new RawEndpointStandIn(answers);
+			this.engines.add(engine);
+			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "pool-" + i, engine.record("pool"));
+		}
+		this.installation.vm("vm-0");
+		this.installation.awaitReady();
+		long startedAtMs = System.currentTimeMillis();
+		Received received = receive(this.installation.pipeline(0));
+		assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(MAX_MS);
+		return received;
+	}
+
+	private Received receive(HttpRequest.Builder request) throws Exception {
+		HttpResponse<InputStream> response = this.client.send(request.build(),
+				HttpResponse.BodyHandlers.ofInputStream());
+		StringBuilder body = new StringBuilder();
+		try (InputStream in = response.body()) {
+			for (int next = in.read(); next >= 0; next = in.read()) {
+				body.append((char) next);
+			}
+			return new Received(response.statusCode(), body.toString(), true);
+		}
+		catch (IOException ex) {
+			return new Received(response.statusCode(), body.toString(), false);
+		}
+	}
+
+	private static ScriptedAnswers answers(RawEndpointStandIn.Handler... scripts) {
+		return new ScriptedAnswers(List.of(scripts));
+	}
+
+	private record Received(int status, String body, boolean complete) {
+
+		static final Received ALL_EVENTS = new Received(200, ScriptedAnswers.events(0, 5), true);
+
+		static final Received TWO_EVENTS = new Received(200, ScriptedAnswers.events(0, 2), false);
+
+	}
+
+	@Nested
+	class StreamEndsInsideAnEvent {
+
+		@ParameterizedTest
+		@EnumSource(Framing.class)
+		void itContinuesAtAnotherEndpoint(Framing framing) throws Exception {
+			ScriptedAnswers answers = answers(
+					ScriptedAnswers.stream(framing, ScriptedAnswers.events(0, 2) + PARTIAL_EVENT),
+					ScriptedAnswers.soundStream());
+			assertThat(stream(answers, 2, true)).isEqualTo(Received.ALL_EVENTS);
+			assertThat(answers.requests().get(1).lastEventId()).isEqualTo("1");
+		}
+
+		@ParameterizedTest
+		@EnumSource(Framing.class)
+		void itIsNotCompleteIfItMayNotBeResumed(Framing framing) throws Exception {
+			ScriptedAnswers answers = answers(
+					ScriptedAnswers.stream(framing, ScriptedAnswers.events(0, 2) + PARTIAL_EVENT));
+			assertThat(stream(answers, 2, false)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@ParameterizedTest
+		@EnumSource(Framing.class)
+		void anEventWithoutItsEmptyLineIsNotForwarded(Framing framing) throws Exception {
+			String withoutEmptyLine = ScriptedAnswers.event(2).substring(0, ScriptedAnswers.event(2).length() - 1);
+			ScriptedAnswers answers = answers(
+					ScriptedAnswers.stream(framing, ScriptedAnswers.events(0, 2) + withoutEmptyLine));
+			assertThat(stream(answers, 2, false)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@ParameterizedTest
+		@EnumSource(Framing.class)
+		void aFirstEventThatIsCutIsNotForwarded(Framing framing) throws Exception {
+			Received received = stream(answers(ScriptedAnswers.stream(framing, "id: 0\ndata: tok")), 2, false);
+			assertThat(received.status()).isEqualTo(502);
+			assertThat(received.body()).doesNotContain("tok");
+		}
+
+	}
+
+	@Nested
+	class ConnectionEndsTheStream {
+
+		@Test
+		void aStreamWithoutLengthEndsWithItsConnection() throws Exception {
+			ScriptedAnswers answers = answers(ScriptedAnswers.stream(Framing.CLOSE, ScriptedAnswers.events(0, 5)));
+			assertThat(stream(answers, 2, true)).isEqualTo(Received.ALL_EVENTS);
+		}
+
+		@Test
+		void aStreamWhoseConnectionIsResetBetweenEventsContinuesAtAnotherEndpoint() throws Exception {
+			ScriptedAnswers answers = answers(ScriptedAnswers.stream(Framing.RESET, ScriptedAnswers.events(0, 2)),
+					ScriptedAnswers.soundStream());
+			assertThat(stream(answers, 2, true)).isEqualTo(Received.ALL_EVENTS);
+		}
+
+		@Test
+		void aStreamWhoseConnectionIsResetBetweenEventsIsNotComplete() throws Exception {
+			ScriptedAnswers answers = answers(ScriptedAnswers.stream(Framing.RESET, ScriptedAnswers.events(0, 2)));
+			assertThat(stream(answers, 2, false)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@Test
+		void aResetAfterTheEndOfTheStreamDoesNotCutIt() throws Exception {
+			ScriptedAnswers answers = answers(
+					ScriptedAnswers.stream(Framing.CLOSE_THEN_RESET, ScriptedAnswers.events(0, 5)));
+			assertThat(stream(answers, 2, false)).isEqualTo(Received.ALL_EVENTS);
+		}
+
+	}
+
+}
--- a/entry/src/test/java/org/fulmargap/entry/request/EventSplitterProperties.java
+++ b/entry/src/test/java/org/fulmargap/entry/request/EventSplitterProperties.java
@@ -41,7 +41,8 @@
 			from = to;
 		}
 		assertThat(splitter.lastEventId()).isEqualTo((events > 0) ? Integer.toString(events - 1) : null);
-		assertThat(whole + splitter.remainder().toString(StandardCharsets.UTF_8)).isEqualTo(stream.toString());
+		assertThat(stream.toString()).startsWith(whole);
+		assertThat(splitter.partialBytes()).isEqualTo(stream.length() - whole.length());
 	}
 
 }
