Never write an endpoint's error into a stream that has begun

When a stream broke off and the next endpoint answered with an error that was not retried, RequestFlow wrote this answer to the caller although the head of the stream had been sent. The HTTP encoder refuses such an answer, so no text of it reached the caller, but the stream stayed open without an end until the idle timeout of its connection (15 s in the test). A success that is no event stream was forwarded as if it were events.

Such an answer now counts as a failed call: the stream is continued at a further endpoint where the route, its max-attempts and the retry budget allow it, and the connection is closed otherwise. Only an event stream continues a stream. CallerExchange.answer closes the connection if an answer has begun.

BrokenStreamTests: 10 of the 35 tests of NextEndpointAnswersWithAnError failed before; further ones passed only after 16 s, which the test now rejects; all pass now. The test in CallerServerTests failed with a timeout without the check in CallerExchange.answer and passes with it.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -157,6 +157,8 @@
 
 		private boolean keepAlive;
 
+		private boolean begun;
+
 		private CallerListener listener;
 
 		private Exchange(FullHttpRequest request) {
@@ -166,6 +168,9 @@
 
 		@Override
 		public void answer(int status, HttpHeaders headers, ByteBuf body) {
+			if (this.begun) {
+				abort();
+			}
 			if (isFinished()) {
 				body.release();
 				return;
@@ -183,6 +188,7 @@
 			if (isFinished()) {
 				return;
 			}
+			this.begun = true;
 			HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
 			response.headers().set(headers);
 			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
@@ -10,7 +10,8 @@
 public interface CallerExchange {
 
 	/**
-	 * Writes a complete answer.
+	 * Writes a complete answer. If {@link #begin} was called before, the connection is
+	 * closed instead, like by {@link #abort}.
 	 * @param status the HTTP status
 	 * @param headers the headers except {@code Connection} and {@code Content-Length}
 	 * @param body the body; the exchange releases it
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
@@ -17,7 +17,10 @@
 	/** The stream ended inside an event, or without any event. */
 	STREAM_CUT(true),
 
-	/** The endpoint sent invalid HTTP or a success without its signature header. */
+	/**
+	 * The endpoint sent invalid HTTP, a success without its signature header, or an
+	 * answer that does not continue the stream that the caller receives.
+	 */
 	WRONG_ANSWER(true),
 
 	/** The answer did not arrive in time. */
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -10,7 +10,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.PipelineAdmission;
 import org.fulmargap.catalog.Catalog;
@@ -468,7 +470,13 @@
 		}
 
 		private boolean isStream() {
-			return RequestFlow.this.route.kind().isStreaming() && this.answer.isSuccess() && this.answer.signed();
+			return RequestFlow.this.route.kind().isStreaming() && this.answer.isSuccess() && this.answer.signed()
+					&& hasEvents();
+		}
+
+		private boolean hasEvents() {
+			CharSequence type = HttpUtil.getMimeType(this.head);
+			return type != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
 		}
 
 		@Override
@@ -532,8 +540,8 @@
 
 		private void endedBuffered(long nowMs) {
 			RequestFlow flow = RequestFlow.this;
-			boolean valid = !this.answer.isSuccess() || this.answer.signed();
-			if (!valid) {
+			boolean signed = !this.answer.isSuccess() || this.answer.signed();
+			if (!signed || flow.stream.hasBegun()) {
 				this.endpoint.failed(false, nowMs);
 				flow.callFailed(this, CallFailure.WRONG_ANSWER);
 				return;
--- a/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.RawEndpointStandIn;
@@ -14,10 +15,13 @@
 import org.fulmargap.platform.standin.ScriptedAnswers.Framing;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Named;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -26,11 +30,17 @@
  */
 class BrokenStreamTests {
 
+	private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\n";
+
 	/** The callers of these tests wait for five seconds. */
 	private static final long MAX_MS = 2_500;
 
 	private static final String PARTIAL_EVENT = "id: 2\ndata: tok";
 
+	/** The stream of the first endpoint breaks off after two events. */
+	private static final RawEndpointStandIn.Handler BROKEN = ScriptedAnswers.stream(Framing.BROKEN_CHUNKS,
+			ScriptedAnswers.events(0, 2) + PARTIAL_EVENT);
+
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
 	private final List<RawEndpointStandIn> engines = new ArrayList<>();
@@ -89,6 +99,10 @@
 		return new ScriptedAnswers(List.of(scripts));
 	}
 
+	private static Arguments answer(String name, RawEndpointStandIn.Handler handler) {
+		return Arguments.of(Named.of(name, handler));
+	}
+
 	private record Received(int status, String body, boolean complete) {
 
 		static final Received ALL_EVENTS = new Received(200, ScriptedAnswers.events(0, 5), true);
@@ -97,6 +111,65 @@
 
 	}
 
+	@Nested
+	class NextEndpointAnswersWithAnError {
+
+		private static Stream<Arguments> errors() {
+			String signature = ScriptedAnswers.signature();
+			return Stream.of(answer("500", ScriptedAnswers.text(500, signature, "error")),
+					answer("500 unsigned", ScriptedAnswers.text(500, "", "error")),
+					answer("504", ScriptedAnswers.text(504, signature, "error")),
+					answer("404", ScriptedAnswers.text(404, signature, "error")),
+					answer("400", ScriptedAnswers.text(400, signature, "error")),
+					answer("409", ScriptedAnswers.text(409, signature, "error")),
+					answer("302", ScriptedAnswers.text(302, signature, "error")),
+					answer("503 without refusal", ScriptedAnswers.text(503, signature, "error")),
+					answer("200 unsigned", ScriptedAnswers.text(200, EVENT_STREAM, ScriptedAnswers.events(2, 5))),
+					answer("200 text", ScriptedAnswers.text(200, signature, "error")),
+					answer("200 JSON",
+							ScriptedAnswers.text(200, signature + "Content-Type: application/json\r\n", "{}\n\n")),
+					answer("204", ScriptedAnswers.text(204, signature, "")));
+		}
+
+		private static Stream<Arguments> refusals() {
+			return Stream.of(400, 409, 421, 429, 503)
+				.map((status) -> answer("refused " + status,
+						ScriptedAnswers.text(status, ScriptedAnswers.notExecuted(), "refused")));
+		}
+
+		private static Stream<Arguments> errorsAndRefusals() {
+			return Stream.concat(errors(), refusals());
+		}
+
+		@ParameterizedTest
+		@MethodSource("errorsAndRefusals")
+		void aThirdEndpointContinuesTheStream(RawEndpointStandIn.Handler error) throws Exception {
+			ScriptedAnswers answers = answers(BROKEN, error, ScriptedAnswers.soundStream());
+			assertThat(stream(answers, 3, true)).isEqualTo(Received.ALL_EVENTS);
+		}
+
+		@ParameterizedTest
+		@MethodSource("errors")
+		void theConnectionIsClosedWhenNoFurtherEndpointMayRunTheRequest(RawEndpointStandIn.Handler error)
+				throws Exception {
+			assertThat(stream(answers(BROKEN, error), 2, true)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@ParameterizedTest
+		@MethodSource("refusals")
+		void theConnectionIsClosedWhenAllFurtherEndpointsRefuse(RawEndpointStandIn.Handler refusal) throws Exception {
+			assertThat(stream(answers(BROKEN, refusal), 2, true)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@Test
+		void aStreamThatMayNotBeResumedIsNotSentAgain() throws Exception {
+			ScriptedAnswers answers = answers(BROKEN, ScriptedAnswers.soundStream());
+			assertThat(stream(answers, 3, false)).isEqualTo(Received.TWO_EVENTS);
+			assertThat(answers.requests()).hasSize(1);
+		}
+
+	}
+
 	@Nested
 	class StreamEndsInsideAnEvent {
 
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -53,6 +53,13 @@
 				(request, exchange) -> {
 					request.release();
 					this.handled.incrementAndGet();
+					if (request.uri().equals("/begun")) {
+						exchange.begin(200, new DefaultHttpHeaders());
+						exchange.write(Unpooled.copiedBuffer("part", StandardCharsets.US_ASCII));
+						exchange.answer(500, new DefaultHttpHeaders(),
+								Unpooled.copiedBuffer("error", StandardCharsets.US_ASCII));
+						return null;
+					}
 					exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
 					return () -> {
 					};
@@ -86,6 +93,16 @@
 		assertThat(head.toString()).startsWith("HTTP/1.1 204");
 	}
 
+	@Test
+	void anAnswerAfterABegunOneClosesTheConnection() throws Exception {
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("GET /begun HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			String received = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(received).startsWith("HTTP/1.1 200 ").endsWith("\r\n\r\n4\r\npart\r\n");
+		}
+	}
+
 	@Test
 	void noRequestIsReadAfterTheEndOfReading() throws Exception {
 		try (Socket socket = connect()) {
