Forward only events that continue the caller's stream

After a stream broke off, events of the next endpoint were forwarded without a look at their ids: one that ignored Last-Event-Id made the caller receive events twice, one that began too late left events out. In a stream without length or chunks, the head of another answer was forwarded as an event, as it ends with an empty line.

EventSequence checks each event before it is forwarded: it has an id that is higher than the last one, and where another endpoint continues a stream without gaps in its ids, the next id.

BrokenStreamTests: the 3 tests of NextEndpointContinuesWrongly and theHeadOfAnotherAnswerIsNotForwardedAsAnEvent failed before and pass now.

--- a/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
@@ -75,6 +75,15 @@
 		this.events.reset();
 	}
 
+	/**
+	 * Returns whether the endpoint's answer contains something that does not continue the
+	 * stream.
+	 * @return {@code true} if the answer must not be read any further
+	 */
+	boolean isMalformed() {
+		return this.events.isMalformed();
+	}
+
 	/**
 	 * Returns whether the stream may end here.
 	 * @return {@code false} if it has no event yet or ends inside one
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
@@ -0,0 +1,86 @@
+package org.fulmargap.entry.request;
+
+/**
+ * Checks the ids of the events that a caller receives, which may come from several
+ * endpoints in turn: they increase, and no event is missing where another endpoint
+ * continues the stream. Endpoints number the events of a stream with increasing ids.
+ */
+final class EventSequence {
+
+	private static final String ID_FIELD = "id";
+
+	/** The only field that may stand without a colon, as an empty line of data. */
+	private static final String DATA_FIELD = "data";
+
+	private static final long NONE = -1;
+
+	private long lastId = NONE;
+
+	private String lastIdText;
+
+	// Whether each id so far was the one before it plus one.
+	private boolean gapless = true;
+
+	private boolean continuing;
+
+	/**
+	 * Checks an event and records its id.
+	 * @param event the text of the event, with the empty line at its end
+	 * @return {@code false} if it is no event or does not follow the last one
+	 */
+	boolean accept(String event) {
+		String idText = null;
+		boolean hasFields = false;
+		for (String line : event.split("\n")) {
+			int colon = line.indexOf(':');
+			if (colon < 0 && !line.isBlank() && !line.strip().equals(DATA_FIELD)) {
+				return false;
+			}
+			hasFields |= colon > 0;
+			if (colon > 0 && line.substring(0, colon).equals(ID_FIELD)) {
+				idText = line.substring(colon + 1).trim();
+			}
+		}
+		return !hasFields || follows(idText);
+	}
+
+	private boolean follows(String idText) {
+		long id = parse(idText);
+		boolean first = this.lastId == NONE;
+		boolean next = id == this.lastId + 1;
+		boolean gapAllowed = !this.continuing || !this.gapless;
+		if (id == NONE || (!first && !next && !(gapAllowed && id > this.lastId))) {
+			return false;
+		}
+		this.gapless &= first || next;
+		this.continuing = false;
+		this.lastId = id;
+		this.lastIdText = idText;
+		return true;
+	}
+
+	private static long parse(String idText) {
+		try {
+			return (idText != null) ? Math.max(NONE, Long.parseLong(idText)) : NONE;
+		}
+		catch (NumberFormatException ex) {
+			return NONE;
+		}
+	}
+
+	/**
+	 * Handles that the answer of another endpoint follows, which continues the stream.
+	 */
+	void continueWithNextAnswer() {
+		this.continuing = this.lastId != NONE;
+	}
+
+	/**
+	 * Returns the id of the last event.
+	 * @return the id, or {@code null} if there is no event yet
+	 */
+	String lastEventId() {
+		return this.lastIdText;
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
@@ -7,8 +7,8 @@
 
 /**
  * Splits a stream of server-sent events into whole events, so that a broken stream stops,
- * or is resumed at another endpoint, after a whole event. Records the id of the last one.
- * An event ends with an empty line.
+ * or is resumed at another endpoint, after a whole event. An event ends with an empty
+ * line. Bytes after an event that is not valid in its place are not read.
  */
 final class EventSplitter {
 
@@ -22,7 +22,9 @@
 
 	private boolean lineIsEmpty;
 
-	private String lastEventId;
+	private final EventSequence sequence = new EventSequence();
+
+	private boolean malformed;
 
 	/**
 	 * Returns the size of the partial event at the end of the stream so far.
@@ -35,53 +37,65 @@
 	/**
 	 * Adds bytes of the stream.
 	 * @param content the bytes
-	 * @return the events that are complete now, or {@code null} if there are none
+	 * @return the valid events that are complete now, or {@code null} if there are none
 	 */
 	ByteBuf add(ByteBuf content) {
 		this.pending.writeBytes(content);
-		int end = endOfLastEvent();
-		if (end == 0) {
-			return null;
+		int end = 0;
+		int eventEnd = endOfNextEvent();
+		while (eventEnd > 0) {
+			this.malformed = !this.sequence.accept(text(end, eventEnd));
+			end = (this.malformed) ? end : eventEnd;
+			eventEnd = endOfNextEvent();
 		}
-		ByteBuf events = Unpooled.copiedBuffer(this.pending.slice(this.pending.readerIndex(), end));
-		recordLastId(events);
-		this.pending.skipBytes(end);
-		this.pending.discardReadBytes();
-		this.scanned -= end;
-		return events;
+		return (end > 0) ? take(end) : null;
 	}
 
-	private int endOfLastEvent() {
-		int end = 0;
-		while (this.scanned < this.pending.readableBytes()) {
+	private int endOfNextEvent() {
+		while (!this.malformed && this.scanned < this.pending.readableBytes()) {
 			byte next = this.pending.getByte(this.pending.readerIndex() + this.scanned);
 			this.scanned++;
-			if (next == NEW_LINE) {
-				end = (this.lineIsEmpty) ? this.scanned : end;
-				this.lineIsEmpty = true;
+			if (next == NEW_LINE && this.lineIsEmpty) {
+				return this.scanned;
 			}
-			else if (next != CARRIAGE_RETURN) {
-				this.lineIsEmpty = false;
+			if (next != CARRIAGE_RETURN) {
+				this.lineIsEmpty = next == NEW_LINE;
 			}
 		}
-		return end;
+		return 0;
 	}
 
-	private void recordLastId(ByteBuf events) {
-		for (String line : events.toString(StandardCharsets.UTF_8).split("\n")) {
-			if (line.startsWith("id:")) {
-				this.lastEventId = line.substring("id:".length()).trim();
-			}
-		}
+	private String text(int begin, int end) {
+		return this.pending.toString(this.pending.readerIndex() + begin, end - begin, StandardCharsets.UTF_8);
+	}
+
+	private ByteBuf take(int length) {
+		ByteBuf events = Unpooled.copiedBuffer(this.pending.slice(this.pending.readerIndex(), length));
+		this.pending.skipBytes(length);
+		this.pending.discardReadBytes();
+		this.scanned -= length;
+		return events;
+	}
+
+	/**
+	 * Returns whether the stream contains something that is no event, or an event that
+	 * does not follow the last one.
+	 * @return {@code true} if the endpoint's answer must not be read any further
+	 */
+	boolean isMalformed() {
+		return this.malformed;
 	}
 
 	/**
-	 * Discards the partial event at the end of a broken stream.
+	 * Discards the partial event at the end of a broken stream. The answer of another
+	 * endpoint follows.
 	 */
 	void reset() {
 		this.pending.clear();
 		this.scanned = 0;
 		this.lineIsEmpty = false;
+		this.malformed = false;
+		this.sequence.continueWithNextAnswer();
 	}
 
 	/**
@@ -89,7 +103,7 @@
 	 * @return the id, or {@code null} if there is none yet
 	 */
 	String lastEventId() {
-		return this.lastEventId;
+		return this.sequence.lastEventId();
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -489,7 +489,7 @@
 				recordFirstEvent();
 				restartResponseTimeout();
 			}
-			return RequestFlow.this.stream.partialBytes() <= MAX_EVENT_BYTES;
+			return !RequestFlow.this.stream.isMalformed() && RequestFlow.this.stream.partialBytes() <= MAX_EVENT_BYTES;
 		}
 
 		private void restartResponseTimeout() {
--- a/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
@@ -170,6 +170,34 @@
 
 	}
 
+	@Nested
+	class NextEndpointContinuesWrongly {
+
+		@Test
+		void eventsThatTheCallerHasAreNotSentTwice() throws Exception {
+			ScriptedAnswers answers = answers(BROKEN,
+					ScriptedAnswers.stream(Framing.CHUNKED, ScriptedAnswers.events(0, 5)));
+			assertThat(stream(answers, 2, true)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@Test
+		void eventsAfterAGapAreNotForwarded() throws Exception {
+			ScriptedAnswers answers = answers(BROKEN,
+					ScriptedAnswers.stream(Framing.CHUNKED, ScriptedAnswers.events(3, 5)));
+			assertThat(stream(answers, 2, true)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@Test
+		void theNextEndpointContinuesAfterTheLastEventThatWasForwarded() throws Exception {
+			ScriptedAnswers answers = answers(BROKEN,
+					ScriptedAnswers.stream(Framing.CHUNKED, ScriptedAnswers.events(0, 5)),
+					ScriptedAnswers.soundStream());
+			assertThat(stream(answers, 3, true)).isEqualTo(Received.ALL_EVENTS);
+			assertThat(answers.requests().get(2).lastEventId()).isEqualTo("1");
+		}
+
+	}
+
 	@Nested
 	class StreamEndsInsideAnEvent {
 
@@ -239,6 +267,15 @@
 			assertThat(stream(answers, 2, false)).isEqualTo(Received.ALL_EVENTS);
 		}
 
+		@Test
+		void theHeadOfAnotherAnswerIsNotForwardedAsAnEvent() throws Exception {
+			String refusal = ScriptedAnswers.answer(503, ScriptedAnswers.notExecuted(), "refused");
+			ScriptedAnswers answers = answers(
+					ScriptedAnswers.stream(Framing.CLOSE, ScriptedAnswers.events(0, 2) + refusal),
+					ScriptedAnswers.soundStream());
+			assertThat(stream(answers, 2, true)).isEqualTo(Received.ALL_EVENTS);
+		}
+
 	}
 
 }
