Accept no answer without the attempt id of its call

An endpoint that sent an earlier refusal once more, without an attempt id, on a kept connection had it believed for the request in flight: a non-idempotent request that ran was refused with 503, or run by a second endpoint. An earlier error without an id was forwarded to another caller.

EndpointConnection now fails a call that has an attempt id with WRONG_ANSWER and closes the connection when a final answer has none. The request may have run: it is not sent again unless it is idempotent. Interim answers are skipped as before, and a call without an id takes any answer.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
@@ -12,9 +12,9 @@
 public interface EndpointCall {
 
 	/**
-	 * Returns the attempt id that the answer must have if it has one. Answers with
-	 * another id are skipped.
-	 * @return the id, or an empty string if answers with any id are accepted
+	 * Returns the attempt id that the answer must have. Answers with another id are
+	 * skipped; one without an id fails the call, which may have run.
+	 * @return the id, or an empty string if answers with any id or none are accepted
 	 */
 	String attemptId();
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -14,8 +14,8 @@
 
 /**
  * A connection to an endpoint, which carries one call at a time. An answer with the
- * attempt id of another call is skipped; bytes that arrive while no call is in flight
- * close the connection.
+ * attempt id of another call is skipped; bytes that arrive while no call is in flight,
+ * and an answer without an attempt id to a call that has one, close the connection.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
@@ -132,9 +132,12 @@
 	private void readHead(HttpResponse head) {
 		int status = head.status().code();
 		EndpointAnswer answer = EndpointHeaders.decode(status, (name) -> head.headers().get(name));
-		String expected = this.call.attemptId();
-		boolean foreign = !expected.isEmpty() && !answer.attemptId().isEmpty() && !answer.attemptId().equals(expected);
-		this.skipping = status < FIRST_FINAL_STATUS || foreign;
+		boolean isFinal = status >= FIRST_FINAL_STATUS;
+		if (isFinal && lacksAttemptId(answer)) {
+			fail(CallFailure.WRONG_ANSWER);
+			return;
+		}
+		this.skipping = !isFinal || isForeign(answer);
 		if (this.skipping) {
 			this.skippedAnswers++;
 			if (this.skippedAnswers > MAX_SKIPPED_ANSWERS) {
@@ -147,6 +150,16 @@
 		this.call.answered(answer, head);
 	}
 
+	// Such an answer may belong to an earlier call, so that it says nothing about this
+	// one.
+	private boolean lacksAttemptId(EndpointAnswer answer) {
+		return !this.call.attemptId().isEmpty() && answer.attemptId().isEmpty();
+	}
+
+	private boolean isForeign(EndpointAnswer answer) {
+		return !this.call.attemptId().isEmpty() && !answer.attemptId().equals(this.call.attemptId());
+	}
+
 	private void readContent(HttpContent content) {
 		if (this.skipping) {
 			this.skippedBytes += content.content().readableBytes();
