Never send two calls with one attempt id on one connection

When two endpoints are listed with one address, because one has replaced the other, a refused request was sent to the second name on the same kept connection. A copy of the refusal bears the id of both calls, so it was believed for the second one while that ran, and the caller got 503.

A request now uses a new connection for each further call to an address.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -88,6 +88,19 @@
 		return connect(address, request, call);
 	}
 
+	/**
+	 * Sends a request to an endpoint on a new connection, as is needed when a call with
+	 * the same attempt id was made to its address before: on a connection that has
+	 * carried both calls, the answer to one could be taken for the answer to the other.
+	 * @param address the address as {@code IP:port}
+	 * @param request the request; the pool releases it
+	 * @param call receives the answer or the failure
+	 * @return a handle that cancels the call
+	 */
+	public Cancellable sendOnNewConnection(String address, FullHttpRequest request, EndpointCall call) {
+		return connect(address, request, call);
+	}
+
 	private Cancellable connect(String address, FullHttpRequest request, EndpointCall call) {
 		this.connects++;
 		ChannelFuture future = this.bootstrap.connect(socketAddress(address));
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -111,6 +111,9 @@
 
 	private final Set<String> triedEndpoints = new HashSet<>();
 
+	// Endpoints that were replaced may be listed with the same address.
+	private final Set<String> calledAddresses = new HashSet<>();
+
 	private Future<?> deadlineTimer;
 
 	private Call call;
@@ -401,7 +404,11 @@
 			if (!prompt.parts().isEmpty()) {
 				flow.services.peers().announce(new PeerMessage.PromptSent(this.endpoint.record().id(), prompt));
 			}
-			this.cancellable = flow.services.pool().send(this.endpoint.record().address(), httpRequest(nowMs), this);
+			String address = this.endpoint.record().address();
+			FullHttpRequest http = httpRequest(nowMs);
+			EndpointPool pool = flow.services.pool();
+			this.cancellable = (flow.calledAddresses.add(address)) ? pool.send(address, http, this)
+					: pool.sendOnNewConnection(address, http, this);
 			startResponseTimeout();
 		}
 
--- a/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
@@ -123,6 +123,15 @@
 		assertThat(answers.runs()).isEqualTo(1);
 	}
 
+	@Test
+	void aRequestThatRunsIsNotRefusedByTheRefusalOfAnotherEndpointAtTheSameAddress() throws Exception {
+		RefusingAgain answers = new RefusingAgain(RefusingAgain::refusal);
+		listEndpoint(answers, "core-1", "core-2");
+		startVm();
+		assertThat(send("/push/x").statusCode()).isEqualTo(503);
+		assertThat(answers.runs()).isZero();
+	}
+
 	@Test
 	void aRefusalThatFollowsAnAnswerThatHasBegunIsNoRefusal() throws Exception {
 		ScriptedAnswers answers = new ScriptedAnswers(List.of((socket, request) -> {
