--- a/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,6 +11,8 @@
 import java.util.function.UnaryOperator;
 
 import org.fulmargap.platform.standin.CallerWire;
+import org.fulmargap.platform.standin.EarlyRefusingStandIn;
+import org.fulmargap.platform.standin.EndpointStandIn;
 import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.fulmargap.platform.standin.ScriptedAnswers;
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +30,8 @@
 
 	private static final long REFUSED_PAUSE_MS = 100;
 
+	private static final String LONG_BODY = "x".repeat(3 << 20);
+
 	private final List<RawEndpointStandIn> endpoints = new ArrayList<>();
 
 	private Installation installation;
@@ -147,6 +152,24 @@
 		assertThat(answers.requests()).hasSize(1);
 	}
 
+	@Test
+	void aRequestThatIsRefusedBeforeItsBodyIsReadRunsOnceElsewhere() throws Exception {
+		EndpointStandIn other = this.installation.endpoint("core-9", "core");
+		try (EarlyRefusingStandIn early = new EarlyRefusingStandIn()) {
+			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "core-0", early.record("core"));
+			startVm();
+			for (int i = 0; i < 8; i++) {
+				assertThat(this.installation
+					.send(this.installation.attempt(0, "/push/x").POST(HttpRequest.BodyPublishers.ofString(LONG_BODY)))
+					.statusCode()).isEqualTo(200);
+				Thread.sleep(REFUSED_PAUSE_MS);
+			}
+			assertThat(early.refusals()).isPositive();
+			assertThat(early.foreignBytes()).isZero();
+			assertThat(other.runs()).isEqualTo(8);
+		}
+	}
+
 	@Test
 	void aCallerWithoutAttemptIdLearnsThatItsRequestHasNotRun() throws Exception {
 		startVm(new ScriptedAnswers(List.of((socket, request) -> {
