--- a/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
@@ -14,7 +14,14 @@
 	/** The connection broke after the request, or a part of it, was sent. */
 	CONNECTION_LOST(true),
 
-	/** The endpoint sent invalid HTTP or a success without its signature header. */
+	/** The stream ended inside an event, or without any event. */
+	STREAM_CUT(true),
+
+	/**
+	 * The endpoint sent invalid HTTP, an answer without the attempt id, a success without
+	 * its signature header, or an answer that does not continue the stream that the
+	 * caller receives.
+	 */
 	WRONG_ANSWER(true),
 
 	/** The answer did not arrive in time. */
