Refuse records of entry VMs with a bad address or capacity

A record of another writer in the topic of the entry VMs was accepted with a port above 65535, an octet above 255 or a capacity of NaN, Infinity or 1e400. With such a capacity no VM compared as the largest, so that the choice of a coordinator failed with a NullPointerException and requests with stages got no answer; with such a port the connection to the supposed hub failed with an exception in each heartbeat.

The text is now checked: a host address, a failure domain without control characters, a capacity from 0 to 1,000 cores, at most 400 characters.

--- a/core/src/main/java/org/fulmargap/fleet/FleetMember.java
+++ b/core/src/main/java/org/fulmargap/fleet/FleetMember.java
@@ -1,5 +1,9 @@
 package org.fulmargap.fleet;
 
+import java.util.regex.Pattern;
+
+import org.fulmargap.catalog.AddressFormat;
+
 /**
  * An entry VM as it is listed in the store.
  *
@@ -12,6 +16,14 @@
 
 	private static final int FIELDS = 3;
 
+	/** The length of the longest text, in characters. */
+	private static final int MAX_LENGTH = 400;
+
+	/** The largest capacity that a VM may state, in processor cores. */
+	private static final double MAX_CAPACITY = 1_000;
+
+	private static final Pattern DOMAIN = Pattern.compile("[^\\s\\p{Cntrl}]+");
+
 	/**
 	 * Returns the text that is stored under the name of the VM.
 	 * @return address, failure domain and capacity, separated by spaces
@@ -28,11 +40,21 @@
 	 * @throws IllegalArgumentException if the text is malformed
 	 */
 	public static FleetMember parse(String name, String text) {
-		String[] fields = text.split(" ");
-		if (fields.length != FIELDS || !fields[0].matches("[0-9.]+:\\d{1,5}")) {
-			throw new IllegalArgumentException("not an address, a failure domain and a capacity: " + text);
+		String[] fields = (text.length() <= MAX_LENGTH) ? text.split(" ") : new String[0];
+		if (fields.length != FIELDS || !AddressFormat.isHostAddress(fields[0])
+				|| !DOMAIN.matcher(fields[1]).matches()) {
+			throw new IllegalArgumentException("not an address, a failure domain and a capacity");
+		}
+		return new FleetMember(name, fields[0], fields[1], parseCapacity(fields[2]));
+	}
+
+	// With a capacity that is no number, no VM compares as the largest.
+	private static double parseCapacity(String text) {
+		double capacity = Double.parseDouble(text);
+		if (!(capacity >= 0 && capacity <= MAX_CAPACITY)) {
+			throw new IllegalArgumentException("the capacity is not from 0 to " + MAX_CAPACITY + " cores");
 		}
-		return new FleetMember(name, fields[0], fields[1], Double.parseDouble(fields[2]));
+		return capacity;
 	}
 
 }
