--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -126,6 +126,13 @@
 					this.outageListener.run();
 				}
 			}
+			if (!page.unreadableOffsets().isEmpty()) {
+				EventLog.state("store_records_skipped")
+					.with("topic", this.topic)
+					.with("offset", page.unreadableOffsets().get(0))
+					.with("records", page.unreadableOffsets().size())
+					.write();
+			}
 			if (page.isComplete() || !page.records().isEmpty()) {
 				this.pages.accept(page);
 			}
