Keep texts of others from adding lines or fields to the log

A value with a carriage return, another control character or a line separator was written as it was, one with double quotes and no space was not quoted, and a value had no bound. Keys of store records, causes and ids of callers' attempts are such values.

Values other than printable ASCII without quotes are now quoted, their control and format characters become spaces, and a value of more than 500 characters is cut.

--- a/entry/src/main/java/org/fulmargap/entry/EventLog.java
+++ b/entry/src/main/java/org/fulmargap/entry/EventLog.java
@@ -1,5 +1,7 @@
 package org.fulmargap.entry;
 
+import java.util.regex.Pattern;
+
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -49,6 +51,12 @@
 	 */
 	public static final class Line {
 
+		/** The length of the longest value that is shown whole, in characters. */
+		private static final int MAX_VALUE_LENGTH = 500;
+
+		/** Control and format characters, line and paragraph separators. */
+		private static final Pattern CONTROL = Pattern.compile("[\\p{Cc}\\p{Cf}\\p{Zl}\\p{Zp}]");
+
 		private final StringBuilder text = new StringBuilder(160);
 
 		private final boolean important;
@@ -59,17 +67,22 @@
 		}
 
 		/**
-		 * Adds a field. A value with spaces or line breaks is put in double quotes; its
-		 * line breaks become spaces and its double quotes single ones.
+		 * Adds a field. An empty value and one with other characters than printable ASCII
+		 * or with spaces or double quotes is put in double quotes; its control characters
+		 * become spaces and its double quotes single ones. A long value is cut.
 		 * @param key the name of the field
 		 * @param value its value
 		 * @return this line
 		 */
 		public Line with(String key, Object value) {
 			String shown = String.valueOf(value);
+			if (shown.length() > MAX_VALUE_LENGTH) {
+				shown = shown.substring(0, MAX_VALUE_LENGTH) + "...";
+			}
 			this.text.append(' ').append(key).append('=');
-			if (shown.indexOf(' ') >= 0 || shown.indexOf('\n') >= 0) {
-				this.text.append('"').append(shown.replace('"', '\'').replace('\n', ' ')).append('"');
+			if (shown.isEmpty() || !isPlain(shown)) {
+				String plain = CONTROL.matcher(shown).replaceAll(" ").replace('"', '\'');
+				this.text.append('"').append(plain).append('"');
 			}
 			else {
 				this.text.append(shown);
@@ -77,6 +90,10 @@
 			return this;
 		}
 
+		private static boolean isPlain(String text) {
+			return text.chars().allMatch((unit) -> unit > ' ' && unit <= '~' && unit != '"');
+		}
+
 		/**
 		 * Writes the line without blocking, or drops it if the log can't keep up.
 		 */
@@ -89,6 +106,11 @@
 			}
 		}
 
+		@Override
+		public String toString() {
+			return this.text.toString();
+		}
+
 	}
 
 }
