Bound the sizes that callers state

Numbers of callers' headers were converted without a bound. 1,000,000,000 work items took the whole heap, 1e400 became the array size -1, so that the caller got no answer, and a usage of a comma only failed with an ArrayIndexOutOfBoundsException.

--- a/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -18,6 +18,9 @@
 	/** The API key is missing or unknown. */
 	UNKNOWN_KEY(401, 0),
 
+	/** The request asks for more work items than any request may have. */
+	TOO_MANY_ITEMS(400, 0),
+
 	/** This VM is stopping and accepts no new requests. */
 	STOPPING(503, 50),
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
@@ -24,6 +24,12 @@
  */
 public final class RequestRouter implements CallerHandler {
 
+	/**
+	 * The largest number of work items of a request. Their handles are sent in one
+	 * header, and each work item holds those of the stages before it.
+	 */
+	private static final int MAX_WORK_ITEMS = 1_000;
+
 	private final RequestServices services;
 
 	private boolean refusing;
@@ -66,6 +72,9 @@
 		if (account.isEmpty() && catalog.get().needsKey(route.get())) {
 			return refuse(http, exchange, request, Refusal.UNKNOWN_KEY);
 		}
+		if (request.totalItems(route.get().stages().size()) > MAX_WORK_ITEMS) {
+			return refuse(http, exchange, request, Refusal.TOO_MANY_ITEMS);
+		}
 		String fingerprint = fingerprint(http, request);
 		CrashQuarantine.Verdict verdict = this.services.quarantine().verdict(fingerprint, this.services.nowMs());
 		if (!verdict.mayRun()) {
