--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -20,6 +20,7 @@
 import org.fulmargap.batch.RecentHandles;
 import org.fulmargap.batch.StageCall;
 import org.fulmargap.batch.WorkItem;
+import org.fulmargap.catalog.AddressFormat;
 import org.fulmargap.catalog.ServiceSpec;
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
@@ -235,7 +236,7 @@
 		Map<String, List<String>> freed = Map.copyOf(this.releasedByAddress);
 		this.releasedByAddress.clear();
 		freed.forEach((address, handles) -> {
-			if (!address.isEmpty()) {
+			if (AddressFormat.isHostAddress(address)) {
 				new FreeCall(address, handles).send();
 			}
 		});
