Bound the number of parts in the estimate of a prefix cache

Parts were evicted by their tokens only. Parts of no tokens, which any caller can name, were never evicted and the estimate grew with each new one, at each VM, because prompts are announced to peers.

PrefixCacheTests.partsWithoutTokensAreEvicted failed without the bound.

--- a/core/src/main/java/org/fulmargap/placement/PrefixCache.java
+++ b/core/src/main/java/org/fulmargap/placement/PrefixCache.java
@@ -13,6 +13,9 @@
 	/** The share of an engine's memory that is assumed to hold cached parts. */
 	private static final double CACHE_SHARE = 0.6;
 
+	/** The largest number of parts; parts of no tokens would never be evicted. */
+	static final int MAX_PARTS = 4_096;
+
 	private final LinkedHashMap<String, Integer> tokensByPart = new LinkedHashMap<>(16, 0.75f, true);
 
 	private long tokens;
@@ -44,13 +47,18 @@
 			this.tokens += part.tokens() - ((known != null) ? known : 0);
 		}
 		var oldest = this.tokensByPart.entrySet().iterator();
-		while (this.tokens > capacityTokens * CACHE_SHARE && oldest.hasNext()) {
+		while (oldest.hasNext()
+				&& (this.tokens > capacityTokens * CACHE_SHARE || this.tokensByPart.size() > MAX_PARTS)) {
 			Map.Entry<String, Integer> part = oldest.next();
 			this.tokens -= part.getValue();
 			oldest.remove();
 		}
 	}
 
+	int size() {
+		return this.tokensByPart.size();
+	}
+
 	void clear() {
 		this.tokensByPart.clear();
 		this.tokens = 0;
