Refuse a batch inside a batch before it is read

The check came after the inner batch had been read, so that a frame of nested batches raised a StackOverflowError, which closed the connection.

PeerCodecLimitTests.nestedBatchesAreRefusedAtTheSecondLevel failed on the code before.

--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -260,21 +260,26 @@
 	}
 
 	private static PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+		return readType(in).read(in, nowMs);
+	}
+
+	private static Type readType(MessageUnpacker in) throws IOException {
 		int type = in.unpackInt();
 		if (type < 0 || type >= Type.values().length) {
 			throw new IOException("unknown message type: " + type);
 		}
-		return Type.values()[type].read(in, nowMs);
+		return Type.values()[type];
 	}
 
 	private static PeerMessage.Batch readBatch(MessageUnpacker in, long nowMs) throws IOException {
 		List<PeerMessage> messages = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
-			PeerMessage part = PeerCodec.read(in, nowMs);
-			if (part instanceof PeerMessage.Batch) {
+			Type type = readType(in);
+			// Checked before it is read: a frame may hold a million levels of batches.
+			if (type == Type.BATCH) {
 				throw new IOException("a batch inside a batch");
 			}
-			messages.add(part);
+			messages.add(type.read(in, nowMs));
 		}
 		return new PeerMessage.Batch(messages);
 	}
