Check the length of a relayed value before memory is taken for it

The length that a frame states for a value was allocated before the frame was found to be shorter, up to 2 GB, while the heap of an entry VM has 96 MB.

PeerCodecLimitTests.aValueLongerThanItsFrameIsRefusedBeforeMemoryIsTaken failed on the code before.

--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -205,11 +205,19 @@
 		for (int i = readSize(in); i > 0; i--) {
 			String key = in.unpackString();
 			long offset = in.unpackLong();
-			records.add(new KeyedRecord(key, in.readPayload(in.unpackBinaryHeader()), offset));
+			records.add(new KeyedRecord(key, readValue(in), offset));
 		}
 		return new PeerMessage.Records(topic, from, new StorePage(records, nextOffset, complete));
 	}
 
+	private static byte[] readValue(MessageUnpacker in) throws IOException {
+		int length = in.unpackBinaryHeader();
+		if (length > PeerServer.MAX_FRAME_BYTES) {
+			throw new IOException("a value is longer than a frame: " + length + " bytes");
+		}
+		return in.readPayload(length);
+	}
+
 	private static StoreTopic readTopic(MessageUnpacker in) throws IOException {
 		int topic = in.unpackInt();
 		if (topic < 0 || topic >= StoreTopic.values().length) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
@@ -22,7 +22,7 @@
  */
 final class PeerServer {
 
-	private static final int MAX_FRAME_BYTES = 4 << 20;
+	static final int MAX_FRAME_BYTES = 4 << 20;
 
 	private final EventLoop loop;
 
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecLimitTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecLimitTests.java
@@ -1,9 +1,12 @@
 package org.fulmargap.entry.peer;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 
+import com.sun.management.ThreadMXBean;
 import org.junit.jupiter.api.Test;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 /**
@@ -13,8 +16,12 @@
 
 	private static final byte BATCH = 11;
 
+	private static final byte RECORDS = 9;
+
 	private static final byte ARRAY_OF_ONE = (byte) 0x91;
 
+	private static final byte BINARY_32 = (byte) 0xc6;
+
 	@Test
 	void nestedBatchesAreRefusedAtTheSecondLevel() {
 		byte[] frame = new byte[4_000_000];
@@ -25,4 +32,14 @@
 		assertThatExceptionOfType(IOException.class).isThrownBy(() -> PeerCodec.decode(frame, 0));
 	}
 
+	@Test
+	void aValueLongerThanItsFrameIsRefusedBeforeMemoryIsTaken() {
+		byte[] frame = { RECORDS, 0, 0, 0, (byte) 0xc2, ARRAY_OF_ONE, (byte) 0xa1, 'k', 0, BINARY_32, 0x7f, 0x7f,
+				(byte) 0xff, (byte) 0xff, 1 };
+		ThreadMXBean threads = ManagementFactory.getPlatformMXBean(ThreadMXBean.class);
+		long before = threads.getCurrentThreadAllocatedBytes();
+		assertThatExceptionOfType(IOException.class).isThrownBy(() -> PeerCodec.decode(frame, 0));
+		assertThat(threads.getCurrentThreadAllocatedBytes() - before).isLessThan(64 << 20);
+	}
+
 }
