Test VMs with records of another writer in all topics of the store

The test puts all records of ForeignRecords under keys of their own and under that of a sound endpoint, with odd keys and records without a key, then a sound endpoint, which all VMs have to use: two that run, two that start later, and 15 of which some get the records by relay.

--- a/entry/src/test/java/org/fulmargap/entry/ForeignRecordServiceTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/ForeignRecordServiceTests.java
@@ -1,8 +1,13 @@
 package org.fulmargap.entry;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
+import org.fulmargap.fleet.Hubs;
 import org.fulmargap.platform.standin.CallerWire;
+import org.fulmargap.platform.standin.EndpointStandIn;
+import org.fulmargap.platform.standin.ForeignRecords;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -43,6 +48,115 @@
 		return this.installation.send(this.installation.pipeline(vm)).statusCode();
 	}
 
+	// Puts each odd record under a key of its own and under that of a sound endpoint.
+	private void putForeignEndpoints(String soundId) {
+		ForeignRecords.endpoints().forEach((name, value) -> {
+			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "odd " + name, value);
+			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, soundId, value);
+		});
+		for (String key : List.of("", "k".repeat(255), "a\"b=c\n\r\u001b\u2028", "\u00e9\ud83d\ude00")) {
+			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, key, "[]");
+		}
+		this.installation.store().append(CallerWire.ENDPOINT_TOPIC, new byte[] { 2, (byte) 0xff, (byte) 0xfe, '7' });
+		this.installation.store().append(CallerWire.ENDPOINT_TOPIC, new byte[] { 9, 'a' });
+		this.installation.store().append(CallerWire.ENDPOINT_TOPIC, new byte[0]);
+	}
+
+	private void assertServedBy(EndpointStandIn endpoint, int vms) throws Exception {
+		for (int i = 0; i < vms; i++) {
+			int vm = i;
+			int before = endpoint.runs();
+			Installation.await(() -> {
+				try {
+					return status(vm, "/push/x") == 200 && endpoint.runs() > before;
+				}
+				catch (Exception ex) {
+					return false;
+				}
+			});
+			for (int j = 0; j < 5; j++) {
+				assertThat(status(i, "/push/x")).isEqualTo(200);
+			}
+		}
+	}
+
+	@Nested
+	class OfEndpoints {
+
+		@Test
+		void aNewEndpointIsUsedAfterForeignRecords() throws Exception {
+			ForeignRecordServiceTests.this.installation.endpoint("core-1", "core");
+			startVms(2);
+			putForeignEndpoints("core-1");
+			EndpointStandIn added = ForeignRecordServiceTests.this.installation.endpoint("core-2", "core");
+			assertServedBy(added, 2);
+		}
+
+		@Test
+		void aVmThatStartsAfterForeignRecordsServes() throws Exception {
+			putForeignEndpoints("core-1");
+			EndpointStandIn added = ForeignRecordServiceTests.this.installation.endpoint("core-2", "core");
+			startVms(2);
+			assertServedBy(added, 2);
+		}
+
+		@Test
+		void membersOfHubsUseANewEndpointAfterForeignRecords() throws Exception {
+			int vms = Hubs.MAX_FLAT_FLEET + 3;
+			startVms(vms);
+			Installation.await(() -> followers(vms) > 0);
+			putForeignEndpoints("core-1");
+			EndpointStandIn added = ForeignRecordServiceTests.this.installation.endpoint("core-2", "core");
+			assertServedBy(added, vms);
+			assertThat(followers(vms)).isPositive();
+		}
+
+		private int followers(int vms) {
+			int followers = 0;
+			for (int i = 0; i < vms; i++) {
+				followers += (ForeignRecordServiceTests.this.installation.vm(i).followsAHub()) ? 1 : 0;
+			}
+			return followers;
+		}
+
+	}
+
+	@Nested
+	class OfOperators {
+
+		@Test
+		void theNextConfigurationIsUsedAfterForeignRecords() throws Exception {
+			ForeignRecordServiceTests.this.installation.endpoint("core-1", "core");
+			startVms(2);
+			List<String> odd = new ArrayList<>(ForeignRecords.endpoints().values());
+			odd.add(CallerWire.CONFIG.formatted(2).replace("\"after\":[]", "\"after\":[1]"));
+			odd.add("{\"version\":1e400}");
+			for (String value : odd) {
+				ForeignRecordServiceTests.this.installation.store().put(CallerWire.OPERATOR_TOPIC, "config", value);
+				ForeignRecordServiceTests.this.installation.store().put(CallerWire.OPERATOR_TOPIC, "other", value);
+			}
+			ForeignRecordServiceTests.this.installation.store().put(CallerWire.OPERATOR_TOPIC, "evacuate/", "{}");
+			ForeignRecordServiceTests.this.installation.store()
+				.put(CallerWire.OPERATOR_TOPIC, "config",
+						CallerWire.CONFIG.formatted(3).replace("\"good\"", "\"good\",\"new\""));
+			for (int i = 0; i < 2; i++) {
+				int vm = i;
+				Installation.await(() -> {
+					try {
+						return ForeignRecordServiceTests.this.installation
+							.send(ForeignRecordServiceTests.this.installation.attempt(vm, "/push/x")
+								.setHeader("Authorization", "Token new"))
+							.statusCode() == 200;
+					}
+					catch (Exception ex) {
+						return false;
+					}
+				});
+			}
+		}
+
+	}
+
 	@Nested
 	class OfMembers {
 
