Refuse greetings of VMs with a bad address or capacity

A greeting on the port for peers was taken as it was, unlike the record of the same VM in the store, so that a NaN capacity or a port above 65535 could still enter the fleet.

PeerCodecLimitTests.aGreetingWithABadAddressOrCapacityIsRefused failed on the code before.

--- a/core/src/main/java/org/fulmargap/fleet/FleetMember.java
+++ b/core/src/main/java/org/fulmargap/fleet/FleetMember.java
@@ -41,20 +41,28 @@
 	 */
 	public static FleetMember parse(String name, String text) {
 		String[] fields = (text.length() <= MAX_LENGTH) ? text.split(" ") : new String[0];
-		if (fields.length != FIELDS || !AddressFormat.isHostAddress(fields[0])
-				|| !DOMAIN.matcher(fields[1]).matches()) {
+		if (fields.length != FIELDS) {
 			throw new IllegalArgumentException("not an address, a failure domain and a capacity");
 		}
-		return new FleetMember(name, fields[0], fields[1], parseCapacity(fields[2]));
+		return checked(new FleetMember(name, fields[0], fields[1], Double.parseDouble(fields[2])));
 	}
 
-	// With a capacity that is no number, no VM compares as the largest.
-	private static double parseCapacity(String text) {
-		double capacity = Double.parseDouble(text);
-		if (!(capacity >= 0 && capacity <= MAX_CAPACITY)) {
+	/**
+	 * Checks a member that another process has stated.
+	 * @param member the member
+	 * @return the member
+	 * @throws IllegalArgumentException if its address, failure domain or capacity is
+	 * invalid
+	 */
+	public static FleetMember checked(FleetMember member) {
+		if (!AddressFormat.isHostAddress(member.address()) || !DOMAIN.matcher(member.failureDomain()).matches()) {
+			throw new IllegalArgumentException("the address or the failure domain is invalid");
+		}
+		// With a capacity that is no number, no VM compares as the largest.
+		if (!(member.capacity() >= 0 && member.capacity() <= MAX_CAPACITY)) {
 			throw new IllegalArgumentException("the capacity is not from 0 to " + MAX_CAPACITY + " cores");
 		}
-		return capacity;
+		return member;
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -295,7 +295,7 @@
 	private static PeerMessage.Hello readHello(MessageUnpacker in) throws IOException {
 		FleetMember sender = new FleetMember(in.unpackString(), in.unpackString(), in.unpackString(),
 				in.unpackDouble());
-		return new PeerMessage.Hello(sender, in.unpackLong());
+		return new PeerMessage.Hello(FleetMember.checked(sender), in.unpackLong());
 	}
 
 	private static PeerMessage.Heartbeat readHeartbeat(MessageUnpacker in) throws IOException {
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecLimitTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecLimitTests.java
@@ -2,15 +2,18 @@
 
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
+import java.util.List;
 
 import com.sun.management.ThreadMXBean;
+import org.fulmargap.fleet.FleetMember;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 /**
- * Guards against frames of other senders that take much memory or stack.
+ * Guards against frames of other senders that take much memory or stack, or that name VMs
+ * that can't be reached.
  */
 class PeerCodecLimitTests {
 
@@ -42,4 +45,14 @@
 		assertThat(threads.getCurrentThreadAllocatedBytes() - before).isLessThan(64 << 20);
 	}
 
+	@Test
+	void aGreetingWithABadAddressOrCapacityIsRefused() {
+		for (FleetMember sender : List.of(new FleetMember("vm-1", "127.0.0.1:99999", "a", 1),
+				new FleetMember("vm-1", "127.0.0.1:80", "a", Double.NaN),
+				new FleetMember("vm-1", "127.0.0.1:80", "a", Double.POSITIVE_INFINITY))) {
+			byte[] frame = PeerCodec.encode(new PeerMessage.Hello(sender, 1), 0);
+			assertThatExceptionOfType(IOException.class).isThrownBy(() -> PeerCodec.decode(frame, 0));
+		}
+	}
+
 }
