Relay no values of records that can't be read

The values of refused records of endpoints and VMs stayed in the view of the topic and in the answers to peers that ask for all records. About a thousand of 4 KB don't fit a frame of 4 MB, and a VM that gets its records by relay would have asked for them again and again.

The view now keeps a mark of one byte for such a record.

--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -356,6 +356,7 @@
 				.with("offset", record.offset())
 				.with("cause", ex.getMessage())
 				.write();
+			this.topics.get(StoreTopic.ENDPOINTS).dropValue(record);
 			this.view.directory().remove(record.key(), 0, nowMs);
 		}
 	}
@@ -381,6 +382,7 @@
 				.with("offset", record.offset())
 				.with("cause", ex.getMessage())
 				.write();
+			this.topics.get(StoreTopic.MEMBERS).dropValue(record);
 		}
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/TopicView.java
+++ b/entry/src/main/java/org/fulmargap/entry/TopicView.java
@@ -17,6 +17,9 @@
  */
 final class TopicView {
 
+	/** Valid in no topic, and no removal, which has an empty value. */
+	private static final byte[] UNREADABLE = { 0 };
+
 	private final Map<String, KeyedRecord> newest = new HashMap<>();
 
 	private long nextOffset = -1;
@@ -63,6 +66,16 @@
 		}
 	}
 
+	/**
+	 * Keeps a mark of one byte in place of the value of a record that can't be read, so
+	 * that such records take little memory here and in messages to peers.
+	 * @param refused the record
+	 */
+	void dropValue(KeyedRecord refused) {
+		this.newest.computeIfPresent(refused.key(), (key, known) -> (known.offset() == refused.offset())
+				? new KeyedRecord(key, UNREADABLE.clone(), known.offset()) : known);
+	}
+
 	/**
 	 * Returns the newest record of each key whose offset is not below the given one, in
 	 * the order of the offsets. The page is a complete one without removals if this view
