--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -205,11 +205,19 @@
 		for (int i = readSize(in); i > 0; i--) {
 			String key = in.unpackString();
 			long offset = in.unpackLong();
-			records.add(new KeyedRecord(key, in.readPayload(in.unpackBinaryHeader()), offset));
+			records.add(new KeyedRecord(key, readValue(in), offset));
 		}
 		return new PeerMessage.Records(topic, from, new StorePage(records, nextOffset, complete));
 	}
 
+	private static byte[] readValue(MessageUnpacker in) throws IOException {
+		int length = in.unpackBinaryHeader();
+		if (length > PeerServer.MAX_FRAME_BYTES) {
+			throw new IOException("a value is longer than a frame: " + length + " bytes");
+		}
+		return in.readPayload(length);
+	}
+
 	private static StoreTopic readTopic(MessageUnpacker in) throws IOException {
 		int topic = in.unpackInt();
 		if (topic < 0 || topic >= StoreTopic.values().length) {
@@ -260,21 +268,26 @@
 	}
 
 	private static PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+		return readType(in).read(in, nowMs);
+	}
+
+	private static Type readType(MessageUnpacker in) throws IOException {
 		int type = in.unpackInt();
 		if (type < 0 || type >= Type.values().length) {
 			throw new IOException("unknown message type: " + type);
 		}
-		return Type.values()[type].read(in, nowMs);
+		return Type.values()[type];
 	}
 
 	private static PeerMessage.Batch readBatch(MessageUnpacker in, long nowMs) throws IOException {
 		List<PeerMessage> messages = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
-			PeerMessage part = PeerCodec.read(in, nowMs);
-			if (part instanceof PeerMessage.Batch) {
+			Type type = readType(in);
+			// Checked before it is read: a frame may hold a million levels of batches.
+			if (type == Type.BATCH) {
 				throw new IOException("a batch inside a batch");
 			}
-			messages.add(part);
+			messages.add(type.read(in, nowMs));
 		}
 		return new PeerMessage.Batch(messages);
 	}
@@ -282,7 +295,7 @@
 	private static PeerMessage.Hello readHello(MessageUnpacker in) throws IOException {
 		FleetMember sender = new FleetMember(in.unpackString(), in.unpackString(), in.unpackString(),
 				in.unpackDouble());
-		return new PeerMessage.Hello(sender, in.unpackLong());
+		return new PeerMessage.Hello(FleetMember.checked(sender), in.unpackLong());
 	}
 
 	private static PeerMessage.Heartbeat readHeartbeat(MessageUnpacker in) throws IOException {
