Refuse prompt parts that crash the engines that answer them

Cause: the quarantine counts crashes for the whole request (path, key and body), and no two of these requests are alike.

Change: PromptPartQuarantine counts crashes for each shared part of the prompts of unanswered requests. An answer that goes on clears the parts of its prompt. A part that was never answered is refused after crashes at three moments, any part after five unless refused parts explain them; parts that were always together are only refused together. Engines lost within 400 ms count as one crash, so the loss of a failure domain refuses nothing. Crashes and answers go to all VMs through the relayed events, verdicts to the neighbours each second and, by one VM, to a topic of the store. Resumable streams are no longer repeated once two crashes speak against a part that was never answered.

--- a/core/src/main/java/org/fulmargap/placement/Prompt.java
+++ b/core/src/main/java/org/fulmargap/placement/Prompt.java
@@ -1,6 +1,8 @@
 package org.fulmargap.placement;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The size of a generation request and the parts of its prompt.
@@ -21,6 +23,18 @@
 		parts = List.copyOf(parts);
 	}
 
+	/**
+	 * Returns the ids of the parts that other requests may share: all but the last.
+	 * @return the ids in order, without repetitions
+	 */
+	public Set<String> sharedParts() {
+		Set<String> shared = new LinkedHashSet<>();
+		for (int i = 0; i + 1 < this.parts.size(); i++) {
+			shared.add(this.parts.get(i).id());
+		}
+		return shared;
+	}
+
 	/**
 	 * Returns the id of the last part that other requests may share. This is the last but
 	 * one, because the last part belongs to one request or session. A single part counts
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -19,6 +19,7 @@
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
 import org.fulmargap.entry.request.CallerTimes;
+import org.fulmargap.entry.request.PromptPartWatch;
 import org.fulmargap.entry.request.RequestRouter;
 import org.fulmargap.entry.request.RequestServices;
 import org.fulmargap.entry.request.ServiceTimes;
@@ -34,6 +35,7 @@
 import org.fulmargap.platform.NodeSettings;
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.routing.CrashQuarantine;
+import org.fulmargap.routing.PromptPartQuarantine;
 
 /**
  * One entry VM on the users' platform. All work except access to the store runs on one
@@ -92,6 +94,8 @@
 
 	private final CrashQuarantine quarantine = new CrashQuarantine(MAX_FINGERPRINTS, CRASHES_TO_QUARANTINE);
 
+	private final PromptPartQuarantine promptParts = new PromptPartQuarantine();
+
 	private final AdmittedWork admittedWork = new AdmittedWork();
 
 	private final AvailableEndpoints endpointReports = new AvailableEndpoints();
@@ -108,6 +112,8 @@
 
 	private final StoreClient store;
 
+	private final QuarantineSync quarantineSync;
+
 	private final StoreWatch watch;
 
 	/**
@@ -127,12 +133,15 @@
 				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.metrics);
 		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
-				new Placement(settings.failureDomain()), retries, this.quarantine, pool, this.stages, this.admittedWork,
-				this.endpointReports, this.peers, new ServiceTimes(), new CallerTimes(), this.metrics);
+				new Placement(settings.failureDomain()), retries, this.quarantine,
+				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
+				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new CallerTimes(),
+				this.metrics);
 		this.router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, this.router);
 		this.store = new StoreClient(settings.storeAddress());
-		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers);
+		this.quarantineSync = new QuarantineSync(this.store, this.loop, this.clockMs, this.promptParts, this.peers);
+		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers, this.quarantineSync);
 	}
 
 	private static FleetMember ownMember(NodeSettings settings) {
@@ -253,6 +262,21 @@
 				.with("fingerprint", crashReport.fingerprint())
 				.write();
 		}
+		else {
+			receivedPromptParts(message, nowMs);
+		}
+	}
+
+	private void receivedPromptParts(PeerMessage message, long nowMs) {
+		if (message instanceof PeerMessage.PromptPartCrash crashed) {
+			this.promptParts.add(crashed.crash(), nowMs);
+		}
+		else if (message instanceof PeerMessage.PromptPartsAnswered answered) {
+			this.promptParts.answered(answered.parts(), answered.atMs(), nowMs);
+		}
+		else if (message instanceof PeerMessage.PromptPartVerdicts refused) {
+			refused.verdicts().forEach((verdict) -> this.promptParts.add(verdict, nowMs));
+		}
 	}
 
 	@Override
@@ -287,6 +311,7 @@
 	@Override
 	public void hubsChosen(long nowMs) {
 		this.watch.updateNeed(nowMs);
+		this.quarantineSync.update(nowMs);
 	}
 
 	@Override
@@ -316,6 +341,7 @@
 	@Override
 	public void close() {
 		this.watch.close();
+		this.quarantineSync.close();
 		this.store.close();
 		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
 	}
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -44,6 +44,12 @@
 	 */
 	private static final long MEMBERS_WAIT_MS = 10_000;
 
+	/**
+	 * How long the store holds a read of the refused prompt parts open, in milliseconds.
+	 * VMs also tell each other.
+	 */
+	private static final long QUARANTINE_WAIT_MS = 30_000;
+
 	/**
 	 * How long a VM that is no hub waits for one to relay records before it reads them
 	 * itself, in milliseconds: enough to find a new hub.
@@ -90,6 +96,8 @@
 
 	private final PeerNetwork peers;
 
+	private final QuarantineSync quarantine;
+
 	private final Map<StoreTopic, TopicView> topics = new EnumMap<>(StoreTopic.class);
 
 	private final Map<StoreTopic, RecordLag> lags = new EnumMap<>(StoreTopic.class);
@@ -108,12 +116,14 @@
 
 	private long storeOutageAtMs = Long.MIN_VALUE / 2;
 
-	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers) {
+	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers,
+			QuarantineSync quarantine) {
 		this.store = store;
 		this.loop = loop;
 		this.clockMs = clockMs;
 		this.view = view;
 		this.peers = peers;
+		this.quarantine = quarantine;
 		for (StoreTopic topic : StoreTopic.values()) {
 			this.topics.put(topic, new TopicView());
 			this.lags.put(topic, new RecordLag());
@@ -124,11 +134,14 @@
 		addTail(StoreTopic.ENDPOINTS, WAIT_MS, ENDPOINTS_INTERVAL_MS, outageListener);
 		addTail(StoreTopic.MEMBERS, MEMBERS_WAIT_MS, MEMBERS_INTERVAL_MS, () -> {
 		});
+		addTail(StoreTopic.QUARANTINE, QUARANTINE_WAIT_MS, MEMBERS_INTERVAL_MS, () -> {
+		});
 	}
 
 	void start(FleetMember own) {
 		run("tail-operator", this.tails.get(StoreTopic.OPERATOR));
 		run("tail-endpoints", this.tails.get(StoreTopic.ENDPOINTS));
+		run("tail-quarantine", this.tails.get(StoreTopic.QUARANTINE));
 		run("register", () -> register(own));
 	}
 
@@ -210,6 +223,7 @@
 			case OPERATOR -> applyOperatorPage(fresh);
 			case ENDPOINTS -> applyEndpointPage(fresh);
 			case MEMBERS -> applyMemberPage(fresh);
+			case QUARANTINE -> this.quarantine.apply(fresh.records());
 		}
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.entry.stage.WorkItemOutcome;
@@ -17,6 +19,8 @@
 import org.fulmargap.platform.KeyedRecord;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
+import org.fulmargap.routing.PartCrash;
+import org.fulmargap.routing.PartVerdict;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -132,6 +136,28 @@
 				.packString(crashReport.fingerprint())
 				.packString(crashReport.endpoint());
 		}
+		else {
+			writePromptParts(out, message, nowMs);
+		}
+	}
+
+	private static void writePromptParts(MessageBufferPacker out, PeerMessage message, long nowMs) throws IOException {
+		if (message instanceof PeerMessage.PromptPartCrash crashed) {
+			PartCrash crash = crashed.crash();
+			out.packInt(Type.PROMPT_PART_CRASH.ordinal()).packString(crash.process()).packLong(crash.atMs() - nowMs);
+			writeStrings(out, crash.parts());
+		}
+		else if (message instanceof PeerMessage.PromptPartsAnswered answered) {
+			out.packInt(Type.PROMPT_PARTS_ANSWERED.ordinal()).packLong(answered.atMs() - nowMs);
+			writeStrings(out, answered.parts());
+		}
+		else if (message instanceof PeerMessage.PromptPartVerdicts refused) {
+			out.packInt(Type.PROMPT_PART_VERDICTS.ordinal()).packArrayHeader(refused.verdicts().size());
+			for (PartVerdict verdict : refused.verdicts()) {
+				out.packLong(verdict.sinceMs() - nowMs).packLong(verdict.untilMs() - nowMs);
+				writeStrings(out, verdict.parts());
+			}
+		}
 		else {
 			throw new IllegalStateException("no encoding for " + message.getClass());
 		}
@@ -236,7 +262,7 @@
 		out.packLong(item.dueAtMs() - nowMs).packLong(item.expiresAtMs() - nowMs).packLong(item.resultBytes());
 	}
 
-	private static void writeStrings(MessageBufferPacker out, List<String> strings) throws IOException {
+	private static void writeStrings(MessageBufferPacker out, Collection<String> strings) throws IOException {
 		out.packArrayHeader(strings.size());
 		for (String text : strings) {
 			out.packString(text);
@@ -357,6 +383,16 @@
 		return statuses[ordinal];
 	}
 
+	private static List<PartVerdict> readVerdicts(MessageUnpacker in, long nowMs) throws IOException {
+		List<PartVerdict> verdicts = new ArrayList<>();
+		for (int i = readSize(in); i > 0; i--) {
+			long sinceMs = nowMs + in.unpackLong();
+			long untilMs = nowMs + in.unpackLong();
+			verdicts.add(new PartVerdict(Set.copyOf(readStrings(in)), sinceMs, untilMs));
+		}
+		return verdicts;
+	}
+
 	private static List<String> readStrings(MessageUnpacker in) throws IOException {
 		List<String> strings = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
@@ -478,6 +514,30 @@
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
 				return new PeerMessage.Ping(in.unpackBoolean(), in.unpackBoolean());
 			}
+		},
+
+		PROMPT_PART_CRASH {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				String process = in.unpackString();
+				long atMs = nowMs + in.unpackLong();
+				return new PeerMessage.PromptPartCrash(new PartCrash(process, atMs, Set.copyOf(readStrings(in))));
+			}
+		},
+
+		PROMPT_PARTS_ANSWERED {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				long atMs = nowMs + in.unpackLong();
+				return new PeerMessage.PromptPartsAnswered(Set.copyOf(readStrings(in)), atMs);
+			}
+		},
+
+		PROMPT_PART_VERDICTS {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.PromptPartVerdicts(readVerdicts(in, nowMs));
+			}
 		};
 
 		abstract PeerMessage read(MessageUnpacker in, long nowMs) throws IOException;
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry.peer;
 
 import java.util.List;
+import java.util.Set;
 
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.entry.stage.WorkItemOutcome;
@@ -10,6 +11,8 @@
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
+import org.fulmargap.routing.PartCrash;
+import org.fulmargap.routing.PartVerdict;
 
 /**
  * A message between entry VMs.
@@ -137,6 +140,40 @@
 	record CrashReport(String fingerprint, String endpoint) implements PeerMessage {
 	}
 
+	/**
+	 * Reports the crash of an engine and the prompt parts of the unanswered requests that
+	 * the sender had in flight there.
+	 *
+	 * @param crash the crash, with the time in the local clock; the codec converts it to
+	 * the receiver's clock
+	 */
+	record PromptPartCrash(PartCrash crash) implements PeerMessage {
+	}
+
+	/**
+	 * Reports that requests with prompt parts that were under suspicion were answered.
+	 *
+	 * @param parts the parts
+	 * @param atMs when, in the local clock; the codec converts it to the receiver's clock
+	 */
+	record PromptPartsAnswered(Set<String> parts, long atMs) implements PeerMessage {
+		/**
+		 * Creates a message with a copy of the set.
+		 */
+		public PromptPartsAnswered {
+			parts = Set.copyOf(parts);
+		}
+	}
+
+	/**
+	 * Names the prompt parts that the sender refuses, for VMs that have started since.
+	 *
+	 * @param verdicts the verdicts, with times in the local clock; the codec converts
+	 * them to the receiver's clock
+	 */
+	record PromptPartVerdicts(List<PartVerdict> verdicts) implements PeerMessage {
+	}
+
 	/**
 	 * Several messages in one frame, in the order in which they are to be handled.
 	 *
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -209,6 +209,19 @@
 		this.peers.values().stream().filter(Peer::isMember).forEach((member) -> send(member, message));
 	}
 
+	/**
+	 * Sends a message to the VMs with which this one exchanges heartbeats.
+	 * @param message the message
+	 */
+	public void sendToNeighbours(PeerMessage message) {
+		Set<String> targets = heartbeatTargets();
+		for (Peer peer : List.copyOf(this.peers.values())) {
+			if (peer.isMember() || targets.contains(peer.name())) {
+				send(peer, message);
+			}
+		}
+	}
+
 	/**
 	 * Tells all VMs of an event: at once if this VM exchanges heartbeats with all of
 	 * them, else with the next heartbeats.
@@ -448,14 +461,18 @@
 			}
 		}
 		else {
-			boolean event = message instanceof PeerMessage.PromptSent || message instanceof PeerMessage.CrashReport;
-			if (event && (!isHub() || hasMembers())) {
+			if (isEvent(message) && (!isHub() || hasMembers())) {
 				this.events.add(peer.name(), message);
 			}
 			this.listener.received(peer.name(), message);
 		}
 	}
 
+	private static boolean isEvent(PeerMessage message) {
+		return message instanceof PeerMessage.PromptSent || message instanceof PeerMessage.CrashReport
+				|| message instanceof PeerMessage.PromptPartCrash || message instanceof PeerMessage.PromptPartsAnswered;
+	}
+
 	private void receiveHeartbeat(Peer peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
 		if (peer.reported(heartbeat)) {
 			EventLog.state("peer_draining").with("peer", peer.name()).write();
--- a/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -21,7 +21,10 @@
 	/** This VM is stopping and accepts no new requests. */
 	STOPPING(503, 50),
 
-	/** Requests with the same fingerprint have crashed several endpoints. */
+	/**
+	 * Requests with the same fingerprint, or with the same parts in their prompts, have
+	 * crashed several endpoints.
+	 */
 	QUARANTINED(503, 30_000),
 
 	/** No endpoint accepts the request at present. */
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -99,6 +99,8 @@
 
 	private final String fingerprint;
 
+	private final Set<String> sharedParts;
+
 	private final long arrivedAtMs;
 
 	private final long deadlineAtMs;
@@ -138,6 +140,7 @@
 		this.service = catalog.services().getOrDefault(serviceName, new ServiceSpec(serviceName, 0, 0, null, null));
 		this.account = account;
 		this.fingerprint = fingerprint;
+		this.sharedParts = request.prompt().sharedParts();
 		this.arrivedAtMs = services.nowMs();
 		long timeMs = (request.timeLeftMs() >= 0) ? Math.min(request.timeLeftMs(), route.timeoutMs())
 				: route.timeoutMs();
@@ -222,6 +225,10 @@
 			deadlinePassed();
 			return;
 		}
+		if (this.services.promptParts().mustRefuse(this.sharedParts, nowMs)) {
+			refuse((this.runs > 0) ? Refusal.OUTCOME_UNKNOWN : Refusal.QUARANTINED);
+			return;
+		}
 		Placement.Demand demand = new Placement.Demand(this.request.prompt(), this.stageRun.finalInputs());
 		Optional<Choice> choice = this.services.placement()
 			.choose(this.services.view().directory().available(this.service.name(), nowMs), this.triedEndpoints,
@@ -334,6 +341,7 @@
 				&& RetryRule.mayRetry(this.route.isRetryable(), failure.mayHaveRun(), this.runs,
 						this.route.maxAttempts(), this.calls)
 				&& this.services.quarantine().verdict(this.fingerprint, nowMs) != CrashQuarantine.Verdict.QUARANTINED
+				&& (!failure.mayHaveRun() || this.services.promptParts().mayRepeat(this.sharedParts, nowMs))
 				&& (!failure.mayHaveArrived() || this.services.retryBudget()
 					.tryRetry(this.service.name(), this.services.peers().vmCount(), nowMs));
 		EventLog.request("call_failed", this.request.attemptId())
@@ -364,6 +372,8 @@
 
 		private final long sentAtMs;
 
+		private final PromptEvidence promptEvidence;
+
 		private int unreadTokens;
 
 		private EndpointPool.Cancellable cancellable;
@@ -384,6 +394,8 @@
 			this.choice = choice;
 			this.endpoint = choice.endpoint();
 			this.sentAtMs = nowMs;
+			this.promptEvidence = new PromptEvidence(RequestFlow.this.services.promptParts(),
+					RequestFlow.this.sharedParts);
 		}
 
 		private void send(long nowMs) {
@@ -489,6 +501,7 @@
 			ByteBuf wholeEvents = RequestFlow.this.events.add(content);
 			if (wholeEvents != null) {
 				recordFirstEvent();
+				this.promptEvidence.event(RequestFlow.this.services.nowMs());
 				restartResponseTimeout();
 				forward(wholeEvents);
 			}
@@ -592,6 +605,7 @@
 				flow.services.serviceTimes().record(flow.service.name(), nowMs - this.sentAtMs);
 			}
 			this.endpoint.succeeded(nowMs - this.sentAtMs, expectedMs, nowMs);
+			this.promptEvidence.completed(isStream(), nowMs);
 			flow.services.quarantine().completed(flow.fingerprint);
 		}
 
@@ -612,6 +626,7 @@
 			long nowMs = flow.services.nowMs();
 			this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
 			if (failure == CallFailure.CONNECTION_LOST) {
+				this.promptEvidence.connectionLost(this.endpoint.record(), nowMs);
 				flow.services.connectionLost(this.endpoint.record(), flow.fingerprint);
 			}
 			else if (failure == CallFailure.NOT_CONNECTED) {
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
@@ -68,7 +68,8 @@
 		}
 		String fingerprint = fingerprint(http, request);
 		CrashQuarantine.Verdict verdict = this.services.quarantine().verdict(fingerprint, this.services.nowMs());
-		if (!verdict.mayRun()) {
+		boolean refused = this.services.promptParts().mustRefuse(request.prompt().sharedParts(), this.services.nowMs());
+		if (!verdict.mayRun() || refused) {
 			return refuse(http, exchange, request, Refusal.QUARANTINED);
 		}
 		RequestFlow flow = new RequestFlow(this.services, exchange, http, request, catalog.get(), route.get(),
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -26,6 +26,7 @@
  * @param placement chooses endpoints
  * @param retryBudget this VM's share of the retry budget
  * @param quarantine keeps requests that crash endpoints from running
+ * @param promptParts keeps requests from running whose prompt parts crash engines
  * @param pool connections to endpoints
  * @param stages submits the work items of stages
  * @param admittedWork the work items that admitted requests still need
@@ -36,9 +37,9 @@
  * @param metrics counters and latencies
  */
 public record RequestServices(EventLoop loop, LongSupplier clockMs, StoreView view, Placement placement,
-		SharedRetryBudget retryBudget, CrashQuarantine quarantine, EndpointPool pool, StageClient stages,
-		AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers, ServiceTimes serviceTimes,
-		CallerTimes callerTimes, EntryMetrics metrics) {
+		SharedRetryBudget retryBudget, CrashQuarantine quarantine, PromptPartWatch promptParts, EndpointPool pool,
+		StageClient stages, AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers,
+		ServiceTimes serviceTimes, CallerTimes callerTimes, EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and probes the endpoint to find out
@@ -62,6 +63,7 @@
 	 * @param nowMs the current time in milliseconds
 	 */
 	public void confirmCrash(String endpoint, long nowMs) {
+		this.promptParts.confirmCrash(endpoint, nowMs);
 		this.quarantine.confirmCrash(endpoint, nowMs).forEach((fingerprint, endpoints) -> {
 			EventLog.state("strike").with("endpoint", endpoint).with("fingerprint", fingerprint).write();
 			this.peers.announce(new PeerMessage.CrashReport(fingerprint, endpoint));
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.entry.stage.WorkItemOutcome;
@@ -15,6 +16,8 @@
 import org.fulmargap.platform.KeyedRecord;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
+import org.fulmargap.routing.PartCrash;
+import org.fulmargap.routing.PartVerdict;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -42,6 +45,19 @@
 		}
 	}
 
+	@Test
+	void timesOfPromptPartsAreConvertedToTheClockOfTheReceiver() throws IOException {
+		PeerMessage crash = new PeerMessage.PromptPartCrash(new PartCrash("engine@1", 900, Set.of("aa")));
+		assertThat(PeerCodec.decode(PeerCodec.encode(crash, 1_000), 51_000))
+			.isEqualTo(new PeerMessage.PromptPartCrash(new PartCrash("engine@1", 50_900, Set.of("aa"))));
+		PeerMessage answered = new PeerMessage.PromptPartsAnswered(Set.of("aa", "bb"), 800);
+		assertThat(PeerCodec.decode(PeerCodec.encode(answered, 1_000), 51_000))
+			.isEqualTo(new PeerMessage.PromptPartsAnswered(Set.of("aa", "bb"), 50_800));
+		PeerMessage verdicts = new PeerMessage.PromptPartVerdicts(List.of(new PartVerdict(Set.of("aa"), 500, 2_000)));
+		assertThat(PeerCodec.decode(PeerCodec.encode(verdicts, 1_000), 51_000))
+			.isEqualTo(new PeerMessage.PromptPartVerdicts(List.of(new PartVerdict(Set.of("aa"), 50_500, 52_000))));
+	}
+
 	@Test
 	void heartbeatsAreDecodedWithAllFields() throws IOException {
 		LoadReport report = new LoadReport(Map.of("e", new EndpointLoad(2, 900)),
