--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -100,6 +100,8 @@
 
 	private final String fingerprint;
 
+	private final Set<String> sharedParts;
+
 	private final long arrivedAtMs;
 
 	private final long deadlineAtMs;
@@ -141,6 +143,7 @@
 		this.service = catalog.services().getOrDefault(serviceName, new ServiceSpec(serviceName, 0, 0, null, null));
 		this.account = account;
 		this.fingerprint = fingerprint;
+		this.sharedParts = request.prompt().sharedParts();
 		this.arrivedAtMs = services.nowMs();
 		long timeMs = (request.timeLeftMs() >= 0) ? Math.min(request.timeLeftMs(), route.timeoutMs())
 				: route.timeoutMs();
@@ -225,6 +228,10 @@
 			deadlinePassed();
 			return;
 		}
+		if (this.services.promptParts().mustRefuse(this.sharedParts, nowMs)) {
+			refuse((this.runs > 0) ? Refusal.OUTCOME_UNKNOWN : Refusal.QUARANTINED);
+			return;
+		}
 		Placement.Demand demand = new Placement.Demand(this.request.prompt(), this.stageRun.finalInputs());
 		Optional<Choice> choice = this.services.placement()
 			.choose(this.services.view().directory().available(this.service.name(), nowMs), this.triedEndpoints,
@@ -336,6 +343,7 @@
 				&& RetryRule.mayRetry(this.route.isRetryable(), failure.mayHaveRun(), this.runs,
 						this.route.maxAttempts(), this.calls)
 				&& this.services.quarantine().verdict(this.fingerprint, nowMs) != CrashQuarantine.Verdict.QUARANTINED
+				&& (!failure.mayHaveRun() || this.services.promptParts().mayRepeat(this.sharedParts, nowMs))
 				&& (!failure.mayHaveArrived() || this.services.retryBudget()
 					.tryRetry(this.service.name(), this.services.peers().vmCount(), nowMs));
 		EventLog.request("call_failed", this.request.attemptId())
@@ -364,6 +372,8 @@
 
 		private final long sentAtMs;
 
+		private final PromptEvidence promptEvidence;
+
 		private int unreadTokens;
 
 		private EndpointPool.Cancellable cancellable;
@@ -384,6 +394,8 @@
 			this.choice = choice;
 			this.endpoint = choice.endpoint();
 			this.sentAtMs = nowMs;
+			this.promptEvidence = new PromptEvidence(RequestFlow.this.services.promptParts(),
+					RequestFlow.this.sharedParts);
 		}
 
 		private void send(long nowMs) {
@@ -494,6 +506,7 @@
 			}
 			if (RequestFlow.this.stream.forward(content, this.head)) {
 				recordFirstEvent();
+				this.promptEvidence.event(RequestFlow.this.services.nowMs());
 				restartResponseTimeout();
 			}
 			return !RequestFlow.this.stream.isMalformed() && RequestFlow.this.stream.partialBytes() <= MAX_EVENT_BYTES;
@@ -588,6 +601,7 @@
 				flow.services.serviceTimes().record(flow.service.name(), nowMs - this.sentAtMs);
 			}
 			this.endpoint.succeeded(nowMs - this.sentAtMs, expectedMs, nowMs);
+			this.promptEvidence.completed(isStream(), nowMs);
 			flow.services.quarantine().completed(flow.fingerprint);
 		}
 
@@ -609,6 +623,7 @@
 			this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
 			// A crash may also end an answer that has neither a length nor chunks.
 			if (failure == CallFailure.CONNECTION_LOST || failure == CallFailure.STREAM_CUT) {
+				this.promptEvidence.connectionLost(this.endpoint.record(), nowMs);
 				flow.services.connectionLost(this.endpoint.record(), flow.fingerprint);
 			}
 			else if (failure == CallFailure.NOT_CONNECTED) {
