Don't take connections that a cut breaks for crashes of engines

Cause: a connection that breaks at an engine that then can't be reached speaks against the parts of the prompt. Behind a cut both happen without a crash, again and again for as long as the cut lasts, so a sound part that few requests hold could have been refused.

Change: while VMs are known in the engine's failure domain and none of them is alive and reachable, the lost connections are forgotten.

--- a/core/src/main/java/org/fulmargap/fleet/FleetView.java
+++ b/core/src/main/java/org/fulmargap/fleet/FleetView.java
@@ -147,6 +147,28 @@
 		return vm != null && vm.isAlive(nowMs);
 	}
 
+	/**
+	 * Returns whether this VM may be cut off from another failure domain: VMs are known
+	 * there, but none is alive and reachable. What this VM sees of endpoints there then
+	 * says little about them.
+	 * @param domain the name of the failure domain
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if it may be cut off; {@code false} for its own domain and for
+	 * one without VMs
+	 */
+	public boolean isCutOffFrom(String domain, long nowMs) {
+		boolean known = false;
+		for (Vm vm : this.others.values()) {
+			if (vm.member.failureDomain().equals(domain) && vm.confirmed && nowMs - vm.confirmedAtMs < COUNTED_MS) {
+				if (vm.isAlive(nowMs) && vm.reachable) {
+					return false;
+				}
+				known = true;
+			}
+		}
+		return known && !domain.equals(this.own.failureDomain());
+	}
+
 	/**
 	 * Returns the other VMs that were confirmed alive recently, for those that rely on
 	 * this VM.
--- a/core/src/main/java/org/fulmargap/routing/PromptPartQuarantine.java
+++ b/core/src/main/java/org/fulmargap/routing/PromptPartQuarantine.java
@@ -88,6 +88,14 @@
 		return this.lostRequests.stream().anyMatch((lost) -> lost.endpoint.equals(endpoint));
 	}
 
+	/**
+	 * Forgets lost connections to an engine that may be cut off from this VM.
+	 * @param endpoint the name of the engine
+	 */
+	public void forgetLost(String endpoint) {
+		this.lostRequests.removeIf((lost) -> lost.endpoint.equals(endpoint));
+	}
+
 	/**
 	 * Records that an engine crashed, which makes the connections that were lost shortly
 	 * before speak against the parts of their requests.
--- a/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
@@ -60,6 +60,40 @@
 
 	}
 
+	@Nested
+	class Cuts {
+
+		@BeforeEach
+		void listOtherDomain() {
+			for (String name : new String[] { "far-1", "far-2" }) {
+				FleetViewTests.this.fleet.put(new FleetMember(name, "10.0.0.1:1", "b", 1), 0);
+				FleetViewTests.this.fleet.confirm(name, false, 0);
+			}
+		}
+
+		@Test
+		void aDomainWhoseVmsAreAllUnreachableMayBeCutOff() {
+			FleetViewTests.this.fleet.reachable("far-1", false);
+			assertThat(FleetViewTests.this.fleet.isCutOffFrom("b", 10)).isFalse();
+			FleetViewTests.this.fleet.reachable("far-2", false);
+			assertThat(FleetViewTests.this.fleet.isCutOffFrom("b", 10)).isTrue();
+		}
+
+		@Test
+		void aDomainWhoseVmsAreNoLongerConfirmedMayBeCutOffUntilTheyAreTakenForGone() {
+			assertThat(FleetViewTests.this.fleet.isCutOffFrom("b", FleetView.CONFIRMATION_MS)).isTrue();
+			assertThat(FleetViewTests.this.fleet.isCutOffFrom("b", FleetView.COUNTED_MS)).isFalse();
+		}
+
+		@Test
+		void theOwnDomainAndDomainsWithoutVmsAreNeverCutOff() {
+			confirmAll(0);
+			assertThat(FleetViewTests.this.fleet.isCutOffFrom("a", FleetView.CONFIRMATION_MS)).isFalse();
+			assertThat(FleetViewTests.this.fleet.isCutOffFrom("c", 0)).isFalse();
+		}
+
+	}
+
 	@Nested
 	class SharedLimits {
 
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -159,6 +159,15 @@
 		return this.fleet.coordinatorOf(service, this.clockMs.getAsLong());
 	}
 
+	/**
+	 * Returns whether this VM may be cut off from another failure domain.
+	 * @param domain the name of the failure domain
+	 * @return {@code true} if VMs are known there, but none is alive and reachable
+	 */
+	public boolean isCutOffFrom(String domain) {
+		return this.fleet.isCutOffFrom(domain, this.clockMs.getAsLong());
+	}
+
 	/**
 	 * Returns whether this VM is a hub, which reads the store for others.
 	 * @return {@code true} if it is one
--- a/entry/src/main/java/org/fulmargap/entry/request/PromptPartWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/PromptPartWatch.java
@@ -72,13 +72,23 @@
 		}
 		this.pool.probe(endpoint.address(), (reachable) -> {
 			if (!reachable) {
-				confirmCrash(endpoint.id(), this.clockMs.getAsLong());
+				confirmCrash(endpoint, this.clockMs.getAsLong());
 			}
 		});
 	}
 
-	void confirmCrash(String endpoint, long nowMs) {
-		Optional<PartCrash> crash = this.quarantine.confirmCrash(endpoint, nowMs);
+	/**
+	 * Records that an endpoint accepts no connections. While a cut separates this VM from
+	 * the endpoint's failure domain, that doesn't count as a crash.
+	 * @param endpoint the endpoint
+	 * @param nowMs the current time in milliseconds
+	 */
+	void confirmCrash(EndpointRecord endpoint, long nowMs) {
+		if (this.peers.isCutOffFrom(endpoint.failureDomain())) {
+			this.quarantine.forgetLost(endpoint.id());
+			return;
+		}
+		Optional<PartCrash> crash = this.quarantine.confirmCrash(endpoint.id(), nowMs);
 		crash.ifPresent((present) -> {
 			EventLog.state("part_crash")
 				.with("process", present.process())
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -63,7 +63,7 @@
 	 * @param nowMs the current time in milliseconds
 	 */
 	public void confirmCrash(String endpoint, long nowMs) {
-		this.promptParts.confirmCrash(endpoint, nowMs);
+		this.view.directory().find(endpoint).ifPresent((known) -> this.promptParts.confirmCrash(known.record(), nowMs));
 		this.quarantine.confirmCrash(endpoint, nowMs).forEach((fingerprint, endpoints) -> {
 			EventLog.state("strike").with("endpoint", endpoint).with("fingerprint", fingerprint).write();
 			this.peers.announce(new PeerMessage.CrashReport(fingerprint, endpoint));
