--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -26,6 +26,8 @@
 
 	private static final long TIMEOUT_MS = 10_000;
 
+	private static final long PORT_TIMEOUT_MS = 1_000;
+
 	private static final int FIRST_PORT = 20_000;
 
 	private static final int PORTS = 8_000;
@@ -38,6 +40,8 @@
 
 	private final List<NodeSettings> settings = new ArrayList<>();
 
+	private final List<Integer> metricsPorts = new ArrayList<>();
+
 	private final List<EndpointStandIn> endpoints = new ArrayList<>();
 
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -71,22 +75,73 @@
 	 * Starts an entry VM that uses a given store instead of the common one.
 	 */
 	EntryVm vm(String name, StoreStandIn ownStore) throws IOException, InterruptedException {
-		String ip = "127.0.0.1:";
-		NodeSettings node = new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
-				ownStore.address(), 2_000, 8_000, this.retryRatio, this.retrySlack, 10_000, 1, 1_000);
-		EntryVm vm = new EntryVm(node, freePort());
+		NodeSettings node = newSettings(name, ownStore);
+		int metricsPort = freePort();
+		EntryVm vm = new EntryVm(node, metricsPort);
 		vm.start();
 		this.settings.add(node);
+		this.metricsPorts.add(metricsPort);
 		this.vms.add(vm);
 		return vm;
 	}
 
+	private NodeSettings newSettings(String name, StoreStandIn ownStore) throws IOException {
+		String ip = "127.0.0.1:";
+		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
+				ownStore.address(), 2_000, 8_000, this.retryRatio, this.retrySlack, 10_000, 1, 1_000);
+	}
+
+	/**
+	 * Ends an entry VM without a drain and starts another one with its name, and with its
+	 * addresses unless another process has taken them.
+	 */
+	void restart(int vm) throws IOException, InterruptedException {
+		this.vms.get(vm).close();
+		long deadlineMs = System.currentTimeMillis() + PORT_TIMEOUT_MS;
+		while (!arePortsFree(vm) && System.currentTimeMillis() < deadlineMs) {
+			Thread.sleep(20);
+		}
+		if (!arePortsFree(vm)) {
+			this.settings.set(vm, newSettings(this.settings.get(vm).vm(), this.store));
+			this.metricsPorts.set(vm, freePort());
+		}
+		EntryVm next = new EntryVm(this.settings.get(vm), this.metricsPorts.get(vm));
+		next.start();
+		this.vms.set(vm, next);
+	}
+
+	private boolean arePortsFree(int vm) {
+		NodeSettings node = this.settings.get(vm);
+		return isFree(node.firstPeerPort()) && isFree(port(node.readinessAddress()))
+				&& isFree(port(node.callerAddress())) && isFree(this.metricsPorts.get(vm));
+	}
+
+	private static int port(String address) {
+		return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+	}
+
+	private static boolean isFree(int port) {
+		try (ServerSocket socket = new ServerSocket(port)) {
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	/**
 	 * Makes VMs that are started from now on have no retry budget.
 	 */
 	void withoutRetries() {
-		this.retryRatio = 0;
-		this.retrySlack = 0;
+		retries(0, 0);
+	}
+
+	/**
+	 * Sets the retry budget of VMs that are started from now on.
+	 */
+	void retries(double ratio, double slack) {
+		this.retryRatio = ratio;
+		this.retrySlack = slack;
 	}
 
 	EntryVm vm(int vm) {
