--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -24,6 +25,12 @@
  */
 public final class StageClient {
 
+	/**
+	 * The highest id before the first one. Ids start at random, so that a late outcome
+	 * for a work item of this VM's previous process matches none of this one.
+	 */
+	private static final int MAX_FIRST_ITEM_ID = Integer.MAX_VALUE;
+
 	private final EventLoop loop;
 
 	private final StageCallDispatcher dispatcher;
@@ -38,7 +45,7 @@
 
 	private final Map<String, List<WorkItemOutcome>> outgoingOutcomes = new LinkedHashMap<>();
 
-	private long lastItemId;
+	private long lastItemId = ThreadLocalRandom.current().nextInt(MAX_FIRST_ITEM_ID);
 
 	private boolean flushScheduled;
 
@@ -170,13 +177,15 @@
 	}
 
 	/**
-	 * Queues the work items of a peer, and sends their outcomes back to it.
+	 * Queues the work items of a peer, and sends their outcomes back to it. A work item
+	 * that the peer submits again replaces the earlier one.
 	 * @param peer the name of the peer
 	 * @param message the work items
 	 */
 	public void receive(String peer, PeerMessage.WorkItems message) {
 		for (WorkItem item : message.items()) {
 			RemoteItem key = new RemoteItem(peer, item.itemId());
+			cancel(key);
 			Runnable cancellation = this.dispatcher.submit(message.service(), item, (outcome) -> {
 				if (outcome.status().isLast()) {
 					this.cancellations.remove(key);
@@ -194,7 +203,11 @@
 	 * @param message the cancellation
 	 */
 	public void receive(String peer, PeerMessage.Cancellation message) {
-		Runnable cancellation = this.cancellations.remove(new RemoteItem(peer, message.itemId()));
+		cancel(new RemoteItem(peer, message.itemId()));
+	}
+
+	private void cancel(RemoteItem key) {
+		Runnable cancellation = this.cancellations.remove(key);
 		if (cancellation != null) {
 			cancellation.run();
 		}
@@ -227,7 +240,7 @@
 		}
 		lost.forEach(this::dispatch);
 		List<RemoteItem> ofPeer = this.cancellations.keySet().stream().filter((key) -> key.peer.equals(peer)).toList();
-		ofPeer.forEach((key) -> this.cancellations.remove(key).run());
+		ofPeer.forEach(this::cancel);
 	}
 
 	/**
