--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -170,7 +170,7 @@
 
 	// Returns a port below the ephemeral range, so that no outgoing connection takes it
 	// before it is used.
-	private static int freePort() throws IOException {
+	static int freePort() throws IOException {
 		IOException last = null;
 		for (int i = 0; i < PORTS; i++) {
 			int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
--- a/entry/src/test/java/org/fulmargap/entry/StutterTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StutterTests.java
@@ -123,8 +123,8 @@
 
 		private void startStage(String service, int number) throws IOException {
 			long ownSeed = this.seed * 100 + this.stages.size();
-			StutteringStageStandIn stage = new StutteringStageStandIn(service + number, this.results, ownSeed,
-					this.mode);
+			StutteringStageStandIn stage = new StutteringStageStandIn(service + number, Installation.freePort(),
+					this.results, ownSeed, this.mode);
 			this.stages.add(stage);
 			this.services.add(service);
 			register(stage, service);
