--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -10,8 +10,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.PipelineAdmission;
 import org.fulmargap.catalog.Catalog;
@@ -110,6 +111,9 @@
 
 	private final Set<String> triedEndpoints = new HashSet<>();
 
+	// Endpoints that were replaced may be listed with the same address.
+	private final Set<String> calledAddresses = new HashSet<>();
+
 	private Future<?> deadlineTimer;
 
 	private Call call;
@@ -120,9 +124,7 @@
 	// The calls that may have run.
 	private int runs;
 
-	private boolean answerBegun;
-
-	private EventSplitter events;
+	private final CallerStream stream;
 
 	private boolean finished;
 
@@ -130,6 +132,7 @@
 			Catalog catalog, Route route, ClientAccount account, String fingerprint) {
 		this.services = services;
 		this.exchange = exchange;
+		this.stream = new CallerStream(exchange);
 		this.request = request;
 		this.message = new CallerMessage(http);
 		this.catalog = catalog;
@@ -279,7 +282,7 @@
 			.with("runs", this.runs)
 			.write();
 		this.services.metrics().count("refused_" + refusal.name().toLowerCase(Locale.ROOT));
-		if (this.answerBegun) {
+		if (this.stream.hasBegun()) {
 			finish();
 			this.exchange.abort();
 			return;
@@ -329,8 +332,7 @@
 		String id = failed.endpoint.record().id();
 		this.triedEndpoints.add(id);
 		long nowMs = this.services.nowMs();
-		boolean resumable = this.answerBegun && this.route.resumable();
-		boolean allowed = (!this.answerBegun || resumable)
+		boolean allowed = (!this.stream.hasBegun() || this.route.resumable())
 				&& RetryRule.mayRetry(this.route.isRetryable(), failure.mayHaveRun(), this.runs,
 						this.route.maxAttempts(), this.calls)
 				&& this.services.quarantine().verdict(this.fingerprint, nowMs) != CrashQuarantine.Verdict.QUARANTINED
@@ -347,9 +349,7 @@
 			refuseWithoutEndpoint();
 			return;
 		}
-		if (this.events != null) {
-			this.events.reset();
-		}
+		this.stream.discardPartialEvent();
 		dispatch();
 	}
 
@@ -404,7 +404,11 @@
 			if (!prompt.parts().isEmpty()) {
 				flow.services.peers().announce(new PeerMessage.PromptSent(this.endpoint.record().id(), prompt));
 			}
-			this.cancellable = flow.services.pool().send(this.endpoint.record().address(), httpRequest(nowMs), this);
+			String address = this.endpoint.record().address();
+			FullHttpRequest http = httpRequest(nowMs);
+			EndpointPool pool = flow.services.pool();
+			this.cancellable = (flow.calledAddresses.add(address)) ? pool.send(address, http, this)
+					: pool.sendOnNewConnection(address, http, this);
 			startResponseTimeout();
 		}
 
@@ -450,9 +454,8 @@
 			RequestFlow flow = RequestFlow.this;
 			String accountName = (flow.account != null) ? flow.account.name() : null;
 			int priority = (flow.service.engine() != null) ? Math.min(LOWEST_PRIORITY, flow.priority()) : -1;
-			String lastEventId = (flow.events != null) ? flow.events.lastEventId() : null;
 			EndpointRequest sent = new EndpointRequest(this.endpoint.record().id(), flow.deadlineAtMs - nowMs,
-					accountName, priority, flow.stageRun.finalHandles(), lastEventId);
+					accountName, priority, flow.stageRun.finalHandles(), flow.stream.lastEventId());
 			return flow.message.toEndpoint(EndpointHeaders.encode(sent));
 		}
 
@@ -471,13 +474,16 @@
 			if (!isStream()) {
 				this.buffered = Unpooled.buffer();
 			}
-			else if (RequestFlow.this.events == null) {
-				RequestFlow.this.events = new EventSplitter();
-			}
 		}
 
 		private boolean isStream() {
-			return RequestFlow.this.route.kind().isStreaming() && this.answer.isSuccess() && this.answer.signed();
+			return RequestFlow.this.route.kind().isStreaming() && this.answer.isSuccess() && this.answer.signed()
+					&& hasEvents();
+		}
+
+		private boolean hasEvents() {
+			CharSequence type = HttpUtil.getMimeType(this.head);
+			return type != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
 		}
 
 		@Override
@@ -486,13 +492,11 @@
 				this.buffered.writeBytes(content);
 				return this.buffered.readableBytes() <= MAX_ANSWER_BYTES;
 			}
-			ByteBuf wholeEvents = RequestFlow.this.events.add(content);
-			if (wholeEvents != null) {
+			if (RequestFlow.this.stream.forward(content, this.head)) {
 				recordFirstEvent();
 				restartResponseTimeout();
-				forward(wholeEvents);
 			}
-			return RequestFlow.this.events.partialBytes() <= MAX_EVENT_BYTES;
+			return !RequestFlow.this.stream.isMalformed() && RequestFlow.this.stream.partialBytes() <= MAX_EVENT_BYTES;
 		}
 
 		private void restartResponseTimeout() {
@@ -502,15 +506,6 @@
 			}
 		}
 
-		private void forward(ByteBuf part) {
-			RequestFlow flow = RequestFlow.this;
-			if (!flow.answerBegun) {
-				flow.answerBegun = true;
-				flow.exchange.begin(this.answer.status(), callerHeaders());
-			}
-			flow.exchange.write(part);
-		}
-
 		private void recordFirstEvent() {
 			if (!this.firstEventReceived) {
 				this.firstEventReceived = true;
@@ -527,10 +522,6 @@
 			}
 		}
 
-		private HttpHeaders callerHeaders() {
-			return CallerMessage.toCaller(this.head.headers());
-		}
-
 		@Override
 		public boolean ended() {
 			close();
@@ -545,24 +536,24 @@
 				notExecuted(nowMs);
 				return;
 			}
-			if (this.buffered == null) {
+			if (this.buffered != null) {
+				endedBuffered(nowMs);
+			}
+			else if (flow.stream.mayEnd()) {
 				flow.runs++;
 				succeeded(nowMs);
-				ByteBuf remainder = flow.events.remainder();
-				if (remainder.isReadable() || !flow.answerBegun) {
-					forward(remainder);
-				}
-				flow.exchange.end();
+				flow.stream.end();
 				flow.done(this.answer.status());
-				return;
 			}
-			endedBuffered(nowMs);
+			else {
+				failed(CallFailure.STREAM_CUT);
+			}
 		}
 
 		private void endedBuffered(long nowMs) {
 			RequestFlow flow = RequestFlow.this;
-			boolean valid = !this.answer.isSuccess() || this.answer.signed();
-			if (!valid) {
+			boolean signed = !this.answer.isSuccess() || this.answer.signed();
+			if (!signed || flow.stream.hasBegun()) {
 				this.endpoint.failed(false, nowMs);
 				flow.callFailed(this, CallFailure.WRONG_ANSWER);
 				return;
@@ -585,7 +576,7 @@
 			else {
 				succeeded(nowMs);
 			}
-			flow.exchange.answer(this.answer.status(), callerHeaders(), this.buffered);
+			flow.exchange.answer(this.answer.status(), CallerMessage.toCaller(this.head.headers()), this.buffered);
 			flow.done(this.answer.status());
 		}
 
@@ -616,7 +607,8 @@
 			RequestFlow flow = RequestFlow.this;
 			long nowMs = flow.services.nowMs();
 			this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
-			if (failure == CallFailure.CONNECTION_LOST) {
+			// A crash may also end an answer that has neither a length nor chunks.
+			if (failure == CallFailure.CONNECTION_LOST || failure == CallFailure.STREAM_CUT) {
 				flow.services.connectionLost(this.endpoint.record(), flow.fingerprint);
 			}
 			else if (failure == CallFailure.NOT_CONNECTED) {
