--- a/core/src/test/java/org/fulmargap/routing/PromptPartQuarantineProperties.java
+++ b/core/src/test/java/org/fulmargap/routing/PromptPartQuarantineProperties.java
@@ -39,6 +39,15 @@
 		check(simulation, stepMs);
 	}
 
+	@Property(seed = "7302", tries = 300)
+	void twoPartsThatWereAnsweredBeforeTheyCrashEnginesAreRefusedToo(@ForAll long seed,
+			@ForAll @DoubleRange(min = 0.02, max = 0.8) double share,
+			@ForAll @IntRange(min = 5, max = 400) int stepMs) {
+		Simulation simulation = new Simulation(seed, share, 2);
+		simulation.answerAllParts();
+		check(simulation, stepMs);
+	}
+
 	private static void check(Simulation simulation, int stepMs) {
 		for (int step = 0; step < 1_500; step++) {
 			simulation.step(stepMs);
