--- a/core/src/main/java/org/fulmargap/routing/PromptPartQuarantine.java
+++ b/core/src/main/java/org/fulmargap/routing/PromptPartQuarantine.java
@@ -10,10 +10,10 @@
 import java.util.Set;
 
 /**
- * Decides which parts of prompts crash the engines that answer them. Each crash speaks
+ * Decides which parts of prompts crash the engines that answer them. Each crash counts
  * against the shared parts of the requests that were in flight at the engine and had not
- * been answered; an answer that goes on speaks for the parts of its prompt and cancels
- * the crashes before it. Confined to one thread.
+ * been answered. An answer that continues after its first event clears the parts of its
+ * prompt of the crashes before it. Confined to one thread.
  */
 public final class PromptPartQuarantine {
 
@@ -97,8 +97,8 @@
 	}
 
 	/**
-	 * Records that an engine crashed, which makes the connections that were lost shortly
-	 * before speak against the parts of their requests.
+	 * Records that an engine crashed. The crash counts against the parts of the requests
+	 * whose connections to it were lost shortly before.
 	 * @param endpoint the name of the engine
 	 * @param nowMs the current time in milliseconds
 	 * @return the crash for the other VMs, or empty if no request here is affected
@@ -163,7 +163,7 @@
 	 * @param parts the shared parts of the prompt
 	 * @param atMs when, in milliseconds
 	 * @param nowMs the current time in milliseconds
-	 * @return the parts against which crashes or verdicts spoke before, for the other VMs
+	 * @return the parts that were suspected or refused before, for the other VMs
 	 */
 	public Set<String> answered(Set<String> parts, long atMs, long nowMs) {
 		Set<String> cleared = new HashSet<>();
@@ -245,7 +245,7 @@
 	 * Returns whether a request whose call was lost may be sent to another engine.
 	 * @param parts the shared parts of its prompt
 	 * @param nowMs the current time in milliseconds
-	 * @return {@code false} if several crashes already speak against one of the parts
+	 * @return {@code false} if several crashes already count against one of the parts
 	 */
 	public boolean mayRepeat(Set<String> parts, long nowMs) {
 		if (mustRefuse(parts, nowMs)) {
@@ -321,7 +321,7 @@
 				nowMs + LIFETIME_MS), nowMs);
 	}
 
-	// The crashes that speak against a part, in the order of time, without those at which
+	// The crashes that count against a part, in the order of time, without those at which
 	// parts were present that are refused anyway.
 	private List<Crash> unexplainedCrashes(String part, boolean explainedByGroups) {
 		List<Crash> against = new ArrayList<>();
--- a/entry/src/main/java/org/fulmargap/entry/request/PromptEvidence.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/PromptEvidence.java
@@ -5,13 +5,14 @@
 import org.fulmargap.placement.EndpointRecord;
 
 /**
- * Decides for one call whether it speaks for or against the shared parts of its prompt.
+ * Decides for one call whether it clears the shared parts of its prompt or adds a crash
+ * to them.
  */
 final class PromptEvidence {
 
 	/**
-	 * How long a stream must go on after its first event to speak for its prompt, in
-	 * milliseconds. An engine crashes when it begins to write the answer.
+	 * How long a stream must continue after its first event to clear the parts of its
+	 * prompt, in milliseconds. An engine crashes when it begins to write the answer.
 	 */
 	private static final long ANSWERED_AFTER_MS = 250;
 
