--- a/review/standin/EntryVm.java
+++ b/review/standin/EntryVm.java
@@ -168,7 +168,7 @@
 
 	void signal(String signal) throws IOException, InterruptedException {
 		this.record.write("entry VM " + this.name + " gets SIG" + signal);
-		new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start().waitFor();
+		new ProcessBuilder("sh", "-c", "kill -s " + signal + " " + this.process.pid()).start().waitFor();
 	}
 
 	boolean awaitExit(long timeoutMs) throws InterruptedException {
