Review case 2: results of a restarted stage endpoint reach another request

Cause: handles are passed on after their maker has started again, though the new start time is known; an endpoint that counts its results from 1 again gives the same handle to another request.

--- a/review/standin/DrainLimit.java
+++ b/review/standin/DrainLimit.java
@@ -3,15 +3,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /**
  * An entry VM gets SIGTERM while requests wait for the first stage of their pipeline.
@@ -23,14 +19,16 @@
 
 	private static final int PIECES = 6;
 
+	private static final long CALL_MS = 200;
+
+	private static final long ITEM_MS = 24;
+
 	private static final long TERM_AFTER_MS = 500;
 
 	private static final long PLANNED_MS = 9_000;
 
 	private static final long LOSS_SLACK_MS = 200;
 
-	private final Set<String> begun = ConcurrentHashMap.newKeySet();
-
 	private final AtomicInteger lost = new AtomicInteger();
 
 	public static void main(String[] args) {
@@ -40,7 +38,8 @@
 	@Override
 	boolean play() throws Exception {
 		this.store.put(Store.OPERATOR, "config", config());
-		list(new PlannerServer("planner-0", this.record, this.begun));
+		StageServer planner = new StageServer("planner-0", "planner", CALL_MS, ITEM_MS, this.record);
+		list(planner);
 		list(new EngineServer("pool-0", this.record));
 		EntryVm vm = startVm("vm-1");
 		Thread.sleep(CONTACT_MS);
@@ -48,7 +47,7 @@
 		List<Future<?>> clients = new ArrayList<>();
 		for (int i = 0; i < REQUESTS; i++) {
 			String attempt = "plan" + i;
-			clients.add(threads.submit(() -> plan(vm, attempt)));
+			clients.add(threads.submit(() -> plan(vm, planner, attempt)));
 		}
 		Thread.sleep(TERM_AFTER_MS);
 		if (this.trouble) {
@@ -76,7 +75,7 @@
 			.replace("\"services\":[", "\"services\":[" + service);
 	}
 
-	private Void plan(EntryVm vm, String attempt) {
+	private Void plan(EntryVm vm, StageServer planner, String attempt) {
 		String outcome;
 		try (Client client = vm.connect(0)) {
 			client.send(Client.head("POST", "/plan/x", attempt, 20_000, 2,
@@ -98,7 +97,7 @@
 				outcome = "is answered " + answer.status() + " after " + afterMs + " ms";
 			}
 			else {
-				boolean waited = this.record.runs(attempt) == 0 && !this.begun.contains(attempt);
+				boolean waited = this.record.runs(attempt) == 0 && !planner.hasBegun(attempt);
 				if (waited && afterMs > LOSS_SLACK_MS) {
 					this.lost.incrementAndGet();
 				}
@@ -113,47 +112,6 @@
 		return null;
 	}
 
-	/** A stage server with one slot. */
-	private static final class PlannerServer extends Server {
-
-		private static final Pattern ID = Pattern.compile("\"id\":\"([^\"]*)\"");
-
-		private static final long CALL_MS = 200;
-
-		private static final long ITEM_MS = 24;
-
-		private final Record record;
-
-		private final Set<String> begun;
-
-		private final AtomicInteger handles = new AtomicInteger();
-
-		PlannerServer(String id, Record record, Set<String> begun) throws IOException {
-			super(id, "planner", 1, record);
-			this.record = record;
-			this.begun = begun;
-		}
-
-		@Override
-		void run(Message request, String attempt, OutputStream out) throws IOException, InterruptedException {
-			if (request.firstLine.startsWith("POST /stage-free")) {
-				answer(out, 200, "", "Content-Type: application/json\r\n", "{}".getBytes(StandardCharsets.UTF_8));
-				return;
-			}
-			List<String> items = new ArrayList<>();
-			Matcher id = ID.matcher(new String(request.body, StandardCharsets.UTF_8));
-			while (id.find()) {
-				this.begun.add(id.group(1));
-				this.record.write("server " + this.id + " works on a piece of " + id.group(1));
-				items.add("{\"handle\":\"" + address() + "/h" + this.handles.incrementAndGet() + "\"}");
-			}
-			Thread.sleep(CALL_MS + ITEM_MS * items.size());
-			String body = "{\"items\":[" + String.join(",", items) + "]}";
-			answer(out, 200, "", "Content-Type: application/json\r\n", body.getBytes(StandardCharsets.UTF_8));
-		}
-
-	}
-
 	/** A model server whose streams have three events. */
 	private static final class EngineServer extends Server {
 
--- a/review/standin/Server.java
+++ b/review/standin/Server.java
@@ -6,6 +6,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 
 /**
@@ -25,7 +27,13 @@
 
 	private final int slotCount;
 
-	private final ServerSocket listener;
+	private final int port;
+
+	private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
+
+	private ServerSocket listener;
+
+	private long bornMs;
 
 	Server(String id, String service, int slotCount, Record record) throws IOException {
 		this.id = id;
@@ -33,19 +41,43 @@
 		this.slotCount = slotCount;
 		this.slots = new Semaphore(slotCount, true);
 		this.record = record;
-		this.listener = new ServerSocket(0, 1024, InetAddress.getByName("127.0.0.1"));
-		start("server-" + id, this::accept);
+		listen(0);
+		this.port = this.listener.getLocalPort();
+	}
+
+	private void listen(int onPort) throws IOException {
+		ServerSocket opened = new ServerSocket(onPort, 1024, InetAddress.getByName("127.0.0.1"));
+		this.listener = opened;
+		this.bornMs = System.currentTimeMillis();
+		start("server-" + this.id, () -> accept(opened));
+	}
+
+	/** Ends the server at once, as a crash of its process does. */
+	void crash() throws IOException {
+		this.record.write("server " + this.id + " crashes");
+		this.listener.close();
+		for (Socket channel : this.channels) {
+			channel.setSoLinger(true, 0);
+			channel.close();
+		}
+		this.channels.clear();
+	}
+
+	/** Starts the server again under its id and address. */
+	void restart() throws IOException {
+		listen(this.port);
+		this.record.write("server " + this.id + " starts again");
 	}
 
 	String address() {
-		return "127.0.0.1:" + this.listener.getLocalPort();
+		return "127.0.0.1:" + this.port;
 	}
 
 	/** The record by which the server registers itself in the platform's store. */
 	String entry() {
 		return "{\"service\":\"" + this.service + "\",\"address\":\"" + address()
 				+ "\",\"zone\":\"gent-a\",\"version\":\"v1\",\"slots\":" + this.slotCount
-				+ ",\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":1,\"born\":" + System.currentTimeMillis() + "}";
+				+ ",\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":1,\"born\":" + this.bornMs + "}";
 	}
 
 	static Thread start(String name, Runnable task) {
@@ -55,10 +87,11 @@
 		return thread;
 	}
 
-	private void accept() {
+	private void accept(ServerSocket from) {
 		try {
 			while (true) {
-				Socket socket = this.listener.accept();
+				Socket socket = from.accept();
+				this.channels.add(socket);
 				start("channel-" + this.id, () -> serve(socket));
 			}
 		}
@@ -81,6 +114,9 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		finally {
+			this.channels.remove(socket);
+		}
 	}
 
 	private void handle(Message request, OutputStream out) throws IOException, InterruptedException {
