--- a/review/standin/StageServer.java
+++ b/review/standin/StageServer.java
@@ -12,7 +12,7 @@
 
 /**
  * A stage server with one slot. It names a result by its address and the count of its
- * results since its start, and keeps results until they are freed or it ends.
+ * results since its start, and keeps results until they are freed, handle-s has passed or it ends.
  */
 final class StageServer extends Server {
 
@@ -26,6 +26,10 @@
 
 	private final Record record;
 
+	private static final long HANDLE_MS = 4_000;
+
+	private final Map<String, Long> expiresAtMs = new ConcurrentHashMap<>();
+
 	private final Map<String, String> requestByHandle = new ConcurrentHashMap<>();
 
 	private final Set<String> begun = ConcurrentHashMap.newKeySet();
@@ -41,7 +45,8 @@
 
 	/** Returns the request for which a result was made, or null if it is not kept here. */
 	String requestOf(String handle) {
-		return this.requestByHandle.get(handle);
+		boolean kept = this.record.nowMs() < this.expiresAtMs.getOrDefault(handle, 0L);
+		return (kept) ? this.requestByHandle.get(handle) : null;
 	}
 
 	/** Returns whether the server has begun to work on a piece of a request. */
@@ -80,6 +85,7 @@
 		for (String owner : requests) {
 			String handle = address() + '/' + this.results.incrementAndGet();
 			this.requestByHandle.put(handle, owner);
+			this.expiresAtMs.put(handle, this.record.nowMs() + HANDLE_MS);
 			this.record.write("server " + this.id + " has made " + handle + " for " + owner);
 			items.add("{\"handle\":\"" + handle + "\"}");
 		}
