Answer each open request before a drain ends

Cause: the end of a drain was a limit on waiting without an action. EntryVm.drain returned with requests open, EntryMain called System.exit.

Change: OpenRequests holds the requests without an answer. At SIGTERM each learns when the VM stops; its waiting work items expire by then, and it is refused with 503 when one fails. At the limit all are answered: 503 if the request has not run, 502 if an endpoint was called. The steps of the drain move from EntryVm to Drain.

--- a/core/src/main/java/org/fulmargap/batch/WorkItem.java
+++ b/core/src/main/java/org/fulmargap/batch/WorkItem.java
@@ -38,4 +38,14 @@
 		return this.inputDomain.isEmpty() || this.inputDomain.equals(failureDomain);
 	}
 
+	/**
+	 * Returns the same work item with a limit on its expiry.
+	 * @param limitAtMs the latest time at which it may expire, in milliseconds
+	 * @return the work item
+	 */
+	public WorkItem expiringBy(long limitAtMs) {
+		return new WorkItem(this.itemId, this.attemptId, this.stage, this.index, this.inputKey, this.inputs,
+				this.inputDomain, this.priority, this.dueAtMs, Math.min(this.expiresAtMs, limitAtMs), this.resultBytes);
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
@@ -19,6 +18,7 @@
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
 import org.fulmargap.entry.request.CallerTimes;
+import org.fulmargap.entry.request.OpenRequests;
 import org.fulmargap.entry.request.PromptPartWatch;
 import org.fulmargap.entry.request.RequestRouter;
 import org.fulmargap.entry.request.RequestServices;
@@ -66,16 +66,6 @@
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
-	/** How long new requests are still accepted after SIGTERM, in milliseconds. */
-	private static final long NOTICE_MS = 2_400;
-
-	/**
-	 * The time between the end of the drain and SIGKILL, for the exit, in milliseconds.
-	 */
-	private static final long EXIT_MARGIN_MS = 700;
-
-	private static final long POLL_MS = 50;
-
 	private final NodeSettings settings;
 
 	private final int metricsPort;
@@ -90,8 +80,6 @@
 
 	private final EntryMetrics metrics = new EntryMetrics();
 
-	private final AtomicBoolean draining = new AtomicBoolean();
-
 	private final CrashQuarantine quarantine = new CrashQuarantine(MAX_FINGERPRINTS, CRASHES_TO_QUARANTINE);
 
 	private final PromptPartQuarantine promptParts = new PromptPartQuarantine();
@@ -106,8 +94,6 @@
 
 	private final StageClient stages;
 
-	private final RequestRouter router;
-
 	private final CallerServer callers;
 
 	private final StoreClient store;
@@ -116,6 +102,8 @@
 
 	private final StoreWatch watch;
 
+	private final Drain drain;
+
 	/**
 	 * Creates an entry VM that does not listen yet.
 	 * @param settings the settings from the platform
@@ -132,14 +120,17 @@
 		this.dispatcher = new StageCallDispatcher(this.loop, this.clockMs, this.view, pool, retries,
 				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.metrics);
 		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
+		OpenRequests openRequests = new OpenRequests();
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine,
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new CallerTimes(),
-				this.metrics);
-		this.router = new RequestRouter(services);
-		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, this.router);
+				openRequests, this.metrics);
+		RequestRouter router = new RequestRouter(services);
+		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, router);
 		this.store = new StoreClient(settings.storeAddress());
+		this.drain = new Drain(settings, this.loop, this.clockMs, this.callers, this.peers, router, openRequests,
+				this.dispatcher, this.store::calls);
 		this.quarantineSync = new QuarantineSync(this.store, this.loop, this.clockMs, this.promptParts, this.peers);
 		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers, this.quarantineSync);
 	}
@@ -166,46 +157,17 @@
 	}
 
 	private boolean isReady() {
-		return !this.draining.get() && this.view.isComplete();
+		return !this.drain.hasBegun() && this.view.isComplete();
 	}
 
 	/**
 	 * Drains this VM: new requests are accepted for a notice period and refused after it.
-	 * Returns when no request and no work item is in flight, or shortly before the
-	 * platform kills the process. Further calls return at once.
+	 * Returns when each request is answered and no work item is in flight, shortly before
+	 * the platform kills the process at the latest. Further calls return at once.
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
 	public void drain() throws InterruptedException {
-		if (!this.draining.compareAndSet(false, true)) {
-			return;
-		}
-		long startedAtMs = this.clockMs.getAsLong();
-		EventLog.state("draining").with("vm", this.settings.vm()).write();
-		this.loop.execute(() -> {
-			this.callers.drain();
-			this.peers.drain();
-		});
-		Thread.sleep(NOTICE_MS);
-		this.loop.execute(() -> {
-			this.router.refuseNew();
-			this.callers.closeUnused();
-		});
-		long limitMs = this.settings.graceMs() - EXIT_MARGIN_MS;
-		awaitIdle(startedAtMs + limitMs);
-		// A request may have arrived since the last check. After this none is read.
-		this.loop.submit(this.callers::stopReading).awaitUninterruptibly();
-		awaitIdle(startedAtMs + limitMs);
-		EventLog.state("stopped")
-			.with("vm", this.settings.vm())
-			.with("unfinished", busyConnections())
-			.with("store_calls", this.store.calls())
-			.write();
-	}
-
-	private void awaitIdle(long limitAtMs) throws InterruptedException {
-		while ((busyConnections() > 0 || pendingItems() > 0) && this.clockMs.getAsLong() < limitAtMs) {
-			Thread.sleep(POLL_MS);
-		}
+		this.drain.run();
 	}
 
 	/**
@@ -218,14 +180,6 @@
 			.getNow();
 	}
 
-	private int pendingItems() throws InterruptedException {
-		return this.loop.submit(this.dispatcher::pendingCount).awaitUninterruptibly().getNow();
-	}
-
-	private long busyConnections() throws InterruptedException {
-		return this.loop.submit(this.callers::busyConnections).awaitUninterruptibly().getNow();
-	}
-
 	@Override
 	public void received(String peer, PeerMessage message) {
 		long nowMs = this.clockMs.getAsLong();
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -182,15 +182,35 @@
 	void start() {
 		this.deadlineTimer = this.services.loop()
 			.schedule(this::deadlinePassed, this.deadlineAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
+		this.services.openRequests().add(this);
 		this.services.retryBudget().firstRequest(this.service.name(), this.arrivedAtMs);
-		if (isAdmitted()) {
+		PipelineAdmission.ExpectedTimes expected = this.stageRun.estimate(this.services::availableEndpoints,
+				this.catalog, this.arrivedAtMs);
+		if (isAdmitted(expected)) {
 			this.stageRun.start();
 		}
 	}
 
-	private boolean isAdmitted() {
-		PipelineAdmission.ExpectedTimes expected = this.stageRun.estimate(this.services::availableEndpoints,
-				this.catalog, this.arrivedAtMs);
+	/**
+	 * Prepares for the end of this VM: work items that can't be done before it fail.
+	 * @param stopsAtMs when the VM stops, in milliseconds
+	 */
+	void stopAt(long stopsAtMs) {
+		this.stageRun.limit(stopsAtMs);
+	}
+
+	/**
+	 * Answers the request at once, because this VM stops.
+	 */
+	void stop() {
+		refuse((mayHaveRun()) ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING);
+	}
+
+	private boolean mayHaveRun() {
+		return this.runs > 0 || this.call != null;
+	}
+
+	private boolean isAdmitted(PipelineAdmission.ExpectedTimes expected) {
 		long maxWaitMs = Math.min(this.deadlineAtMs - this.arrivedAtMs, this.route.maxWaitMs());
 		PipelineAdmission.Decision decision = PipelineAdmission.decide(expected, this.route.objectiveMs(), maxWaitMs);
 		if (!decision.admitted()) {
@@ -216,7 +236,7 @@
 	@Override
 	public void stageFailed(String stageService) {
 		EventLog.request("stage_failed", this.request.attemptId()).with("service", stageService).write();
-		refuse(Refusal.STAGE_FAILED);
+		refuse((this.services.openRequests().isStopping()) ? Refusal.STOPPING : Refusal.STAGE_FAILED);
 	}
 
 	private void dispatch() {
@@ -261,10 +281,7 @@
 	}
 
 	private void deadlinePassed() {
-		if (!this.finished) {
-			boolean mayHaveRun = this.runs > 0 || this.call != null;
-			refuse((mayHaveRun) ? Refusal.TIMED_OUT : Refusal.TOO_LATE);
-		}
+		refuse((mayHaveRun()) ? Refusal.TIMED_OUT : Refusal.TOO_LATE);
 	}
 
 	private void refuseWithoutEndpoint() {
@@ -311,6 +328,7 @@
 
 	private void finish() {
 		this.finished = true;
+		this.services.openRequests().remove(this);
 		this.deadlineTimer.cancel(false);
 		this.stageRun.close();
 		if (this.call != null) {
--- a/entry/src/main/java/org/fulmargap/entry/request/StageProgress.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageProgress.java
@@ -116,12 +116,20 @@
 		this.itemIds.remove(itemId);
 	}
 
+	/**
+	 * Returns the work items that were submitted and have not ended.
+	 * @return the ids of the work items
+	 */
+	List<Long> itemIds() {
+		return List.copyOf(this.itemIds);
+	}
+
 	/**
 	 * Returns and clears the work items that were submitted and have not ended.
 	 * @return the ids of the work items
 	 */
 	List<Long> takeItemIds() {
-		List<Long> taken = List.copyOf(this.itemIds);
+		List<Long> taken = itemIds();
 		this.itemIds.clear();
 		return taken;
 	}
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -69,6 +69,9 @@
 
 	private final List<StageProgress> stages = new ArrayList<>();
 
+	// When the stages must be done because this VM stops.
+	private long limitAtMs = Long.MAX_VALUE;
+
 	private boolean inputsRecomputed;
 
 	private boolean finished;
@@ -183,12 +186,29 @@
 			long itemId = this.client.newItemId();
 			stage.submitted(itemId);
 			WorkItem item = new WorkItem(itemId, this.request.attemptId(), index, itemIndex, key, inputs, inputDomain,
-					this.priority, this.dueAtMs - remainingMs, this.expiresAtMs - remainingMs,
-					stage.spec().resultBytes());
+					this.priority, this.dueAtMs - remainingMs,
+					Math.min(this.expiresAtMs - remainingMs, latestResultAtMs(index)), stage.spec().resultBytes());
 			this.client.submit(stage.service(), item, (outcome) -> handleOutcome(stage, itemIndex, outcome));
 		}
 	}
 
+	private long latestResultAtMs(int index) {
+		return this.limitAtMs - stagesAfter(index) * EXPECTED_STAGE_MS;
+	}
+
+	/**
+	 * Limits the time until the stages are done. Work items that can't be done in time
+	 * fail.
+	 * @param newLimitAtMs the time in milliseconds
+	 */
+	void limit(long newLimitAtMs) {
+		this.limitAtMs = newLimitAtMs;
+		for (int i = 0; i < this.stages.size(); i++) {
+			long latestAtMs = latestResultAtMs(i);
+			this.stages.get(i).itemIds().forEach((itemId) -> this.client.expireBy(itemId, latestAtMs));
+		}
+	}
+
 	// The failure domain that the work items of a stage prefer, or an empty text: for
 	// large results of a stage without dependencies, the domain of the engine that is
 	// expected to run the request; for large inputs, the domain that keeps most of them.
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -162,6 +162,21 @@
 		return () -> queue.cancel(item);
 	}
 
+	/**
+	 * Removes a work item that waits for a call.
+	 * @param service the service of its stage
+	 * @param item the work item
+	 * @return {@code false} if it does not wait, for example because it is in a call
+	 */
+	public boolean withdraw(String service, WorkItem item) {
+		ServiceQueue queue = this.queues.get(service);
+		if (queue == null || !queue.scheduler.remove(item)) {
+			return false;
+		}
+		queue.pendingItems.remove(item);
+		return true;
+	}
+
 	/**
 	 * Releases results at the endpoints that keep them, after a short delay so that one
 	 * call covers several results.
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -137,6 +137,21 @@
 		}
 	}
 
+	/**
+	 * Makes a work item expire earlier, if it waits at this VM. A coordinator elsewhere
+	 * keeps the later time.
+	 * @param itemId the id of the work item
+	 * @param limitAtMs the latest time at which it may expire, in milliseconds
+	 */
+	public void expireBy(long itemId, long limitAtMs) {
+		Submission submission = this.submissions.get(itemId);
+		if (submission != null && submission.cancellation != null
+				&& this.dispatcher.withdraw(submission.service, submission.item)) {
+			submission.item = submission.item.expiringBy(limitAtMs);
+			submission.cancellation = this.dispatcher.submit(submission.service, submission.item, this::handleOutcome);
+		}
+	}
+
 	/**
 	 * Releases results that are no longer needed.
 	 * @param service the service of their stage
@@ -258,10 +273,10 @@
 
 		private final String service;
 
-		private final WorkItem item;
-
 		private final Consumer<WorkItemOutcome> outcome;
 
+		private WorkItem item;
+
 		private String coordinator;
 
 		private Runnable cancellation;
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -46,6 +46,8 @@
 
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
+	private long graceMs = 8_000;
+
 	private double retryRatio = 0.2;
 
 	private double retrySlack = 54;
@@ -88,7 +90,7 @@
 	private NodeSettings newSettings(String name, StoreStandIn ownStore) throws IOException {
 		String ip = "127.0.0.1:";
 		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
-				ownStore.address(), 2_000, 8_000, this.retryRatio, this.retrySlack, 10_000, 1, 1_000);
+				ownStore.address(), 2_000, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1, 1_000);
 	}
 
 	/**
@@ -144,6 +146,13 @@
 		this.retrySlack = slack;
 	}
 
+	/**
+	 * Sets how long VMs that are started from now on may take to stop.
+	 */
+	void graceMs(long newGraceMs) {
+		this.graceMs = newGraceMs;
+	}
+
 	EntryVm vm(int vm) {
 		return this.vms.get(vm);
 	}
