Pass on no request whose run outlasts the drain

Cause: in the notice period of a drain a VM passed on whatever arrived, without comparing the length of the work with the time it had left.

Evidence: in the new test on the untouched code all 16 requests have a `dispatched` line at age_ms=0, one second after SIGTERM, with in_flight up to 16 at an endpoint of 8 slots; 8 connections were cut (unfinished=8).

Change: RunTimes keeps a smoothed mean and deviation of the runs of each route. While the VM stops, a request is refused with 503 if its run, and the runs ahead of it where the endpoint has no free slot, can't end in time. EndpointRecord keeps the slots, which were read and dropped before.

DrainTests.anActionThatCannotEndBeforeTheVmIsNotPassedOn failed before (a request got no answer) and passes: 9 runs, 9 answers, 8 refusals. EntryVmTests, DecodingTests and RunTimesTests pass.

--- a/core/src/main/java/org/fulmargap/placement/EndpointRecord.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointRecord.java
@@ -9,12 +9,13 @@
  * @param service the service that it belongs to
  * @param address its address as {@code IP:port}
  * @param failureDomain the failure domain in which it runs
+ * @param slots how many requests it runs at the same time; others wait
  * @param draining whether it is draining and must get no new work
  * @param coldForMs how long it stays cold from the time of the record, in milliseconds
  * @param startedAtMs when it started, in milliseconds since the epoch; 0 if not stated
  */
-public record EndpointRecord(String id, String service, String address, String failureDomain, boolean draining,
-		long coldForMs, long startedAtMs) {
+public record EndpointRecord(String id, String service, String address, String failureDomain, int slots,
+		boolean draining, long coldForMs, long startedAtMs) {
 
 	/**
 	 * Creates a record.
--- a/core/src/test/java/org/fulmargap/placement/Endpoints.java
+++ b/core/src/test/java/org/fulmargap/placement/Endpoints.java
@@ -29,7 +29,7 @@
 	}
 
 	static EndpointRecord record(String id, String domain, boolean draining, long coldForMs) {
-		return new EndpointRecord(id, "service", "10.0.0.1:80", domain, draining, coldForMs, 1);
+		return new EndpointRecord(id, "service", "10.0.0.1:80", domain, 8, draining, coldForMs, 1);
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -22,6 +22,7 @@
 import org.fulmargap.entry.request.PromptPartWatch;
 import org.fulmargap.entry.request.RequestRouter;
 import org.fulmargap.entry.request.RequestServices;
+import org.fulmargap.entry.request.RunTimes;
 import org.fulmargap.entry.request.ServiceTimes;
 import org.fulmargap.entry.stage.StageCallDispatcher;
 import org.fulmargap.entry.stage.StageClient;
@@ -124,8 +125,8 @@
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine,
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
-				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new CallerTimes(),
-				openRequests, this.metrics);
+				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
+				new CallerTimes(), openRequests, this.metrics);
 		RequestRouter router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, router);
 		this.store = new StoreClient(settings.storeAddress());
--- a/entry/src/main/java/org/fulmargap/entry/request/OpenRequests.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/OpenRequests.java
@@ -42,6 +42,16 @@
 		return this.stopsAtMs != NEVER_MS;
 	}
 
+	/**
+	 * Returns whether work can be done before this VM stops.
+	 * @param durationMs the expected duration of the work, in milliseconds
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if there is enough time, or if this VM does not stop
+	 */
+	boolean isTimeFor(double durationMs, long nowMs) {
+		return !isStopping() || nowMs + durationMs <= this.stopsAtMs;
+	}
+
 	/**
 	 * Answers all requests at once, because this VM stops now. Those that have not run
 	 * are refused; the outcome of the others is unknown. Streams that have begun are
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -118,6 +118,8 @@
 
 	private Future<?> deadlineTimer;
 
+	private Future<?> lastCallTimer;
+
 	private Call call;
 
 	// All calls to endpoints, refused ones included.
@@ -186,17 +188,37 @@
 		this.services.retryBudget().firstRequest(this.service.name(), this.arrivedAtMs);
 		PipelineAdmission.ExpectedTimes expected = this.stageRun.estimate(this.services::availableEndpoints,
 				this.catalog, this.arrivedAtMs);
-		if (isAdmitted(expected)) {
+		if (!isTimeFor(expected.stagesMs(), 1, this.arrivedAtMs)) {
+			refuse(Refusal.STOPPING);
+		}
+		else if (isAdmitted(expected)) {
 			this.stageRun.start();
 		}
 	}
 
+	// Whether the stages and then a number of runs, one after the other, can be done
+	// before this VM stops.
+	private boolean isTimeFor(double stagesMs, int runs, long nowMs) {
+		double runMs = this.services.runTimes().longMs(this.route.name());
+		return this.services.openRequests().isTimeFor(stagesMs + runs * runMs, nowMs);
+	}
+
 	/**
-	 * Prepares for the end of this VM: work items that can't be done before it fail.
+	 * Prepares for the end of this VM. The request is refused if no endpoint was called
+	 * when the time that is left is too short for a run.
 	 * @param stopsAtMs when the VM stops, in milliseconds
 	 */
 	void stopAt(long stopsAtMs) {
-		this.stageRun.limit(stopsAtMs);
+		long lastCallAtMs = stopsAtMs - Math.round(this.services.runTimes().longMs(this.route.name()));
+		this.stageRun.limit(lastCallAtMs);
+		this.lastCallTimer = this.services.loop()
+			.schedule(this::lastCallPassed, lastCallAtMs - this.services.nowMs(), TimeUnit.MILLISECONDS);
+	}
+
+	private void lastCallPassed() {
+		if (this.call == null) {
+			stop();
+		}
 	}
 
 	/**
@@ -260,10 +282,19 @@
 			waitForEndpoint(nowMs);
 			return;
 		}
+		if (!isTimeFor(0, 1 + runsAhead(choice.get().endpoint(), nowMs), nowMs)) {
+			stop();
+			return;
+		}
 		this.call = new Call(choice.get(), nowMs);
 		this.call.send(nowMs);
 	}
 
+	// The runs that a new one has to wait for, one after the other, at an endpoint.
+	private static int runsAhead(Endpoint endpoint, long nowMs) {
+		return endpoint.inFlight(nowMs) / Math.max(1, endpoint.record().slots());
+	}
+
 	// An available endpoint that was not chosen, for example because the rate of requests
 	// to cold endpoints is limited, may accept the request a little later.
 	private void waitForEndpoint(long nowMs) {
@@ -330,6 +361,9 @@
 		this.finished = true;
 		this.services.openRequests().remove(this);
 		this.deadlineTimer.cancel(false);
+		if (this.lastCallTimer != null) {
+			this.lastCallTimer.cancel(false);
+		}
 		this.stageRun.close();
 		if (this.call != null) {
 			this.call.cancel();
@@ -618,6 +652,7 @@
 			if (flow.service.engine() == null) {
 				flow.services.serviceTimes().record(flow.service.name(), nowMs - this.sentAtMs);
 			}
+			flow.services.runTimes().record(flow.route.name(), nowMs - this.sentAtMs);
 			this.endpoint.succeeded(nowMs - this.sentAtMs, expectedMs, nowMs);
 			this.promptEvidence.completed(isStream(), nowMs);
 			flow.services.quarantine().completed(flow.fingerprint);
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -33,6 +33,7 @@
  * @param endpointReports the available stage endpoints, as reported by the VMs
  * @param peers the other entry VMs
  * @param serviceTimes the average duration of calls to each service
+ * @param runTimes the duration of the runs of each route
  * @param callerTimes the longest time that callers of each route allow
  * @param openRequests the requests that are not answered yet
  * @param metrics counters and latencies
@@ -40,7 +41,8 @@
 public record RequestServices(EventLoop loop, LongSupplier clockMs, StoreView view, Placement placement,
 		SharedRetryBudget retryBudget, CrashQuarantine quarantine, PromptPartWatch promptParts, EndpointPool pool,
 		StageClient stages, AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers,
-		ServiceTimes serviceTimes, CallerTimes callerTimes, OpenRequests openRequests, EntryMetrics metrics) {
+		ServiceTimes serviceTimes, RunTimes runTimes, CallerTimes callerTimes, OpenRequests openRequests,
+		EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and probes the endpoint to find out
--- a/entry/src/test/java/org/fulmargap/entry/DrainTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/DrainTests.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.EndpointStandIn;
+import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -23,6 +26,12 @@
 	/** The platform kills the VMs of these tests so long after the drain has begun. */
 	private static final long GRACE_MS = 4_000;
 
+	/** The slots of the endpoint that queues, as in its record. */
+	private static final int SLOTS = 8;
+
+	/** Two runs that follow each other don't fit into the drain. */
+	private static final long WORK_MS = 1_500;
+
 	private static final int REFUSED = 503;
 
 	private static final int OUTCOME_UNKNOWN = 502;
@@ -85,6 +94,15 @@
 		this.vm.close();
 	}
 
+	private static void pause(long durationMs) {
+		try {
+			Thread.sleep(durationMs);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static List<Integer> statuses(List<CompletableFuture<HttpResponse<String>>> responses)
 			throws InterruptedException {
 		List<Integer> statuses = new ArrayList<>();
@@ -125,6 +143,42 @@
 	@Nested
 	class Actions {
 
+		@Test
+		void anActionThatCannotEndBeforeTheVmIsNotPassedOn() throws Exception {
+			AtomicInteger runs = new AtomicInteger();
+			try (RawEndpointStandIn core = new RawEndpointStandIn(queueing(runs))) {
+				DrainTests.this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "raw-1", core.record("core"));
+				startVm();
+				List<CompletableFuture<HttpResponse<String>>> responses = pushes(1);
+				statuses(responses);
+				Thread drain = new Thread(DrainTests.this::drainAndEnd);
+				drain.start();
+				Thread.sleep(1_000);
+				// Half of these have to wait for the runs of the others.
+				responses.addAll(pushes(2 * SLOTS));
+				drain.join();
+				List<Integer> statuses = statuses(responses);
+				assertThat(statuses).containsOnly(200, REFUSED);
+				assertThat(statuses.stream().filter((status) -> status == 200).count()).isEqualTo(runs.get())
+					.isGreaterThan(1);
+			}
+		}
+
+		private static RawEndpointStandIn.Handler queueing(AtomicInteger runs) {
+			Semaphore slots = new Semaphore(SLOTS);
+			return (socket, request) -> {
+				slots.acquireUninterruptibly();
+				try {
+					runs.incrementAndGet();
+					pause(WORK_MS);
+					return RawEndpointStandIn.answer(socket, request);
+				}
+				finally {
+					slots.release();
+				}
+			};
+		}
+
 		@Test
 		void anActionThatRunsWhenTheVmEndsGetsAnAnswer() throws Exception {
 			DrainTests.this.installation.endpoint("core-1", "core").workMs(6_000);
