Wait in a drain until answers are written

Cause: the same as for requests that wait: the end of the process was not tied to the end of the answers. A connection counted as idle when its answer was queued for the socket.

Change: it is busy until the last byte of its answer is written.

CallerServerTests.aConnectionIsBusyUntilItsAnswerIsWritten failed before (no busy connection while 16 MB were queued) and passes.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -42,6 +42,9 @@
 
 	private Exchange current;
 
+	// Complete answers of which some bytes are not written to the socket yet.
+	private int unwrittenAnswers;
+
 	private boolean closing;
 
 	private long idleSinceMs;
@@ -122,7 +125,7 @@
 	}
 
 	boolean isBusy() {
-		return this.current != null;
+		return this.current != null || this.unwrittenAnswers > 0;
 	}
 
 	void stopReading() {
@@ -130,7 +133,7 @@
 	}
 
 	void closeIfUnused() {
-		if (this.current == null) {
+		if (!isBusy()) {
 			this.context.close();
 		}
 	}
@@ -236,6 +239,8 @@
 		private void write(Object message, boolean last) {
 			var future = CallerConnection.this.context.writeAndFlush(message);
 			if (last) {
+				CallerConnection.this.unwrittenAnswers++;
+				future.addListener((written) -> CallerConnection.this.unwrittenAnswers--);
 				if (!this.keepAlive) {
 					future.addListener(ChannelFutureListener.CLOSE);
 				}
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -34,6 +34,9 @@
 
 	private static final int SILENCE_MS = 300;
 
+	/** More than the buffers of both sockets hold. */
+	private static final int LARGE_BYTES = 16 << 20;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = (EventLoop) this.group.next();
@@ -60,6 +63,10 @@
 								Unpooled.copiedBuffer("error", StandardCharsets.US_ASCII));
 						return null;
 					}
+					if (request.uri().equals("/large")) {
+						exchange.answer(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
+						return null;
+					}
 					exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
 					return () -> {
 					};
@@ -103,6 +110,24 @@
 		}
 	}
 
+	@Test
+	void aConnectionIsBusyUntilItsAnswerIsWritten() throws Exception {
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			InputStream in = socket.getInputStream();
+			assertThat(in.read()).isEqualTo('H');
+			assertThat(busyConnections()).isOne();
+			assertThat(in.readAllBytes()).hasSizeGreaterThan(LARGE_BYTES);
+			assertThat(busyConnections()).isZero();
+		}
+	}
+
+	private long busyConnections() throws InterruptedException {
+		return this.loop.submit(this.server::busyConnections).sync().getNow();
+	}
+
 	@Test
 	void noRequestIsReadAfterTheEndOfReading() throws Exception {
 		try (Socket socket = connect()) {
