Let further signals change nothing during a drain

EntryVm.drain returned at once when the VM drained already, and EntryMain.stop went on to System.exit.

Evidence: an untouched process, TERM twice one second apart, ended 16 ms after the second with exit code 0, one `draining` and no `stopped` line.

Change: drain says whether this call has drained the VM, and only then the process ends. SIGINT drains like SIGTERM; further signals are logged.

--- a/entry/src/main/java/org/fulmargap/entry/Drain.java
+++ b/entry/src/main/java/org/fulmargap/entry/Drain.java
@@ -72,12 +72,13 @@
 
 	/**
 	 * Drains the VM. Returns when each request is answered and no work item is in flight,
-	 * or when the time is over. Further calls return at once.
+	 * or when the time is over. Further calls change nothing and return at once.
+	 * @return {@code false} if an earlier call drains or has drained the VM
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
-	void run() throws InterruptedException {
+	boolean run() throws InterruptedException {
 		if (!this.begun.compareAndSet(false, true)) {
-			return;
+			return false;
 		}
 		long limitMs = this.settings.graceMs() - EXIT_MARGIN_MS;
 		long limitAtMs = this.clockMs.getAsLong() + limitMs;
@@ -99,6 +100,7 @@
 			.with("pieces", pendingItems())
 			.with("store_calls", this.storeCalls.getAsLong())
 			.write();
+		return true;
 	}
 
 	private void begin(long limitMs, long limitAtMs) {
--- a/entry/src/main/java/org/fulmargap/entry/EntryMain.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMain.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry;
 
 import java.nio.file.Path;
+import java.util.List;
 
 import org.fulmargap.platform.NodeSettings;
 import org.fulmargap.platform.NodeSettingsException;
@@ -17,6 +18,8 @@
 
 	private static final int EXIT_BAD_SETTINGS = 2;
 
+	private static final List<String> STOP_SIGNALS = List.of("TERM", "INT");
+
 	private EntryMain() {
 	}
 
@@ -39,7 +42,9 @@
 			return;
 		}
 		EntryVm vm = new EntryVm(settings, METRICS_PORT);
-		Signal.handle(new Signal("TERM"), (signal) -> new Thread(() -> stop(vm), "stop").start());
+		for (String name : STOP_SIGNALS) {
+			Signal.handle(new Signal(name), (signal) -> new Thread(() -> stop(vm, name), "stop").start());
+		}
 		Signal.handle(new Signal("HUP"), (signal) -> reload(file, settings));
 		vm.start();
 		Thread.currentThread().join();
@@ -61,14 +66,18 @@
 		}
 	}
 
-	private static void stop(EntryVm vm) {
-		try (vm) {
-			vm.drain();
+	// Only the first signal ends the process, when its drain is over.
+	private static void stop(EntryVm vm, String signal) {
+		try {
+			if (vm.drain()) {
+				vm.close();
+				System.exit(0);
+			}
+			EventLog.state("signal_ignored").with("signal", signal).with("reason", "draining").write();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		System.exit(0);
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -164,11 +164,13 @@
 	/**
 	 * Drains this VM: new requests are accepted for a notice period and refused after it.
 	 * Returns when each request is answered and no work item is in flight, shortly before
-	 * the platform kills the process at the latest. Further calls return at once.
+	 * the platform kills the process at the latest. Further calls change nothing and
+	 * return at once.
+	 * @return {@code false} if an earlier call drains or has drained this VM
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
-	public void drain() throws InterruptedException {
-		this.drain.run();
+	public boolean drain() throws InterruptedException {
+		return this.drain.run();
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/EntryProcessTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcessTests.java
@@ -136,6 +136,19 @@
 		assertComplete(streams(this.vms.subList(1, VMS)));
 	}
 
+	@Test
+	void furtherSignalsDoNotEndTheDrainOfAVm() throws Exception {
+		EntryProcess draining = this.vms.get(0);
+		List<CompletableFuture<HttpResponse<String>>> responses = streams(List.of(draining));
+		Installation.await(() -> this.engine.runs() == responses.size());
+		for (String signal : List.of("TERM", "TERM", "HUP", "INT", "TERM")) {
+			draining.signal(signal);
+			Thread.sleep(100);
+		}
+		assertComplete(responses);
+		assertThat(draining.awaitExit()).isZero();
+	}
+
 	@Test
 	void aKilledVmFailsNoRequestsOfOtherVms() throws Exception {
 		this.stage.workMs(400);
