Read an answer only while its caller takes bytes

Cause: no back-pressure. The VM read an endpoint's answer as fast as it came and queued it behind the caller's connection.

Evidence: heap histogram of the untouched process at the hang: 84 MB in 36,000 byte arrays and 30,415 entries of ChannelOutboundBuffer. A partial event would be one array, and the direct buffers were small.

Change: while the caller's connection takes no bytes, its call does not read (EndpointPool.RunningCall.reading), and the timeouts for a silent endpoint stand still. A pipelined request starts only when the answer before it is nearly written. `answer_paused` in the log and as a counter.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -68,7 +68,7 @@
 			request.release();
 			return;
 		}
-		if (this.current != null) {
+		if (!mayStart()) {
 			if (this.pipelined.size() >= MAX_PIPELINED) {
 				request.release();
 				context.close();
@@ -80,6 +80,12 @@
 		start(request);
 	}
 
+	// A caller that does not read its answers gets no further ones, because they would be
+	// kept in memory.
+	private boolean mayStart() {
+		return this.current == null && this.context.channel().isWritable();
+	}
+
 	private void start(FullHttpRequest request) {
 		Exchange exchange = new Exchange(request);
 		this.current = exchange;
@@ -113,6 +119,21 @@
 		}
 	}
 
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		boolean writable = context.channel().isWritable();
+		if (this.current != null && this.current.listener != null) {
+			this.current.listener.writabilityChanged(writable);
+		}
+		startNext();
+	}
+
+	private void startNext() {
+		if (mayStart() && !this.closing && !this.pipelined.isEmpty()) {
+			start(this.pipelined.poll());
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		context.close();
@@ -148,10 +169,7 @@
 			this.closing = true;
 			return;
 		}
-		FullHttpRequest next = this.pipelined.poll();
-		if (next != null) {
-			start(next);
-		}
+		startNext();
 	}
 
 	private final class Exchange implements CallerExchange {
@@ -199,6 +217,11 @@
 			CallerConnection.this.context.write(response);
 		}
 
+		@Override
+		public boolean isWritable() {
+			return CallerConnection.this.context.channel().isWritable();
+		}
+
 		@Override
 		public void write(ByteBuf content) {
 			if (isFinished()) {
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
@@ -25,6 +25,12 @@
 	 */
 	void begin(int status, HttpHeaders headers);
 
+	/**
+	 * Returns whether the caller's connection takes bytes. The listener hears of changes.
+	 * @return {@code false} if what is written now is kept in memory
+	 */
+	boolean isWritable();
+
 	/**
 	 * Writes a part of the body.
 	 * @param content the bytes; the exchange releases them
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerListener.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerListener.java
@@ -10,4 +10,11 @@
 	 */
 	void callerLeft();
 
+	/**
+	 * Handles that the caller's connection takes no more bytes for now, or takes them
+	 * again. What is written meanwhile is kept in memory.
+	 * @param writable whether it takes bytes
+	 */
+	void writabilityChanged(boolean writable);
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -21,7 +21,7 @@
  * has one, any other answer that may belong to another call, and bytes that arrive while
  * no call is in flight close the connection.
  */
-final class EndpointConnection extends ChannelInboundHandlerAdapter {
+final class EndpointConnection extends ChannelInboundHandlerAdapter implements EndpointPool.RunningCall {
 
 	private static final int FIRST_FINAL_STATUS = 200;
 
@@ -98,14 +98,17 @@
 		});
 	}
 
-	/**
-	 * Closes the connection and drops its call without a notification.
-	 */
-	void cancel() {
+	@Override
+	public void cancel() {
 		this.call = null;
 		this.channel.close();
 	}
 
+	@Override
+	public void reading(boolean reading) {
+		this.channel.config().setAutoRead(reading);
+	}
+
 	void close() {
 		this.channel.close();
 	}
@@ -207,6 +210,7 @@
 			return;
 		}
 		this.idleSinceMs = this.pool.nowMs();
+		reading(true);
 		this.pool.release(this);
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -77,13 +77,13 @@
 	 * @param address the address as {@code IP:port}
 	 * @param request the request; the pool releases it
 	 * @param call receives the answer or the failure
-	 * @return a handle that cancels the call
+	 * @return the call
 	 */
-	public Cancellable send(String address, FullHttpRequest request, EndpointCall call) {
+	public RunningCall send(String address, FullHttpRequest request, EndpointCall call) {
 		EndpointConnection idle = takeIdle(address);
 		if (idle != null) {
 			idle.send(request, call);
-			return idle::cancel;
+			return idle;
 		}
 		return connect(address, request, call);
 	}
@@ -95,13 +95,13 @@
 	 * @param address the address as {@code IP:port}
 	 * @param request the request; the pool releases it
 	 * @param call receives the answer or the failure
-	 * @return a handle that cancels the call
+	 * @return the call
 	 */
-	public Cancellable sendOnNewConnection(String address, FullHttpRequest request, EndpointCall call) {
+	public RunningCall sendOnNewConnection(String address, FullHttpRequest request, EndpointCall call) {
 		return connect(address, request, call);
 	}
 
-	private Cancellable connect(String address, FullHttpRequest request, EndpointCall call) {
+	private RunningCall connect(String address, FullHttpRequest request, EndpointCall call) {
 		this.connects++;
 		ChannelFuture future = this.bootstrap.connect(socketAddress(address));
 		PendingCall pending = new PendingCall(future.channel());
@@ -117,6 +117,7 @@
 			else {
 				pending.connection = new EndpointConnection(this, address, future.channel());
 				future.channel().pipeline().addLast(pending.connection);
+				pending.connection.reading(pending.reading);
 				pending.connection.send(request, call);
 			}
 		});
@@ -206,10 +207,9 @@
 	}
 
 	/**
-	 * Cancels a call whose answer is no longer needed.
+	 * A call that was sent and has not ended.
 	 */
-	@FunctionalInterface
-	public interface Cancellable {
+	public interface RunningCall {
 
 		/**
 		 * Cancels the call and closes its connection; no method of the call is called
@@ -217,9 +217,17 @@
 		 */
 		void cancel();
 
+		/**
+		 * Sets whether the answer is read. While it is not, the endpoint is slowed down
+		 * by its connection, and the end of the connection is not noticed. Bytes that
+		 * were read before still reach the call.
+		 * @param reading {@code false} to stop reading until further notice
+		 */
+		void reading(boolean reading);
+
 	}
 
-	private static final class PendingCall implements Cancellable {
+	private static final class PendingCall implements RunningCall {
 
 		private final Channel channel;
 
@@ -227,6 +235,8 @@
 
 		private boolean cancelled;
 
+		private boolean reading = true;
+
 		private PendingCall(Channel channel) {
 			this.channel = channel;
 		}
@@ -242,6 +252,14 @@
 			}
 		}
 
+		@Override
+		public void reading(boolean newReading) {
+			this.reading = newReading;
+			if (this.connection != null) {
+				this.connection.reading(newReading);
+			}
+		}
+
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -346,6 +346,13 @@
 		RefusalAnswer.send(this.exchange, refusal, retryAfterMs, leftMs);
 	}
 
+	@Override
+	public void writabilityChanged(boolean writable) {
+		if (this.call != null) {
+			this.call.callerWritable(writable);
+		}
+	}
+
 	@Override
 	public void callerLeft() {
 		if (!this.finished) {
@@ -428,7 +435,7 @@
 
 		private int unreadTokens;
 
-		private EndpointPool.Cancellable cancellable;
+		private EndpointPool.RunningCall running;
 
 		private EndpointAnswer answer;
 
@@ -440,6 +447,9 @@
 
 		private boolean firstEventReceived;
 
+		// Whether the answer was not read for a while, because the caller was slower.
+		private boolean paused;
+
 		private Future<?> responseTimeout;
 
 		private Call(Choice choice, long nowMs) {
@@ -471,9 +481,43 @@
 			String address = this.endpoint.record().address();
 			FullHttpRequest http = httpRequest(nowMs);
 			EndpointPool pool = flow.services.pool();
-			this.cancellable = (flow.calledAddresses.add(address)) ? pool.send(address, http, this)
+			this.running = (flow.calledAddresses.add(address)) ? pool.send(address, http, this)
 					: pool.sendOnNewConnection(address, http, this);
 			startResponseTimeout();
+			if (!flow.exchange.isWritable()) {
+				callerWritable(false);
+			}
+		}
+
+		// While the caller takes no more bytes, the answer is not read. Its endpoint
+		// can't
+		// be blamed for the silence.
+		private void callerWritable(boolean writable) {
+			if (this.closed) {
+				return;
+			}
+			this.running.reading(writable);
+			if (writable) {
+				startResponseTimeout();
+				return;
+			}
+			if (this.responseTimeout != null) {
+				this.responseTimeout.cancel(false);
+				this.responseTimeout = null;
+			}
+			recordPause();
+		}
+
+		private void recordPause() {
+			RequestFlow flow = RequestFlow.this;
+			flow.services.metrics().count("answer_paused");
+			if (!this.paused) {
+				this.paused = true;
+				EventLog.request("answer_paused", flow.request.attemptId())
+					.with("endpoint", this.endpoint)
+					.with("after_ms", flow.services.nowMs() - this.sentAtMs)
+					.write();
+			}
 		}
 
 		private void startResponseTimeout() {
@@ -509,7 +553,7 @@
 
 		private void responseTimedOut() {
 			if (!this.closed) {
-				this.cancellable.cancel();
+				this.running.cancel();
 				failed(CallFailure.TIMED_OUT);
 			}
 		}
@@ -561,7 +605,8 @@
 				this.promptEvidence.event(RequestFlow.this.services.nowMs());
 				restartResponseTimeout();
 			}
-			return !RequestFlow.this.stream.isMalformed() && RequestFlow.this.stream.partialBytes() <= MAX_EVENT_BYTES;
+			return !RequestFlow.this.stream.isMalformed()
+					&& RequestFlow.this.stream.partialBytes() <= MAX_EVENT_BYTES;
 		}
 
 		private void restartResponseTimeout() {
@@ -688,7 +733,7 @@
 		private void cancel() {
 			if (!this.closed) {
 				close();
-				this.cancellable.cancel();
+				this.running.cancel();
 			}
 		}
 
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -348,7 +348,7 @@
 			running.timeout = StageCallDispatcher.this.loop.schedule(running::timedOut, (long) timeoutMs,
 					TimeUnit.MILLISECONDS);
 			String address = call.endpoint().record().address();
-			running.cancellable = StageCallDispatcher.this.pool.send(address, StageRequests.post(address,
+			running.poolCall = StageCallDispatcher.this.pool.send(address, StageRequests.post(address,
 					StageCalls.RUN_PATH, StageCalls.encode(call.items(), nowMs), call.endpoint().record().id()),
 					running);
 		}
@@ -419,7 +419,7 @@
 
 		private final ByteBuf body = Unpooled.buffer(512);
 
-		private EndpointPool.Cancellable cancellable;
+		private EndpointPool.RunningCall poolCall;
 
 		private Future<?> timeout;
 
@@ -557,7 +557,7 @@
 		}
 
 		private void timedOut() {
-			this.cancellable.cancel();
+			this.poolCall.cancel();
 			failed(CallFailure.TIMED_OUT);
 		}
 
@@ -596,7 +596,7 @@
 
 		private Future<?> timeout;
 
-		private EndpointPool.Cancellable cancellable;
+		private EndpointPool.RunningCall poolCall;
 
 		private FreeCall(String address, List<String> handles) {
 			this.address = address;
@@ -607,13 +607,13 @@
 			// The timeout exists before the call can end.
 			this.timeout = StageCallDispatcher.this.loop.schedule(this::timedOut, FREE_TIMEOUT_MS,
 					TimeUnit.MILLISECONDS);
-			this.cancellable = StageCallDispatcher.this.pool.send(this.address,
+			this.poolCall = StageCallDispatcher.this.pool.send(this.address,
 					StageRequests.post(this.address, StageCalls.FREE_PATH, StageCalls.encodeFree(this.handles), null),
 					this);
 		}
 
 		private void timedOut() {
-			this.cancellable.cancel();
+			this.poolCall.cancel();
 			failed(CallFailure.TIMED_OUT);
 		}
 
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -157,6 +157,10 @@
 		return this.vms.get(vm);
 	}
 
+	String callerAddress(int vm) {
+		return this.settings.get(vm).callerAddress();
+	}
+
 	String peerAddress(int vm) {
 		return "127.0.0.1:" + this.settings.get(vm).firstPeerPort();
 	}
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -68,8 +68,7 @@
 						return null;
 					}
 					exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-					return () -> {
-					};
+					return null;
 				});
 		this.server.listen("127.0.0.1:" + this.port);
 	}
@@ -124,6 +123,21 @@
 		}
 	}
 
+	@Test
+	void aCallerThatReadsNothingGetsNoFurtherAnswers() throws Exception {
+		try (Socket socket = connect()) {
+			for (int i = 0; i < 8; i++) {
+				socket.getOutputStream()
+					.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			}
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			Thread.sleep(SILENCE_MS);
+			assertThat(this.handled).hasValue(1);
+			assertThat(socket.getInputStream().readNBytes(8 * LARGE_BYTES)).hasSize(8 * LARGE_BYTES);
+			assertThat(this.handled).hasValue(8);
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
