Count comments in streams as bytes that are no event

Cause: a block of comments was accepted like an event. It was passed on, began the stream, restarted the timeouts for a silent endpoint and had no limit; a stream of comments alone could end as complete.

Change: comments are dropped. What comes between two events, comments included, is limited to 1 MiB; beyond it the answer is wrong and its connection is closed.

SlowCallerTests.aStreamOfCommentsIsBrokenOff failed before (the answer went on until the test's reader had filled the log) and passes; the tests of EventSequence and the property of EventSplitter pass unchanged.

--- a/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
@@ -41,11 +41,11 @@
 	}
 
 	/**
-	 * Returns the size of the partial event at the end of the stream so far.
+	 * Returns how much the endpoint has sent since the last whole event.
 	 * @return the number of bytes
 	 */
-	int partialBytes() {
-		return this.events.partialBytes();
+	long bytesSinceEvent() {
+		return this.events.bytesSinceEvent();
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
@@ -23,8 +23,11 @@
 
 	private boolean continuing;
 
+	private long events;
+
 	/**
-	 * Checks an event and records its id.
+	 * Checks an event and records its id. Text that consists of comments and empty lines
+	 * is accepted and does not count as an event.
 	 * @param event the text of the event, with the empty line at its end
 	 * @return {@code false} if it is no event or does not follow the last one
 	 */
@@ -54,6 +57,7 @@
 		}
 		this.gapless &= first || next;
 		this.continuing = false;
+		this.events++;
 		this.lastId = id;
 		this.lastIdText = idText;
 		return true;
@@ -68,6 +72,14 @@
 		}
 	}
 
+	/**
+	 * Returns the number of events so far, without comments.
+	 * @return the number
+	 */
+	long eventCount() {
+		return this.events;
+	}
+
 	/**
 	 * Handles that the answer of another endpoint follows, which continues the stream.
 	 */
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
@@ -26,6 +26,9 @@
 
 	private boolean malformed;
 
+	// The comments since the last event.
+	private long commentBytes;
+
 	/**
 	 * Returns the size of the partial event at the end of the stream so far.
 	 * @return the number of bytes
@@ -35,20 +38,42 @@
 	}
 
 	/**
-	 * Adds bytes of the stream.
+	 * Returns how much the endpoint has sent since the last whole event, comments
+	 * included.
+	 * @return the number of bytes
+	 */
+	long bytesSinceEvent() {
+		return this.commentBytes + this.pending.readableBytes();
+	}
+
+	/**
+	 * Adds bytes of the stream. Comments are dropped.
 	 * @param content the bytes
 	 * @return the valid events that are complete now, or {@code null} if there are none
 	 */
 	ByteBuf add(ByteBuf content) {
 		this.pending.writeBytes(content);
-		int end = 0;
-		int eventEnd = endOfNextEvent();
-		while (eventEnd > 0) {
-			this.malformed = !this.sequence.accept(text(end, eventEnd));
-			end = (this.malformed) ? end : eventEnd;
-			eventEnd = endOfNextEvent();
+		ByteBuf events = Unpooled.buffer(0);
+		int begin = 0;
+		int end = endOfNextEvent();
+		while (end > 0) {
+			long eventsBefore = this.sequence.eventCount();
+			this.malformed = !this.sequence.accept(text(begin, end));
+			if (this.malformed) {
+				break;
+			}
+			if (this.sequence.eventCount() > eventsBefore) {
+				events.writeBytes(this.pending, this.pending.readerIndex() + begin, end - begin);
+				this.commentBytes = 0;
+			}
+			else {
+				this.commentBytes += end - begin;
+			}
+			begin = end;
+			end = endOfNextEvent();
 		}
-		return (end > 0) ? take(end) : null;
+		discard(begin);
+		return (events.isReadable()) ? events : null;
 	}
 
 	private int endOfNextEvent() {
@@ -69,12 +94,10 @@
 		return this.pending.toString(this.pending.readerIndex() + begin, end - begin, StandardCharsets.UTF_8);
 	}
 
-	private ByteBuf take(int length) {
-		ByteBuf events = Unpooled.copiedBuffer(this.pending.slice(this.pending.readerIndex(), length));
+	private void discard(int length) {
 		this.pending.skipBytes(length);
 		this.pending.discardReadBytes();
 		this.scanned -= length;
-		return events;
 	}
 
 	/**
@@ -95,6 +118,7 @@
 		this.scanned = 0;
 		this.lineIsEmpty = false;
 		this.malformed = false;
+		this.commentBytes = 0;
 		this.sequence.continueWithNextAnswer();
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -72,7 +72,10 @@
 	/** The size of the largest answer that is not a stream, in bytes. */
 	private static final int MAX_ANSWER_BYTES = 8 << 20;
 
-	/** The size of the largest event of a stream, in bytes. */
+	/**
+	 * The most that a stream may contain from one event to the end of the next, comments
+	 * included, in bytes.
+	 */
 	private static final int MAX_EVENT_BYTES = 1 << 20;
 
 	/**
@@ -606,7 +609,7 @@
 				restartResponseTimeout();
 			}
 			return !RequestFlow.this.stream.isMalformed()
-					&& RequestFlow.this.stream.partialBytes() <= MAX_EVENT_BYTES;
+					&& RequestFlow.this.stream.bytesSinceEvent() <= MAX_EVENT_BYTES;
 		}
 
 		private void restartResponseTimeout() {
--- a/entry/src/test/java/org/fulmargap/entry/SlowCallerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/SlowCallerTests.java
@@ -87,6 +87,21 @@
 		}
 	}
 
+	@Test
+	void aStreamOfCommentsIsBrokenOff() throws Exception {
+		try (RawEndpointStandIn engine = new RawEndpointStandIn(RawEndpointStandIn.Answer.ENDLESS_COMMENTS)) {
+			startVm(engine);
+			long before = RawEndpointStandIn.writtenBytes();
+			try (Socket caller = begin()) {
+				String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+				assertThat(answer.length()).isLessThan((int) MAX_BYTES);
+				assertThat(answer).contains("id: 0").doesNotContain("done for").doesNotEndWith("\r\n0\r\n\r\n");
+			}
+			assertThat(RawEndpointStandIn.writtenBytes() - before).isLessThan(MAX_BYTES);
+			Installation.await(() -> engine.openConnections() == 0);
+		}
+	}
+
 	private static List<Integer> eventIds(CharSequence answer) {
 		return Pattern.compile("id: (\\d+)\n")
 			.matcher(answer)
