End a process that has lost a thread

Cause: EntryMain waited for ever, and nothing noticed that the event loop and the threads that read the store had ended.

While the process ends after a drain, such errors are ignored.

--- a/entry/src/main/java/org/fulmargap/entry/EntryMain.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMain.java
@@ -18,6 +18,8 @@
 
 	private static final int EXIT_BAD_SETTINGS = 2;
 
+	private static final int EXIT_FATAL = 3;
+
 	private static final List<String> STOP_SIGNALS = List.of("TERM", "INT");
 
 	private EntryMain() {
@@ -25,7 +27,8 @@
 
 	/**
 	 * Starts the process and blocks until it ends. Exits with code 2 if the settings
-	 * can't be read.
+	 * can't be read, and with code 3 if a thread fails: the platform then starts a new
+	 * process.
 	 * @param args not used
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
@@ -41,13 +44,17 @@
 			System.exit(EXIT_BAD_SETTINGS);
 			return;
 		}
+		// Memory may have run out, so nothing else is done before the process ends.
+		FatalErrors fatalErrors = new FatalErrors(() -> Runtime.getRuntime().halt(EXIT_FATAL));
+		Thread.setDefaultUncaughtExceptionHandler(fatalErrors);
 		EntryVm vm = new EntryVm(settings, METRICS_PORT);
 		for (String name : STOP_SIGNALS) {
-			Signal.handle(new Signal(name), (signal) -> new Thread(() -> stop(vm, name), "stop").start());
+			Signal.handle(new Signal(name), (signal) -> new Thread(() -> stop(vm, name, fatalErrors), "stop").start());
 		}
 		Signal.handle(new Signal("HUP"), (signal) -> reload(file, settings));
 		vm.start();
-		Thread.currentThread().join();
+		vm.awaitEnd();
+		fatalErrors.end("the event loop has ended");
 	}
 
 	// Settings stay in force for the life of a process. A changed file is only checked
@@ -67,9 +74,10 @@
 	}
 
 	// Only the first signal ends the process, when its drain is over.
-	private static void stop(EntryVm vm, String signal) {
+	private static void stop(EntryVm vm, String signal, FatalErrors fatalErrors) {
 		try {
 			if (vm.drain()) {
+				fatalErrors.disarm();
 				vm.close();
 				System.exit(0);
 			}
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -157,6 +157,14 @@
 		EventLog.state("started").with("vm", this.settings.vm()).with("domain", this.settings.failureDomain()).write();
 	}
 
+	/**
+	 * Waits until the event loop has ended, after {@link #close} or a fatal error.
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	void awaitEnd() throws InterruptedException {
+		this.group.terminationFuture().await();
+	}
+
 	private boolean isReady() {
 		return !this.drain.hasBegun() && this.view.isComplete();
 	}
