Limit the memory of all answers together

Other operators' callers saw: bytes without end from one faulty server used up the memory of a VM, and other requests on it ended with it.

A plain answer may hold 8 MiB until it is whole, and 60 at once were received against a heap of 96 MB.

Evidence: EndlessAnswersProcessTests before this change, a process with the options of deploy/system.toml: `Terminating due to OutOfMemoryError: Java heap space` in the three cases in which the answer is held, none in the case in which it is skipped.

Change: AnswerMemory, 16 MiB for all. Large answers of a stated length wait unread, all but the oldest; large ones without a length are given up; small ones go on.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -49,6 +49,8 @@
 
 	private final Map<String, List<Consumer<Boolean>>> probes = new HashMap<>();
 
+	private final AnswerMemory answerMemory = new AnswerMemory();
+
 	private long connects;
 
 	/**
@@ -193,6 +195,14 @@
 		return this.clockMs.getAsLong();
 	}
 
+	/**
+	 * Returns the memory for answers that are received.
+	 * @return the memory that all calls of this pool share
+	 */
+	public AnswerMemory answerMemory() {
+		return this.answerMemory;
+	}
+
 	/**
 	 * Returns the number of connection attempts, including probes and failed ones.
 	 * @return the number since the start
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -22,6 +23,7 @@
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.caller.CallerExchange;
 import org.fulmargap.entry.caller.CallerListener;
+import org.fulmargap.entry.endpoint.AnswerMemory;
 import org.fulmargap.entry.endpoint.CallFailure;
 import org.fulmargap.entry.endpoint.EndpointCall;
 import org.fulmargap.entry.endpoint.EndpointPool;
@@ -444,13 +446,21 @@
 
 		private HttpResponse head;
 
-		private ByteBuf buffered;
+		private CompositeByteBuf buffered;
+
+		private AnswerMemory.Share memory;
+
+		private long statedBytes;
+
+		private boolean callerWritable = true;
+
+		private boolean memoryAvailable = true;
 
 		private boolean closed;
 
 		private boolean firstEventReceived;
 
-		// Whether the answer was not read for a while, because the caller was slower.
+		// Whether the answer was not read for a while.
 		private boolean paused;
 
 		private Future<?> responseTimeout;
@@ -492,16 +502,28 @@
 			}
 		}
 
-		// While the caller takes no more bytes, the answer is not read. Its endpoint
-		// can't
-		// be blamed for the silence.
 		private void callerWritable(boolean writable) {
+			this.callerWritable = writable;
+			updateReading();
+		}
+
+		private void memoryAvailable(boolean available) {
+			this.memoryAvailable = available;
+			updateReading();
+		}
+
+		// While the caller takes no more bytes, or the memory for answers is used up, the
+		// answer is not read. Its endpoint can't be blamed for the silence.
+		private void updateReading() {
 			if (this.closed) {
 				return;
 			}
-			this.running.reading(writable);
-			if (writable) {
+			boolean reading = this.callerWritable && this.memoryAvailable;
+			this.running.reading(reading);
+			if (reading && this.responseTimeout == null) {
 				startResponseTimeout();
+			}
+			if (reading) {
 				return;
 			}
 			if (this.responseTimeout != null) {
@@ -518,6 +540,7 @@
 				this.paused = true;
 				EventLog.request("answer_paused", flow.request.attemptId())
 					.with("endpoint", this.endpoint)
+					.with("reason", (this.callerWritable) ? "memory" : "caller")
 					.with("after_ms", flow.services.nowMs() - this.sentAtMs)
 					.write();
 			}
@@ -582,9 +605,12 @@
 			if (newAnswer.coldForMs() > 0) {
 				this.endpoint.markCold(newAnswer.coldForMs(), RequestFlow.this.services.nowMs());
 			}
+			this.statedBytes = HttpUtil.getContentLength(newHead, -1L);
 			if (!isStream()) {
-				this.buffered = Unpooled.buffer();
+				this.buffered = Unpooled.compositeBuffer(Integer.MAX_VALUE);
 			}
+			boolean hasLength = this.buffered != null && this.statedBytes >= 0;
+			this.memory = RequestFlow.this.services.pool().answerMemory().share(hasLength, this::memoryAvailable);
 		}
 
 		private boolean isStream() {
@@ -600,16 +626,18 @@
 		@Override
 		public boolean received(ByteBuf content) {
 			if (this.buffered != null) {
-				this.buffered.writeBytes(content);
-				return this.buffered.readableBytes() <= MAX_ANSWER_BYTES;
+				this.buffered.addComponent(true, Unpooled.copiedBuffer(content));
+				return Math.max(this.statedBytes, this.buffered.readableBytes()) <= MAX_ANSWER_BYTES
+						&& this.memory.hold(this.buffered.readableBytes());
 			}
 			if (RequestFlow.this.stream.forward(content, this.head)) {
 				recordFirstEvent();
 				this.promptEvidence.event(RequestFlow.this.services.nowMs());
 				restartResponseTimeout();
 			}
-			return !RequestFlow.this.stream.isMalformed()
-					&& RequestFlow.this.stream.bytesSinceEvent() <= MAX_EVENT_BYTES;
+			long heldBytes = RequestFlow.this.stream.bytesSinceEvent();
+			return !RequestFlow.this.stream.isMalformed() && heldBytes <= MAX_EVENT_BYTES
+					&& this.memory.hold(heldBytes);
 		}
 
 		private void restartResponseTimeout() {
@@ -753,6 +781,9 @@
 			if (this.responseTimeout != null) {
 				this.responseTimeout.cancel(false);
 			}
+			if (this.memory != null) {
+				this.memory.close();
+			}
 		}
 
 	}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -25,6 +25,7 @@
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.StoreView;
+import org.fulmargap.entry.endpoint.AnswerMemory;
 import org.fulmargap.entry.endpoint.CallFailure;
 import org.fulmargap.entry.endpoint.EndpointCall;
 import org.fulmargap.entry.endpoint.EndpointPool;
@@ -272,6 +273,12 @@
 		}
 	}
 
+	// The answers to stage calls are short. A large one is given up when memory runs out.
+	private AnswerMemory.Share answerShare() {
+		return this.pool.answerMemory().share(false, (allowed) -> {
+		});
+	}
+
 	/**
 	 * The work items and calls of one service.
 	 */
@@ -425,6 +432,8 @@
 
 		private EndpointAnswer answer;
 
+		private AnswerMemory.Share memory;
+
 		private boolean finished;
 
 		private RunningCall(ServiceQueue queue, StageCall call, long startedAtMs) {
@@ -441,12 +450,13 @@
 		@Override
 		public void answered(EndpointAnswer newAnswer, HttpResponse head) {
 			this.answer = newAnswer;
+			this.memory = answerShare();
 		}
 
 		@Override
 		public boolean received(ByteBuf content) {
 			this.body.writeBytes(content);
-			return this.body.readableBytes() <= MAX_ANSWER_BYTES;
+			return this.body.readableBytes() <= MAX_ANSWER_BYTES && this.memory.hold(this.body.readableBytes());
 		}
 
 		// Answers to stage calls have no attempt id. Only results that were never
@@ -564,6 +574,9 @@
 		private long close() {
 			this.finished = true;
 			this.timeout.cancel(false);
+			if (this.memory != null) {
+				this.memory.close();
+			}
 			this.queue.scheduler.ended(this.call);
 			return StageCallDispatcher.this.clockMs.getAsLong();
 		}
@@ -594,6 +607,8 @@
 
 		private EndpointAnswer answer;
 
+		private AnswerMemory.Share memory;
+
 		private Future<?> timeout;
 
 		private EndpointPool.RunningCall poolCall;
@@ -625,19 +640,20 @@
 		@Override
 		public void answered(EndpointAnswer newAnswer, HttpResponse head) {
 			this.answer = newAnswer;
+			this.memory = answerShare();
 		}
 
 		@Override
 		public boolean received(ByteBuf content) {
 			this.body.writeBytes(content);
-			return this.body.readableBytes() <= MAX_ANSWER_BYTES;
+			return this.body.readableBytes() <= MAX_ANSWER_BYTES && this.memory.hold(this.body.readableBytes());
 		}
 
 		@Override
 		public boolean ended() {
 			boolean freed = this.answer.isSuccess() && StageCalls.isFreeAnswer(ByteBufUtil.getBytes(this.body));
 			if (freed) {
-				this.timeout.cancel(false);
+				close();
 				recordFreed(this.address, this.handles);
 			}
 			else {
@@ -650,7 +666,7 @@
 
 		@Override
 		public void failed(CallFailure failure) {
-			this.timeout.cancel(false);
+			close();
 			EventLog.state("free_failed")
 				.with("address", this.address)
 				.with("results", this.handles.size())
@@ -658,6 +674,13 @@
 				.write();
 		}
 
+		private void close() {
+			this.timeout.cancel(false);
+			if (this.memory != null) {
+				this.memory.close();
+			}
+		}
+
 	}
 
 }
--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -1,10 +1,15 @@
 package org.fulmargap.entry;
 
-import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import org.fulmargap.platform.NodeSettingsFile;
 import org.fulmargap.platform.standin.SettingsText;
@@ -22,10 +27,16 @@
 
 	private static final long EXIT_TIMEOUT_S = 20;
 
+	private static final Pattern ERRORS = Pattern.compile("event=fatal|Terminating|Exception in thread|Error");
+
+	private static final int MAX_PRINTED_LINES = 20;
+
 	private final String ip;
 
 	private final Process process;
 
+	private final Path log;
+
 	/**
 	 * Starts a process.
 	 * @param number a number from 1 to 200 that no other process has
@@ -38,11 +49,26 @@
 		Path settings = Files.writeString(directory.resolve("vm-" + number + ".toml"),
 				SettingsText.of("vm-" + number, this.ip, CALLER_PORT, READINESS_PORT, PEER_PORT, storeAddress));
 		String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-		ProcessBuilder builder = new ProcessBuilder(java, "-Xmx96m", "-cp", System.getProperty("java.class.path"),
-				EntryMain.class.getName());
+		List<String> command = new ArrayList<>(List.of(java));
+		command.addAll(deployedOptions());
+		command.addAll(List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
+		ProcessBuilder builder = new ProcessBuilder(command);
 		builder.environment().put(NodeSettingsFile.PATH_VARIABLE, settings.toString());
-		File log = directory.resolve("vm-" + number + ".log").toFile();
-		this.process = builder.redirectErrorStream(true).redirectOutput(log).start();
+		this.log = directory.resolve("vm-" + number + ".log");
+		this.process = builder.redirectErrorStream(true).redirectOutput(this.log.toFile()).start();
+	}
+
+	// The options of the JVM with which the platform starts a VM, without the archive of
+	// classes, which belongs to the packaged program.
+	private static List<String> deployedOptions() throws IOException {
+		String deploy = Files.readString(Path.of(System.getProperty("repository.root"), "deploy", "system.toml"));
+		Matcher run = Pattern.compile("(?m)^run = \"java (.*) -jar .*\"$").matcher(deploy);
+		if (!run.find()) {
+			throw new IOException("deploy/system.toml has no run line");
+		}
+		return Stream.of(run.group(1).split(" "))
+			.filter((option) -> !option.contains("SharedArchiveFile") && !option.contains("share:"))
+			.toList();
 	}
 
 	/**
@@ -82,9 +108,17 @@
 		return this.process.exitValue();
 	}
 
+	// Prints what the log says of errors, because its directory is deleted after the
+	// test.
 	@Override
 	public void close() {
 		this.process.destroyForcibly();
+		try (Stream<String> lines = Files.lines(this.log)) {
+			lines.filter((line) -> ERRORS.matcher(line).find()).limit(MAX_PRINTED_LINES).forEach(System.out::println);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 	}
 
 }
