--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -49,28 +49,6 @@
 	/** The number of the lowest priority that an engine accepts; 0 is the highest. */
 	private static final int LOWEST_PRIORITY = 9;
 
-	/**
-	 * A retryable call without a streaming response times out after the average duration
-	 * of calls to its service, multiplied by this factor.
-	 */
-	private static final double RESPONSE_TIMEOUT_FACTOR = 4;
-
-	/** The shortest timeout of such a call, in milliseconds. */
-	private static final long MIN_RESPONSE_TIMEOUT_MS = 120;
-
-	/**
-	 * When no whole event of a retryable stream arrives for this time, in milliseconds,
-	 * its endpoint is probed. If it is not reachable, the call times out, so that another
-	 * endpoint can continue the stream.
-	 */
-	private static final long STREAM_SILENCE_MS = 1_500;
-
-	/**
-	 * How much longer the stream may be silent if its endpoint is reachable, in
-	 * milliseconds: it may only be slow.
-	 */
-	private static final long STREAM_STALLED_MS = 2_000;
-
 	/** The size of the largest answer that is not a stream, in bytes. */
 	private static final int MAX_ANSWER_BYTES = 8 << 20;
 
@@ -438,6 +416,8 @@
 
 		private final PromptEvidence promptEvidence;
 
+		private final ResponseTimer timer;
+
 		private int unreadTokens;
 
 		private EndpointPool.RunningCall running;
@@ -463,14 +443,14 @@
 		// Whether the answer was not read for a while.
 		private boolean paused;
 
-		private Future<?> responseTimeout;
-
 		private Call(Choice choice, long nowMs) {
 			this.choice = choice;
 			this.endpoint = choice.endpoint();
 			this.sentAtMs = nowMs;
-			this.promptEvidence = new PromptEvidence(RequestFlow.this.services.promptParts(),
-					RequestFlow.this.sharedParts);
+			RequestFlow flow = RequestFlow.this;
+			this.promptEvidence = new PromptEvidence(flow.services.promptParts(), flow.sharedParts);
+			this.timer = new ResponseTimer(flow.services, flow.route, flow.runs, flow.service.name(),
+					this.endpoint.record().address(), this::responseTimedOut);
 		}
 
 		private void send(long nowMs) {
@@ -496,7 +476,7 @@
 			EndpointPool pool = flow.services.pool();
 			this.running = (flow.calledAddresses.add(address)) ? pool.send(address, http, this)
 					: pool.sendOnNewConnection(address, http, this);
-			startResponseTimeout();
+			this.timer.start();
 			if (!flow.exchange.isWritable()) {
 				callerWritable(false);
 			}
@@ -520,16 +500,11 @@
 			}
 			boolean reading = this.callerWritable && this.memoryAvailable;
 			this.running.reading(reading);
-			if (reading && this.responseTimeout == null) {
-				startResponseTimeout();
-			}
 			if (reading) {
+				this.timer.start();
 				return;
 			}
-			if (this.responseTimeout != null) {
-				this.responseTimeout.cancel(false);
-				this.responseTimeout = null;
-			}
+			this.timer.stop();
 			recordPause();
 		}
 
@@ -546,37 +521,6 @@
 			}
 		}
 
-		private void startResponseTimeout() {
-			RequestFlow flow = RequestFlow.this;
-			if (!flow.route.isRetryable() || flow.runs + 1 >= flow.route.maxAttempts()) {
-				return;
-			}
-			if (flow.route.kind().isStreaming()) {
-				schedule(this::probeSilentStream, STREAM_SILENCE_MS);
-				return;
-			}
-			double expectedMs = flow.services.serviceTimes().expectedMs(flow.service.name());
-			schedule(this::responseTimedOut,
-					(long) Math.max(MIN_RESPONSE_TIMEOUT_MS, expectedMs * RESPONSE_TIMEOUT_FACTOR));
-		}
-
-		private void schedule(Runnable timeout, long delayMs) {
-			this.responseTimeout = RequestFlow.this.services.loop().schedule(timeout, delayMs, TimeUnit.MILLISECONDS);
-		}
-
-		private void probeSilentStream() {
-			Future<?> silence = this.responseTimeout;
-			RequestFlow.this.services.pool().probe(this.endpoint.record().address(), (reachable) -> {
-				boolean stillSilent = !this.closed && this.responseTimeout == silence;
-				if (stillSilent && reachable) {
-					schedule(this::responseTimedOut, STREAM_STALLED_MS);
-				}
-				else if (stillSilent) {
-					responseTimedOut();
-				}
-			});
-		}
-
 		private void responseTimedOut() {
 			if (!this.closed) {
 				this.running.cancel();
@@ -633,20 +577,13 @@
 			if (RequestFlow.this.stream.forward(content, this.head)) {
 				recordFirstEvent();
 				this.promptEvidence.event(RequestFlow.this.services.nowMs());
-				restartResponseTimeout();
+				this.timer.restart();
 			}
 			long heldBytes = RequestFlow.this.stream.bytesSinceEvent();
 			return !RequestFlow.this.stream.isMalformed() && heldBytes <= MAX_EVENT_BYTES
 					&& this.memory.hold(heldBytes);
 		}
 
-		private void restartResponseTimeout() {
-			if (this.responseTimeout != null) {
-				this.responseTimeout.cancel(false);
-				startResponseTimeout();
-			}
-		}
-
 		private void recordFirstEvent() {
 			if (!this.firstEventReceived) {
 				this.firstEventReceived = true;
@@ -778,9 +715,7 @@
 			if (!this.firstEventReceived) {
 				this.endpoint.firstEvent(this.unreadTokens);
 			}
-			if (this.responseTimeout != null) {
-				this.responseTimeout.cancel(false);
-			}
+			this.timer.close();
 			if (this.memory != null) {
 				this.memory.close();
 			}
