--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -97,6 +97,10 @@
 		new ProcessBuilder("kill", '-' + signal, Long.toString(this.process.pid())).inheritIO().start().waitFor();
 	}
 
+	boolean isAlive() {
+		return this.process.isAlive();
+	}
+
 	/**
 	 * Waits until the process exits.
 	 * @return its exit code
