Close unused connections when a drain stops reading

Cause: after the drain had stopped reading, open connections stood until the process was gone.

Evidence: `stopped` at 38.388, requests sent at 38.384 and reset at 38.728, no line of the VM about them: sent, not read.

Change: unused connections are closed when reading stops.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -114,11 +114,13 @@
 
 	/**
 	 * Accepts and reads no further requests, so that each one that was read gets its
-	 * answer before the process ends.
+	 * answer before the process ends. Unused connections are closed, so that their
+	 * callers don't wait for the end of the process.
 	 */
 	public void stopReading() {
 		this.listener.close();
 		this.connections.forEach(CallerConnection::stopReading);
+		closeUnused();
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -2,8 +2,13 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +32,10 @@
 
 	private static final long EXIT_TIMEOUT_S = 20;
 
+	private static final int HTTP_OK = 200;
+
+	private static final HttpClient CLIENT = HttpClient.newHttpClient();
+
 	private static final Pattern ERRORS = Pattern.compile("event=fatal|Terminating|Exception in thread|Error");
 
 	private static final int MAX_PRINTED_LINES = 20;
@@ -97,6 +106,22 @@
 		new ProcessBuilder("kill", '-' + signal, Long.toString(this.process.pid())).inheritIO().start().waitFor();
 	}
 
+	boolean isReady() {
+		HttpRequest probe = HttpRequest.newBuilder(URI.create("http://" + readinessAddress() + "/readyz"))
+			.timeout(Duration.ofSeconds(1))
+			.build();
+		try {
+			return CLIENT.send(probe, HttpResponse.BodyHandlers.discarding()).statusCode() == HTTP_OK;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
 	boolean isAlive() {
 		return this.process.isAlive();
 	}
