Log which answer came over which connection, and why one was not accepted

The record of the incident has no line that tells an answer of another call from a cut one or from one without an end: 'answered' named neither endpoint nor connection nor how the body was framed, 'call_failed' with WRONG_ANSWER none of its causes, and a skipped or retried answer left no line.

'answered' now has endpoint, local_port, framing and bytes; 'call_failed' has local_port; 'error_answer' stands for a server error that is retried; 'answer_fault', at level WARN, names the cause (AnswerFault), the id that was expected, the id and status that came, and the number of the call on its connection. No decision changes.

--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
@@ -0,0 +1,35 @@
+package org.fulmargap.entry.endpoint;
+
+/**
+ * Why an answer of an endpoint, or bytes in the place of one, were not accepted.
+ */
+public enum AnswerFault {
+
+	/** The bytes are not valid HTTP. */
+	INVALID_HTTP,
+
+	/** Bytes arrived while no call was in flight. */
+	NO_CALL,
+
+	/** The answer has no attempt id, but the request had one. */
+	NO_ATTEMPT_ID,
+
+	/** The answer has the attempt id of another request. It is skipped. */
+	OTHER_ATTEMPT_ID,
+
+	/** More answers than the limit were skipped during one call. */
+	TOO_MANY_SKIPPED,
+
+	/** The skipped answers have more bytes than the limit. */
+	SKIPPED_TOO_LONG,
+
+	/** The call did not accept a part of the body. */
+	BODY_REFUSED,
+
+	/** The answer is a success without the signature header. */
+	NOT_SIGNED,
+
+	/** The answer is no stream, but the caller has received the start of one. */
+	NO_STREAM
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -47,6 +47,9 @@
 
 	private int calls;
 
+	// The newest one on this connection.
+	private EndpointAnswer answer;
+
 	private boolean requestWritten;
 
 	private boolean skipping;
@@ -133,8 +136,15 @@
 	}
 
 	private void read(HttpObject message) {
-		if (this.call == null || message.decoderResult().isFailure()) {
-			fail(CallFailure.WRONG_ANSWER);
+		if (this.call == null) {
+			// The rest of what was read before the connection was closed is dropped.
+			if (this.channel.isOpen()) {
+				reject(AnswerFault.NO_CALL);
+			}
+			return;
+		}
+		if (message.decoderResult().isFailure()) {
+			reject(AnswerFault.INVALID_HTTP);
 			return;
 		}
 		if (message instanceof HttpResponse head) {
@@ -149,16 +159,14 @@
 		int status = head.status().code();
 		EndpointAnswer answer = EndpointHeaders.decode(status, (name) -> head.headers().get(name));
 		boolean isFinal = status >= FIRST_FINAL_STATUS;
+		this.answer = answer;
 		if (isFinal && lacksAttemptId(answer)) {
-			fail(CallFailure.WRONG_ANSWER);
+			reject(AnswerFault.NO_ATTEMPT_ID);
 			return;
 		}
 		this.skipping = !isFinal || isForeign(answer);
 		if (this.skipping) {
-			this.skippedAnswers++;
-			if (this.skippedAnswers > MAX_SKIPPED_ANSWERS) {
-				fail(CallFailure.WRONG_ANSWER);
-			}
+			skip(isFinal);
 			return;
 		}
 		this.closesAfterAnswer = answer.closes();
@@ -166,6 +174,16 @@
 		this.call.answered(answer, head);
 	}
 
+	private void skip(boolean isFinal) {
+		if (isFinal) {
+			logFault(AnswerFault.OTHER_ATTEMPT_ID);
+		}
+		this.skippedAnswers++;
+		if (this.skippedAnswers > MAX_SKIPPED_ANSWERS) {
+			reject(AnswerFault.TOO_MANY_SKIPPED);
+		}
+	}
+
 	// Such an answer may belong to an earlier call, so that it says nothing about this
 	// one.
 	private boolean lacksAttemptId(EndpointAnswer answer) {
@@ -180,12 +198,12 @@
 		if (this.skipping) {
 			this.skippedBytes += content.content().readableBytes();
 			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
-				fail(CallFailure.WRONG_ANSWER);
+				reject(AnswerFault.SKIPPED_TOO_LONG);
 			}
 			return;
 		}
 		if (content.content().isReadable() && !this.call.received(content.content())) {
-			fail(CallFailure.WRONG_ANSWER);
+			reject(AnswerFault.BODY_REFUSED);
 			return;
 		}
 		if (content instanceof LastHttpContent && this.call != null) {
@@ -214,7 +232,25 @@
 		this.pool.release(this);
 	}
 
-	private int localPort() {
+	private void reject(AnswerFault fault) {
+		logFault(fault);
+		fail(CallFailure.WRONG_ANSWER);
+	}
+
+	private void logFault(AnswerFault fault) {
+		EventLog.state("answer_fault")
+			.with("request", (this.call != null) ? this.call.attemptId() : "")
+			.with("address", this.address)
+			.with("local_port", localPort())
+			.with("fault", fault)
+			.with("answer_id", (this.answer != null) ? this.answer.attemptId() : "")
+			.with("status", (this.answer != null) ? this.answer.status() : 0)
+			.with("call", this.calls)
+			.write();
+	}
+
+	@Override
+	public int localPort() {
 		return (this.channel.localAddress() instanceof InetSocketAddress local) ? local.getPort() : 0;
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -235,6 +235,12 @@
 		 */
 		void reading(boolean reading);
 
+		/**
+		 * Returns the local port of the connection, which names it in the log.
+		 * @return the port, or 0 if there is no connection
+		 */
+		int localPort();
+
 	}
 
 	private static final class PendingCall implements RunningCall {
@@ -270,6 +276,11 @@
 			}
 		}
 
+		@Override
+		public int localPort() {
+			return (this.connection != null) ? this.connection.localPort() : 0;
+		}
+
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -23,6 +23,7 @@
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.caller.CallerExchange;
 import org.fulmargap.entry.caller.CallerListener;
+import org.fulmargap.entry.endpoint.AnswerFault;
 import org.fulmargap.entry.endpoint.AnswerMemory;
 import org.fulmargap.entry.endpoint.CallFailure;
 import org.fulmargap.entry.endpoint.EndpointCall;
@@ -361,13 +362,17 @@
 		this.message.close();
 	}
 
-	private void done(int status) {
+	private void done(Call answered, int status) {
 		long ageMs = this.services.nowMs() - this.arrivedAtMs;
 		this.services.metrics().time("request", ageMs);
 		this.services.metrics().count("answered_" + status / 100 + "xx");
 		EventLog.request("answered", this.request.attemptId())
 			.with("status", status)
 			.with("route", this.route.name())
+			.with("endpoint", answered.endpoint)
+			.with("local_port", answered.running.localPort())
+			.with("framing", answered.framing())
+			.with("bytes", answered.receivedBytes)
 			.with("age_ms", ageMs)
 			.with("runs", this.runs)
 			.write();
@@ -390,6 +395,7 @@
 					.tryRetry(this.service.name(), this.services.peers().vmCount(), nowMs));
 		EventLog.request("call_failed", this.request.attemptId())
 			.with("endpoint", id)
+			.with("local_port", failed.running.localPort())
 			.with("failure", failure)
 			.with("maybe_ran", failure.mayHaveRun())
 			.with("after_ms", nowMs - failed.sentAtMs)
@@ -432,6 +438,8 @@
 
 		private long statedBytes;
 
+		private long receivedBytes;
+
 		private boolean callerWritable = true;
 
 		private boolean memoryAvailable = true;
@@ -562,6 +570,14 @@
 					&& hasEvents();
 		}
 
+		// How the end of the body is known.
+		private String framing() {
+			if (HttpUtil.isTransferEncodingChunked(this.head)) {
+				return "chunks";
+			}
+			return (this.statedBytes >= 0) ? "length" : "connection";
+		}
+
 		private boolean hasEvents() {
 			CharSequence type = HttpUtil.getMimeType(this.head);
 			return type != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
@@ -569,6 +585,7 @@
 
 		@Override
 		public boolean received(ByteBuf content) {
+			this.receivedBytes += content.readableBytes();
 			if (this.buffered != null) {
 				this.buffered.addComponent(true, Unpooled.copiedBuffer(content));
 				return Math.max(this.statedBytes, this.buffered.readableBytes()) <= MAX_ANSWER_BYTES
@@ -621,7 +638,7 @@
 				flow.runs++;
 				succeeded(nowMs);
 				flow.stream.end();
-				flow.done(this.answer.status());
+				flow.done(this, this.answer.status());
 			}
 			else {
 				failed(CallFailure.STREAM_CUT);
@@ -632,6 +649,7 @@
 			RequestFlow flow = RequestFlow.this;
 			boolean signed = !this.answer.isSuccess() || this.answer.signed();
 			if (!signed || flow.stream.hasBegun()) {
+				logFault((signed) ? AnswerFault.NO_STREAM : AnswerFault.NOT_SIGNED);
 				this.endpoint.failed(false, nowMs);
 				flow.callFailed(this, CallFailure.WRONG_ANSWER);
 				return;
@@ -641,6 +659,12 @@
 					&& flow.services.retryBudget()
 						.tryRetry(flow.service.name(), flow.services.peers().vmCount(), nowMs);
 			if (mayRetry) {
+				EventLog.request("error_answer", flow.request.attemptId())
+					.with("endpoint", this.endpoint)
+					.with("local_port", this.running.localPort())
+					.with("status", this.answer.status())
+					.with("after_ms", nowMs - this.sentAtMs)
+					.write();
 				this.endpoint.failed(false, nowMs);
 				flow.runs++;
 				flow.triedEndpoints.add(this.endpoint.record().id());
@@ -655,7 +679,19 @@
 				succeeded(nowMs);
 			}
 			flow.exchange.answer(this.answer.status(), CallerMessage.toCaller(this.head.headers()), this.buffered);
-			flow.done(this.answer.status());
+			flow.done(this, this.answer.status());
+		}
+
+		private void logFault(AnswerFault fault) {
+			EventLog.state("answer_fault")
+				.with("request", attemptId())
+				.with("address", this.endpoint.record().address())
+				.with("local_port", this.running.localPort())
+				.with("fault", fault)
+				.with("answer_id", this.answer.attemptId())
+				.with("status", this.answer.status())
+				.with("call", RequestFlow.this.calls)
+				.write();
 		}
 
 		private void succeeded(long nowMs) {
