Accept no head that was put together from two answers

Cause: an endpoint that stutters and stops in the head of a second answer, late, and then sends the true answer to the next call, sends one head for a parser: the status line of the copy, and the id, the signature, the length and the body of the true answer. The id is the right one, so no check of it helps; the status is not.

Evidence: CutCopyTests cut a copy at each place of its head, over real sockets. Before, a 500 came as 200 with the first cut in the reason phrase (after 13 characters), and a run was answered 503 likewise, in all four cases; a cut inside a header's value does the same.

Why this works: the true answer follows whole, so its status line stands inside the joined head. Inside the version, the status or a header's name it is no valid HTTP and was refused before; inside the reason phrase or a value it is looked for now. Such a head has an unknown status, so the call may have run and the connection is closed.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
@@ -8,6 +8,12 @@
 	/** The bytes are not valid HTTP. */
 	INVALID_HTTP,
 
+	/**
+	 * The head contains the status line of another answer: it was put together from the
+	 * start of one that was cut, and the true one.
+	 */
+	JOINED_HEADS,
+
 	/** Bytes arrived while no call was in flight. */
 	NO_CALL,
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -17,9 +17,9 @@
 
 /**
  * A connection to an endpoint, which carries one call at a time. An answer with the
- * attempt id of another call is skipped. An answer without an attempt id to a call that
- * has one, any other answer that may belong to another call, and bytes that arrive while
- * no call is in flight close the connection.
+ * attempt id of another call is skipped. A head that was put together from two, an answer
+ * without an attempt id to a call that has one, any other answer that may belong to
+ * another call, and bytes that arrive while no call is in flight close the connection.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter implements EndpointPool.RunningCall {
 
@@ -160,6 +160,10 @@
 		EndpointAnswer answer = EndpointHeaders.decode(status, (name) -> head.headers().get(name));
 		boolean isFinal = status >= FIRST_FINAL_STATUS;
 		this.answer = answer;
+		if (JoinedHeads.matches(head)) {
+			reject(AnswerFault.JOINED_HEADS);
+			return;
+		}
 		if (isFinal && lacksAttemptId(answer)) {
 			reject(AnswerFault.NO_ATTEMPT_ID);
 			return;
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedHeads.java
@@ -0,0 +1,41 @@
+package org.fulmargap.entry.endpoint;
+
+import java.util.Map;
+import java.util.regex.Pattern;
+
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Recognises a head that was put together from two. An endpoint that stops in the head of
+ * one answer and goes on with another one sends the status line of the second inside the
+ * first; a parser then reads the status of one with the headers of the other.
+ */
+final class JoinedHeads {
+
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
+	private JoinedHeads() {
+	}
+
+	/**
+	 * Returns whether a head contains the status line of another answer.
+	 * @param head the decoded head
+	 * @return {@code true} if its status and its headers may belong to two answers
+	 */
+	static boolean matches(HttpResponse head) {
+		if (holdsStatusLine(head.status().reasonPhrase())) {
+			return true;
+		}
+		for (Map.Entry<String, String> header : head.headers()) {
+			if (holdsStatusLine(header.getValue())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static boolean holdsStatusLine(String text) {
+		return STATUS_LINE.matcher(text).find();
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
@@ -0,0 +1,168 @@
+package org.fulmargap.entry;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.fulmargap.platform.standin.CallerWire;
+import org.fulmargap.platform.standin.RawEndpointStandIn;
+import org.fulmargap.platform.standin.ScriptedAnswers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against answers that are put together from a copy of an earlier answer, which is
+ * cut in its head, and the true answer after it. Each place of the cut is tried.
+ */
+class CutCopyTests {
+
+	private static final int OK = 200;
+
+	private static final int ERROR = 500;
+
+	private Installation installation;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.installation = new Installation();
+		this.installation.retries(1, 10_000);
+	}
+
+	@AfterEach
+	void stop() {
+		this.installation.close();
+	}
+
+	private void startVm(RawEndpointStandIn endpoint, String service) throws Exception {
+		this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "raw-1", endpoint.record(service));
+		this.installation.vm("vm-0");
+		this.installation.awaitReady();
+	}
+
+	private HttpResponse<String> send(String method, String path, String id) throws Exception {
+		return this.installation.send(this.installation.request(0, path)
+			.method(method, HttpRequest.BodyPublishers.noBody())
+			.header(CallerWire.ATTEMPT_ID, id)
+			.header(CallerWire.TIME_LEFT_MS, "5000"));
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void aFailureIsNotTakenForASuccessAfterACutCopyOfASuccess(Head head) throws Exception {
+		Stutter stutter = new Stutter(head.text(OK), head.text(ERROR));
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(stutter)) {
+			startVm(endpoint, "core");
+			for (stutter.cut = 0; stutter.cut < head.length(OK); stutter.cut++) {
+				assertThat(send("GET", "/read/x", "first" + stutter.cut).statusCode()).isEqualTo(OK);
+				assertThat(send("GET", "/read/x", "true" + stutter.cut).statusCode())
+					.as("cut after %s characters", stutter.cut)
+					.isIn(ERROR, 502);
+			}
+			assertThat(stutter.copies).isEqualTo(head.length(OK));
+		}
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void aRunIsNotTakenForARefusalAfterACutCopyOfARefusal(Head head) throws Exception {
+		Stutter stutter = new Stutter(head.refusal(), head.text(OK));
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(stutter)) {
+			startVm(endpoint, "core");
+			for (stutter.cut = 0; stutter.cut < head.refusal().length(); stutter.cut++) {
+				assertThat(send("POST", "/push/x", "first" + stutter.cut).statusCode()).isEqualTo(503);
+				Thread.sleep(50);
+				assertThat(send("POST", "/push/x", "true" + stutter.cut).statusCode())
+					.as("cut after %s characters", stutter.cut)
+					.isIn(OK, 502);
+			}
+			assertThat(stutter.repeated).isEmpty();
+			assertThat(stutter.copies).isPositive();
+		}
+	}
+
+	/**
+	 * The head of an answer, with the id in several places.
+	 */
+	enum Head {
+
+		/** The id comes first. */
+		ID_FIRST("X-Fulmargap-Attempt-Id: %s\r\nX-Fulmargap-Server-Seal: signature\r\nContent-Type: text/plain\r\n"),
+
+		/** The id comes last. */
+		ID_LAST("Server: stand-in\r\nX-Fulmargap-Server-Seal: signature\r\nX-Fulmargap-Attempt-Id: %s\r\n");
+
+		private final String headers;
+
+		Head(String headers) {
+			this.headers = headers;
+		}
+
+		private String text(int status) {
+			return "HTTP/1.1 " + status + " Some Status\r\n" + this.headers + "Content-Length: 4\r\n\r\n";
+		}
+
+		private String refusal() {
+			return "HTTP/1.1 503 Service Unavailable\r\n" + ScriptedAnswers.notExecuted() + this.headers
+					+ "Content-Length: 4\r\n\r\n";
+		}
+
+		private int length(int status) {
+			return text(status).length();
+		}
+
+	}
+
+	/**
+	 * Answers the first request of a connection, and writes a part of this answer once
+	 * more before the answers to all others.
+	 */
+	private static final class Stutter implements RawEndpointStandIn.Handler {
+
+		private final String firstHead;
+
+		private final String trueHead;
+
+		private final Map<Socket, String> firstIds = new HashMap<>();
+
+		private final Set<String> ids = new HashSet<>();
+
+		private final Set<String> repeated = new HashSet<>();
+
+		private volatile int cut;
+
+		private volatile int copies;
+
+		private Stutter(String firstHead, String trueHead) {
+			this.firstHead = firstHead;
+			this.trueHead = trueHead;
+		}
+
+		@Override
+		public synchronized boolean write(Socket socket, RawEndpointStandIn.Request request) throws IOException {
+			if (!this.ids.add(request.attemptId())) {
+				this.repeated.add(request.attemptId());
+			}
+			String firstId = this.firstIds.putIfAbsent(socket, request.attemptId());
+			if (firstId == null) {
+				RawEndpointStandIn.write(socket, this.firstHead.formatted(request.attemptId()) + "body");
+				return !request.attemptId().startsWith("true");
+			}
+			this.copies++;
+			String copy = this.firstHead.formatted(firstId);
+			RawEndpointStandIn.write(socket, copy.substring(0, Math.min(this.cut, copy.length()))
+					+ this.trueHead.formatted(request.attemptId()) + "body");
+			return false;
+		}
+
+	}
+
+}
