Close an unused connection at the first byte that belongs to no call

Callers of actions got 502 (outcome unknown) though their endpoint answered soundly; before the check for joined heads they got a wrong status.

Cause: the parser keeps the start of a head until its end arrives. Only decoded messages were looked at, so the start of a second answer that came while no call was in flight, or in one segment with the answer before it, went unseen, stayed in the parser, and joined the head of the next answer.

Evidence: CutCopyTests.aCutCopyOnAnUnusedConnectionDoesNotReachTheNextCall failed before in both cases (502 from the first cut on), and passes now.

Why this works: bytes are decoded only while a call is in flight; others close the connection, also those behind the end of an answer, before any further call is sent on it. What arrives later than the next call is left to the checks of its id and head.

--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerDecoder.java
@@ -0,0 +1,32 @@
+package org.fulmargap.entry.endpoint;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes the answers on a connection to an endpoint. Bytes that arrive while no call is
+ * in flight are not decoded: they belong to no call, and the start of an answer among
+ * them would be joined with the next one.
+ */
+final class AnswerDecoder extends HttpResponseDecoder {
+
+	private final EndpointConnection connection;
+
+	AnswerDecoder(EndpointConnection connection) {
+		this.connection = connection;
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+		if (this.connection.hasCall()) {
+			super.decode(context, in, out);
+			return;
+		}
+		in.skipBytes(in.readableBytes());
+		this.connection.receivedWithoutCall();
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -86,6 +86,20 @@
 		return this.channel.isActive();
 	}
 
+	boolean hasCall() {
+		return this.call != null;
+	}
+
+	/**
+	 * Closes the connection, because bytes arrived that belong to no call. The rest of
+	 * what was read before it was closed is dropped.
+	 */
+	void receivedWithoutCall() {
+		if (this.channel.isOpen()) {
+			reject(AnswerFault.NO_CALL);
+		}
+	}
+
 	void send(FullHttpRequest request, EndpointCall newCall) {
 		this.call = newCall;
 		this.calls++;
@@ -137,10 +151,6 @@
 
 	private void read(HttpObject message) {
 		if (this.call == null) {
-			// The rest of what was read before the connection was closed is dropped.
-			if (this.channel.isOpen()) {
-				reject(AnswerFault.NO_CALL);
-			}
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -20,7 +20,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
  * A pool of keep-alive connections to endpoints. Confined to its event loop.
@@ -68,7 +67,7 @@
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
-					channel.pipeline().addLast(new HttpRequestEncoder(), new HttpResponseDecoder());
+					channel.pipeline().addLast(new HttpRequestEncoder());
 				}
 			});
 		loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -118,7 +117,7 @@
 			}
 			else {
 				pending.connection = new EndpointConnection(this, address, future.channel());
-				future.channel().pipeline().addLast(pending.connection);
+				future.channel().pipeline().addLast(new AnswerDecoder(pending.connection), pending.connection);
 				pending.connection.reading(pending.reading);
 				pending.connection.send(request, call);
 			}
--- a/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.RawEndpointStandIn;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -29,6 +31,9 @@
 
 	private static final int ERROR = 500;
 
+	/** The distance of the cuts on unused connections. */
+	private static final int CUT_STEP = 7;
+
 	private Installation installation;
 
 	@BeforeEach
@@ -89,6 +94,45 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 40 })
+	void aCutCopyOnAnUnusedConnectionDoesNotReachTheNextCall(long delayMs) throws Exception {
+		String copy = Head.ID_FIRST.text(OK);
+		AtomicInteger cut = new AtomicInteger();
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			String head = Head.ID_FIRST.text(OK).formatted(request.attemptId());
+			if (delayMs == 0) {
+				RawEndpointStandIn.write(socket, head + "body" + copy.substring(0, cut.get()));
+				return true;
+			}
+			RawEndpointStandIn.write(socket, head + "body");
+			pause(delayMs);
+			RawEndpointStandIn.write(socket, copy.substring(0, cut.get()));
+			return true;
+		};
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
+			startVm(endpoint, "core");
+			for (int i = 1; i < copy.length(); i += CUT_STEP) {
+				cut.set(i);
+				for (int j = 0; j < 3; j++) {
+					assertThat(send("POST", "/push/x", "cut" + i + "call" + j).statusCode())
+						.as("cut after %s characters", i)
+						.isEqualTo(OK);
+					Thread.sleep(2 * delayMs);
+				}
+			}
+		}
+	}
+
+	private static void pause(long durationMs) throws IOException {
+		try {
+			Thread.sleep(durationMs);
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("the stand-in was closed", ex);
+		}
+	}
+
 	/**
 	 * The head of an answer, with the id in several places.
 	 */
