End an answer to a HEAD request with its head

Callers of HEAD got 502 after their request's timeout, though the endpoint had answered at once: a length, and no body, as HTTP says.

Cause: where a body ends is known from the head and from the method that it answers. The parser of a connection to an endpoint did not know the method, so it waited for a body that does not come; the next bytes of the connection would have been read as this body.

Why this works: the parser asks the call for its method. Only an answer with the id of the HEAD request has no body; the copy of an earlier answer ends where its own head says. A connection carries no call after a HEAD request, because the end of a late copy of its answer would not be known. The caller gets the length that the endpoint states.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -199,7 +199,9 @@
 			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(status), (this.isHead) ? Unpooled.EMPTY_BUFFER : body);
 			response.headers().set(headers);
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+			if (!this.isHead || body.isReadable()) {
+				response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+			}
 			setConnection(response);
 			write(response, true);
 		}
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
@@ -13,8 +13,11 @@
 	 * Writes a complete answer. If {@link #begin} was called before, the connection is
 	 * closed instead, like by {@link #abort}.
 	 * @param status the HTTP status
-	 * @param headers the headers except {@code Connection} and {@code Content-Length}
-	 * @param body the body; the exchange releases it
+	 * @param headers the headers except {@code Connection} and {@code Content-Length}; to
+	 * a HEAD request with the length that the answer to a GET request would have, if it
+	 * is known
+	 * @param body the body; the exchange releases it. To a HEAD request, only its length
+	 * is sent, if it is not empty
 	 */
 	void answer(int status, HttpHeaders headers, ByteBuf body);
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerDecoder.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerDecoder.java
@@ -4,12 +4,15 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
  * Decodes the answers on a connection to an endpoint. Bytes that arrive while no call is
  * in flight are not decoded: they belong to no call, and the start of an answer among
- * them would be joined with the next one.
+ * them would be joined with the next one. An answer to a HEAD request has no body,
+ * whatever length it states.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
@@ -29,4 +32,9 @@
 		this.connection.receivedWithoutCall();
 	}
 
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage head) {
+		return super.isContentAlwaysEmpty(head) || this.connection.isAnswerToHead((HttpResponse) head);
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -45,6 +46,8 @@
 
 	private EndpointCall call;
 
+	private boolean isHead;
+
 	private int calls;
 
 	// The newest one on this connection.
@@ -90,6 +93,16 @@
 		return this.call != null;
 	}
 
+	/**
+	 * Returns whether an answer belongs to a HEAD request. An answer to another request
+	 * is skipped and ends where its own head says.
+	 * @param head the head of the answer
+	 * @return {@code true} if no body follows
+	 */
+	boolean isAnswerToHead(HttpResponse head) {
+		return this.isHead && !isForeign(decode(head));
+	}
+
 	/**
 	 * Closes the connection, because bytes arrived that belong to no call. The rest of
 	 * what was read before it was closed is dropped.
@@ -102,6 +115,7 @@
 
 	void send(FullHttpRequest request, EndpointCall newCall) {
 		this.call = newCall;
+		this.isHead = request.method().equals(HttpMethod.HEAD);
 		this.calls++;
 		this.requestWritten = false;
 		this.skipping = false;
@@ -166,9 +180,8 @@
 	}
 
 	private void readHead(HttpResponse head) {
-		int status = head.status().code();
-		EndpointAnswer answer = EndpointHeaders.decode(status, (name) -> head.headers().get(name));
-		boolean isFinal = status >= FIRST_FINAL_STATUS;
+		EndpointAnswer answer = decode(head);
+		boolean isFinal = answer.status() >= FIRST_FINAL_STATUS;
 		this.answer = answer;
 		if (JoinedHeads.matches(head)) {
 			reject(AnswerFault.JOINED_HEADS);
@@ -188,6 +201,10 @@
 		this.call.answered(answer, head);
 	}
 
+	private static EndpointAnswer decode(HttpResponse head) {
+		return EndpointHeaders.decode(head.status().code(), (name) -> head.headers().get(name));
+	}
+
 	private void skip(boolean isFinal) {
 		if (isFinal) {
 			logFault(AnswerFault.OTHER_ATTEMPT_ID);
@@ -236,8 +253,10 @@
 				.write();
 		}
 		// If the answer is complete before the request is written, the endpoint may not
-		// have read the whole request, so the connection can't be reused.
-		if (!attributed || this.closesAfterAnswer || !this.requestWritten || this.calls >= MAX_CALLS) {
+		// have read the whole request, so the connection can't be reused. Nor can it
+		// after
+		// a HEAD request: the end of a late copy of its answer would not be known.
+		if (!attributed || this.closesAfterAnswer || !this.requestWritten || this.isHead || this.calls >= MAX_CALLS) {
 			this.channel.close();
 			return;
 		}
--- a/entry/src/main/java/org/fulmargap/entry/request/CallerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/CallerMessage.java
@@ -41,6 +41,14 @@
 		this.body = http.content().retain();
 	}
 
+	/**
+	 * Returns whether the answer has no body.
+	 * @return {@code true} if the method is HEAD
+	 */
+	boolean isHead() {
+		return this.method.equals(HttpMethod.HEAD);
+	}
+
 	/**
 	 * Creates the request to an endpoint.
 	 * @param added the headers that the entry VM sets; they replace those of the caller
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -11,7 +11,9 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
@@ -678,7 +680,11 @@
 			else {
 				succeeded(nowMs);
 			}
-			flow.exchange.answer(this.answer.status(), CallerMessage.toCaller(this.head.headers()), this.buffered);
+			HttpHeaders headers = CallerMessage.toCaller(this.head.headers());
+			if (flow.message.isHead() && this.statedBytes >= 0) {
+				headers.set(HttpHeaderNames.CONTENT_LENGTH, this.statedBytes);
+			}
+			flow.exchange.answer(this.answer.status(), headers, this.buffered);
 			flow.done(this, this.answer.status());
 		}
 
