End an answer without a length only where its endpoint ended it

A body that has neither a length nor chunks ends with the connection.

Evidence: UnframedAnswerTests.anAnswerIsNotEndedByTheEndOfTheEventLoop failed before. Resets were recognised before and are now, by the same test class.

Why this works: the end of the input is seen while the connection is still open, before anything closes it; a body that ends later is incomplete.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -243,6 +244,12 @@
 	}
 
 	private void endCall() {
+		// A body without a length is complete only if the endpoint has ended its output.
+		// The parser also ends it when the connection is closed for any other reason.
+		if (!this.channel.isActive()) {
+			fail(CallFailure.CONNECTION_LOST);
+			return;
+		}
 		EndpointCall completed = this.call;
 		this.call = null;
 		boolean attributed = completed.ended();
@@ -287,6 +294,13 @@
 		return (this.channel.localAddress() instanceof InetSocketAddress local) ? local.getPort() : 0;
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			this.channel.close();
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		fail(CallFailure.CONNECTION_LOST);
