Recognise an answer inside the body of the one before it

Callers waited for the whole timeout of their route (504, log TIMED_OUT with one call and no run), though their endpoint had answered at once; and they got a success whose body was the start of an answer and then the start of its repetition.

Cause: an endpoint that stops in the body of an answer and goes on with another one sends the second in the place of the rest of the first. The body ends by the number of its bytes, so a true answer was read as the rest of a copy, or the start of a repetition as the rest of a true answer.

Why this works: each answer to a call has a status line and then its id. A body that contains both holds an answer to this call, so neither it nor what it was read as can be trusted: the call may have run, its connection is closed, and it is repeated only where that is allowed. A cut in the last bytes of a body, behind which the id stands outside it, is not seen yet.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
@@ -14,6 +14,12 @@
 	 */
 	JOINED_HEADS,
 
+	/**
+	 * The body contains an answer to the call: the one before it was cut, and the bytes
+	 * of this one were read as the rest of its body.
+	 */
+	JOINED_BODY,
+
 	/** Bytes arrived while no call was in flight. */
 	NO_CALL,
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -54,6 +54,8 @@
 	// The newest one on this connection.
 	private EndpointAnswer answer;
 
+	private JoinedBody joinedBody;
+
 	private boolean requestWritten;
 
 	private boolean skipping;
@@ -184,6 +186,7 @@
 		EndpointAnswer answer = decode(head);
 		boolean isFinal = answer.status() >= FIRST_FINAL_STATUS;
 		this.answer = answer;
+		this.joinedBody = new JoinedBody(this.call.attemptId());
 		if (JoinedHeads.matches(head)) {
 			reject(AnswerFault.JOINED_HEADS);
 			return;
@@ -227,6 +230,10 @@
 	}
 
 	private void readContent(HttpContent content) {
+		if (this.joinedBody.add(content.content())) {
+			reject(AnswerFault.JOINED_BODY);
+			return;
+		}
 		if (this.skipping) {
 			this.skippedBytes += content.content().readableBytes();
 			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedBody.java
@@ -0,0 +1,42 @@
+package org.fulmargap.entry.endpoint;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Recognises a body that holds an answer. An endpoint that stops in the body of one
+ * answer and goes on with another one sends the second in the place of the rest of the
+ * first.
+ */
+final class JoinedBody {
+
+	private static final String STATUS_LINE = "HTTP/1.1 ";
+
+	private final ByteSearch statusLine = new ByteSearch(STATUS_LINE);
+
+	private final ByteSearch id;
+
+	/**
+	 * Creates a search in one body.
+	 * @param attemptId the id of the call in flight, which each answer to it has
+	 */
+	JoinedBody(String attemptId) {
+		this.id = (attemptId.isEmpty()) ? null : new ByteSearch(attemptId);
+	}
+
+	/**
+	 * Adds a part of the body.
+	 * @param content the part, which is not read
+	 * @return {@code true} if the body so far has a status line and, after it, the id
+	 */
+	boolean add(ByteBuf content) {
+		if (this.id == null) {
+			return false;
+		}
+		int end = this.statusLine.search(content, content.readerIndex());
+		if (this.statusLine.isFound()) {
+			this.id.search(content, end);
+		}
+		return this.id.isFound();
+	}
+
+}
--- a/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
@@ -15,6 +15,7 @@
 import org.fulmargap.platform.standin.ScriptedAnswers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -23,7 +24,7 @@
 
 /**
  * Guards against answers that are put together from a copy of an earlier answer, which is
- * cut in its head, and the true answer after it. Each place of the cut is tried.
+ * cut, and the true answer after it. Each place of the cut in a head is tried.
  */
 class CutCopyTests {
 
@@ -31,6 +32,10 @@
 
 	private static final int ERROR = 500;
 
+	private static final String LONG_BODY = "x".repeat(800);
+
+	private static final long ROUTE_TIMEOUT_MS = 2_000;
+
 	/** The distance of the cuts on unused connections. */
 	private static final int CUT_STEP = 7;
 
@@ -124,6 +129,64 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 99 })
+	void aCallDoesNotWaitForTheRestOfACutCopy(int bodyBytes) throws Exception {
+		Map<Socket, String> firstIds = new HashMap<>();
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			String firstId = firstIds.putIfAbsent(socket, request.attemptId());
+			String answer = longAnswer(request.attemptId());
+			String copy = (firstId != null) ? longAnswer(firstId) : "";
+			int cut = copy.length() - LONG_BODY.length() + bodyBytes;
+			RawEndpointStandIn.write(socket, copy.substring(0, Math.max(0, cut)) + answer);
+			return true;
+		};
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
+			startVm(endpoint, "core");
+			assertThat(send("POST", "/push/x", "first").statusCode()).isEqualTo(OK);
+			long startedAtMs = System.currentTimeMillis();
+			assertThat(send("POST", "/push/x", "second").statusCode()).isEqualTo(502);
+			assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(ROUTE_TIMEOUT_MS / 2);
+			assertThat(send("POST", "/push/x", "third").body()).isEqualTo(LONG_BODY);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 99 })
+	void anAnswerThatIsCutAndThenSentWholeIsNotForwarded(int bodyBytes) throws Exception {
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			String answer = longAnswer(request.attemptId());
+			int cut = answer.length() - LONG_BODY.length() + bodyBytes;
+			RawEndpointStandIn.write(socket, answer.substring(0, cut) + answer);
+			return true;
+		};
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
+			startVm(endpoint, "core");
+			assertThat(send("POST", "/push/x", "cut").statusCode()).isEqualTo(502);
+		}
+	}
+
+	@Test
+	void aStreamThatIsCutAndThenSentWholeDoesNotBeginWithItsHead() throws Exception {
+		String events = ScriptedAnswers.events(0, 5);
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			String head = RawEndpointStandIn.head(request.attemptId(),
+					"Content-Type: text/event-stream\r\n" + "Transfer-Encoding: chunked\r\n");
+			String answer = head + Integer.toHexString(events.length() + LONG_BODY.length()) + "\r\n" + events + ":"
+					+ LONG_BODY.substring(1) + "\r\n0\r\n\r\n";
+			RawEndpointStandIn.write(socket, answer.substring(0, head.length() + 20) + answer);
+			return true;
+		};
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
+			startVm(endpoint, "pool");
+			assertThat(this.installation.send(this.installation.attempt(0, "/stream/x")).statusCode()).isEqualTo(502);
+		}
+	}
+
+	private static String longAnswer(String id) {
+		return ScriptedAnswers.answer(OK, ScriptedAnswers.idHeader(id) + ScriptedAnswers.signature(), LONG_BODY);
+	}
+
 	private static void pause(long durationMs) throws IOException {
 		try {
 			Thread.sleep(durationMs);
