Recognise a repeated answer that begins in the last bytes of a body

Callers still got a success with a joined body where the cut lay in the last bytes, because the id of the repeated answer stands behind the end of the body.

Why this works: what was received behind the end of the body is looked at before the answer is passed on. If a status line begins inside the body and goes on behind it, with the id of the call after it, the body is not the endpoint's. Bytes that arrive in a later read are not waited for.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerDecoder.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerDecoder.java
@@ -22,6 +22,14 @@
 		this.connection = connection;
 	}
 
+	/**
+	 * Returns the bytes that were received behind the message that is handled now.
+	 * @return the bytes, valid while the message is handled
+	 */
+	ByteBuf unread() {
+		return internalBuffer();
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
 		if (this.connection.hasCall()) {
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/ByteSearch.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/ByteSearch.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 
 /**
  * Searches bytes that arrive in parts for a text, which may stand across parts.
@@ -41,6 +43,25 @@
 		return this.matched == this.text.length;
 	}
 
+	/**
+	 * Returns whether the text, or its start at the end of the last part, goes on in what
+	 * follows.
+	 * @param next the bytes behind the last part, which are not read
+	 * @return the index after the text, or -1 if it neither is found nor goes on there
+	 */
+	int endIn(ByteBuf next) {
+		if (isFound()) {
+			return next.readerIndex();
+		}
+		if (this.matched == 0) {
+			return -1;
+		}
+		int rest = this.text.length - this.matched;
+		boolean goesOn = next.readableBytes() >= rest
+				&& ByteBufUtil.equals(next, next.readerIndex(), Unpooled.wrappedBuffer(this.text), this.matched, rest);
+		return (goesOn) ? next.readerIndex() + rest : -1;
+	}
+
 	/**
 	 * Searches the next part.
 	 * @param content the part, which is not read
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -45,6 +45,8 @@
 
 	private final Channel channel;
 
+	private final AnswerDecoder decoder = new AnswerDecoder(this);
+
 	private EndpointCall call;
 
 	private boolean isHead;
@@ -76,6 +78,10 @@
 		this.channel = channel;
 	}
 
+	AnswerDecoder decoder() {
+		return this.decoder;
+	}
+
 	String address() {
 		return this.address;
 	}
@@ -230,7 +236,8 @@
 	}
 
 	private void readContent(HttpContent content) {
-		if (this.joinedBody.add(content.content())) {
+		boolean last = content instanceof LastHttpContent;
+		if (this.joinedBody.add(content.content()) || (last && this.joinedBody.goesOnIn(this.decoder.unread()))) {
 			reject(AnswerFault.JOINED_BODY);
 			return;
 		}
@@ -245,7 +252,7 @@
 			reject(AnswerFault.BODY_REFUSED);
 			return;
 		}
-		if (content instanceof LastHttpContent && this.call != null) {
+		if (last && this.call != null) {
 			endCall();
 		}
 	}
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -119,7 +119,7 @@
 			}
 			else {
 				pending.connection = new EndpointConnection(this, address, future.channel());
-				future.channel().pipeline().addLast(new AnswerDecoder(pending.connection), pending.connection);
+				future.channel().pipeline().addLast(pending.connection.decoder(), pending.connection);
 				pending.connection.reading(pending.reading);
 				pending.connection.send(request, call);
 			}
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedBody.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedBody.java
@@ -39,4 +39,20 @@
 		return this.id.isFound();
 	}
 
+	/**
+	 * Returns whether the bytes behind the end of the body go on with an answer that
+	 * begins inside it. An answer that begins behind the body does not matter.
+	 * @param next the bytes that were received with the end of the body, which are not
+	 * read
+	 * @return {@code true} if the id follows there on the status line
+	 */
+	boolean goesOnIn(ByteBuf next) {
+		int end = (this.id != null) ? this.statusLine.endIn(next) : -1;
+		if (end < 0) {
+			return false;
+		}
+		this.id.search(next, end);
+		return this.id.isFound();
+	}
+
 }
--- a/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
@@ -152,7 +152,7 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(ints = { 0, 1, 99 })
+	@ValueSource(ints = { 0, 1, 99, 750, 780, 791, 792, 799 })
 	void anAnswerThatIsCutAndThenSentWholeIsNotForwarded(int bodyBytes) throws Exception {
 		RawEndpointStandIn.Handler handler = (socket, request) -> {
 			String answer = longAnswer(request.attemptId());
@@ -166,6 +166,21 @@
 		}
 	}
 
+	@Test
+	void aSecondAnswerBehindAWholeOneDoesNotSpoilIt() throws Exception {
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			String answer = longAnswer(request.attemptId());
+			RawEndpointStandIn.write(socket, answer + answer);
+			return true;
+		};
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
+			startVm(endpoint, "core");
+			for (int i = 0; i < 5; i++) {
+				assertThat(send("POST", "/push/x", "twice" + i).body()).isEqualTo(LONG_BODY);
+			}
+		}
+	}
+
 	@Test
 	void aStreamThatIsCutAndThenSentWholeDoesNotBeginWithItsHead() throws Exception {
 		String events = ScriptedAnswers.events(0, 5);
