--- a/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
@@ -217,10 +217,10 @@
 	enum Head {
 
 		/** The id comes first. */
-		ID_FIRST("X-Fulmargap-Attempt-Id: %s\r\nX-Fulmargap-Server-Seal: signature\r\nContent-Type: text/plain\r\n"),
+		ID_FIRST(ScriptedAnswers.idHeader("%s") + ScriptedAnswers.signature() + "Content-Type: text/plain\r\n"),
 
 		/** The id comes last. */
-		ID_LAST("Server: stand-in\r\nX-Fulmargap-Server-Seal: signature\r\nX-Fulmargap-Attempt-Id: %s\r\n");
+		ID_LAST("Server: stand-in\r\n" + ScriptedAnswers.signature() + ScriptedAnswers.idHeader("%s"));
 
 		private final String headers;
 
