Report a write that fails at once only after the call was sent

A request stayed without an answer until its deadline (504) when the first write to a kept connection failed at once, as after a reset that was not read yet.

Why this works: the failure is reported by a later task of the event loop, so no call ends before send has returned.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -133,11 +133,19 @@
 		this.channel.writeAndFlush(request).addListener((future) -> {
 			this.requestWritten = future.isSuccess();
 			if (!future.isSuccess()) {
-				fail(CallFailure.CONNECTION_LOST);
+				// A write may fail at once; the call fails after this method has
+				// returned.
+				this.channel.eventLoop().execute(() -> writeFailed(newCall));
 			}
 		});
 	}
 
+	private void writeFailed(EndpointCall failed) {
+		if (this.call == failed) {
+			fail(CallFailure.CONNECTION_LOST);
+		}
+	}
+
 	@Override
 	public void cancel() {
 		this.call = null;
--- a/entry/src/test/java/org/fulmargap/entry/endpoint/EndpointPoolTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/EndpointPoolTests.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -20,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Tests of {@link EndpointPool} with an endpoint that counts the calls of each
@@ -71,11 +74,52 @@
 		assertThat(this.callsByConnection).hasSize(CALLS);
 	}
 
+	@Test
+	void aCallWhoseWriteFailsAtOnceFailsAfterItWasSent() throws Exception {
+		CountDownLatch unused = new CountDownLatch(1);
+		CountDownLatch reset = new CountDownLatch(1);
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			RawEndpointStandIn.write(socket, ANSWER);
+			awaitQuietly(unused);
+			socket.setSoLinger(true, 0);
+			socket.close();
+			reset.countDown();
+			return false;
+		};
+		try (RawEndpointStandIn resetting = new RawEndpointStandIn(handler)) {
+			CompletableFuture<Void> first = new CompletableFuture<>();
+			this.loop.execute(() -> this.pool.send(resetting.address(), get(), new Call(true, first)));
+			first.get(5, TimeUnit.SECONDS);
+			CompletableFuture<Void> second = new CompletableFuture<>();
+			CompletableFuture<Boolean> failedTooEarly = new CompletableFuture<>();
+			this.loop.execute(() -> {
+				unused.countDown();
+				awaitQuietly(reset);
+				this.pool.send(resetting.address(), get(), new Call(true, second));
+				failedTooEarly.complete(second.isDone());
+			});
+			assertThat(failedTooEarly.get(5, TimeUnit.SECONDS)).isFalse();
+			assertThatThrownBy(() -> second.get(5, TimeUnit.SECONDS)).hasMessageContaining("CONNECTION_LOST");
+		}
+	}
+
+	private static FullHttpRequest get() {
+		return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await(5, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private void callAll(boolean attributed) {
 		for (int i = 0; i < CALLS; i++) {
 			CompletableFuture<Void> ended = new CompletableFuture<>();
-			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-			this.loop.execute(() -> this.pool.send(this.endpoint.address(), request, new Call(attributed, ended)));
+			this.loop.execute(() -> this.pool.send(this.endpoint.address(), get(), new Call(attributed, ended)));
 			ended.join();
 		}
 	}
