Look for a joined head behind a body in chunks, too

A call waited for its route's whole timeout (504) behind a copy of an earlier answer that was cut in the value of a header behind its last chunk: the head of the true answer was read as such headers.

Evidence: aCallDoesNotWaitBehindACopyThatIsCutInItsTrailer got 504 before, and gets 502 at once now, because its true answer can't be told apart.

The case of unused connections waits for the end of the connection instead of 80 ms: it failed once beside a load of 30, because the copy was written during the next call. Without the fix such a connection is used again within the wait, so the case is as strict as before.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -245,6 +245,10 @@
 
 	private void readContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
+		if (last && JoinedHeads.matches(((LastHttpContent) content).trailingHeaders())) {
+			reject(AnswerFault.JOINED_HEADS);
+			return;
+		}
 		if (this.joinedBody.add(content.content()) || (last && this.joinedBody.goesOnIn(this.decoder.unread()))) {
 			reject(AnswerFault.JOINED_BODY);
 			return;
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedHeads.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedHeads.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
@@ -23,10 +24,16 @@
 	 * @return {@code true} if its status and its headers may belong to two answers
 	 */
 	static boolean matches(HttpResponse head) {
-		if (holdsStatusLine(head.status().reasonPhrase())) {
-			return true;
-		}
-		for (Map.Entry<String, String> header : head.headers()) {
+		return holdsStatusLine(head.status().reasonPhrase()) || matches(head.headers());
+	}
+
+	/**
+	 * Returns whether headers contain the status line of another answer.
+	 * @param headers the headers of a head, or those behind a body in chunks
+	 * @return {@code true} if they may belong to two answers
+	 */
+	static boolean matches(HttpHeaders headers) {
+		for (Map.Entry<String, String> header : headers) {
 			if (holdsStatusLine(header.getValue())) {
 				return true;
 			}
--- a/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fulmargap.platform.standin.CallerWire;
@@ -34,6 +35,9 @@
 
 	private static final String LONG_BODY = "x".repeat(800);
 
+	/** Less than the idle timeout of a connection, in milliseconds. */
+	private static final int CLOSE_POLLS = 400;
+
 	private static final long ROUTE_TIMEOUT_MS = 2_000;
 
 	/** The distance of the cuts on unused connections. */
@@ -72,8 +76,8 @@
 		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(stutter)) {
 			startVm(endpoint, "core");
 			for (stutter.cut = 0; stutter.cut < head.length(OK); stutter.cut++) {
-				assertThat(send("GET", "/read/x", "first" + stutter.cut).statusCode()).isEqualTo(OK);
-				assertThat(send("GET", "/read/x", "true" + stutter.cut).statusCode())
+				assertThat(send("POST", "/push/x", "first" + stutter.cut).statusCode()).isEqualTo(OK);
+				assertThat(send("POST", "/push/x", "true" + stutter.cut).statusCode())
 					.as("cut after %s characters", stutter.cut)
 					.isIn(ERROR, 502);
 			}
@@ -104,15 +108,18 @@
 	void aCutCopyOnAnUnusedConnectionDoesNotReachTheNextCall(long delayMs) throws Exception {
 		String copy = Head.ID_FIRST.text(OK);
 		AtomicInteger cut = new AtomicInteger();
+		Semaphore copies = new Semaphore(0);
 		RawEndpointStandIn.Handler handler = (socket, request) -> {
 			String head = Head.ID_FIRST.text(OK).formatted(request.attemptId());
 			if (delayMs == 0) {
 				RawEndpointStandIn.write(socket, head + "body" + copy.substring(0, cut.get()));
-				return true;
 			}
-			RawEndpointStandIn.write(socket, head + "body");
-			pause(delayMs);
-			RawEndpointStandIn.write(socket, copy.substring(0, cut.get()));
+			else {
+				RawEndpointStandIn.write(socket, head + "body");
+				pause(delayMs);
+				RawEndpointStandIn.write(socket, copy.substring(0, cut.get()));
+			}
+			copies.release();
 			return true;
 		};
 		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
@@ -123,7 +130,7 @@
 					assertThat(send("POST", "/push/x", "cut" + i + "call" + j).statusCode())
 						.as("cut after %s characters", i)
 						.isEqualTo(OK);
-					Thread.sleep(2 * delayMs);
+					awaitClosed(endpoint, copies);
 				}
 			}
 		}
@@ -151,6 +158,28 @@
 		}
 	}
 
+	@Test
+	void aCallDoesNotWaitBehindACopyThatIsCutInItsTrailer() throws Exception {
+		String trailer = "X-Check: some value\r\n\r\n";
+		Map<Socket, String> firstIds = new HashMap<>();
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			String firstId = firstIds.putIfAbsent(socket, request.attemptId());
+			if (firstId == null) {
+				return RawEndpointStandIn.answer(socket, request);
+			}
+			RawEndpointStandIn.write(socket, RawEndpointStandIn.head(firstId, "Transfer-Encoding: chunked\r\n")
+					+ "4\r\nbody\r\n0\r\n" + trailer.substring(0, 12));
+			return RawEndpointStandIn.answer(socket, request);
+		};
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
+			startVm(endpoint, "core");
+			assertThat(send("POST", "/push/x", "first").statusCode()).isEqualTo(OK);
+			long startedAtMs = System.currentTimeMillis();
+			assertThat(send("POST", "/push/x", "second").statusCode()).isEqualTo(502);
+			assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(ROUTE_TIMEOUT_MS / 2);
+		}
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 0, 1, 99, 750, 780, 791, 792, 799 })
 	void anAnswerThatIsCutAndThenSentWholeIsNotForwarded(int bodyBytes) throws Exception {
@@ -202,6 +231,15 @@
 		return ScriptedAnswers.answer(OK, ScriptedAnswers.idHeader(id) + ScriptedAnswers.signature(), LONG_BODY);
 	}
 
+	// Waits until the copy is written, and its connection is closed or would be used
+	// again.
+	private static void awaitClosed(RawEndpointStandIn endpoint, Semaphore copies) throws InterruptedException {
+		copies.acquire();
+		for (int i = 0; i < CLOSE_POLLS && endpoint.openConnections() > 0; i++) {
+			Thread.sleep(1);
+		}
+	}
+
 	private static void pause(long durationMs) throws IOException {
 		try {
 			Thread.sleep(durationMs);
--- a/entry/src/test/java/org/fulmargap/entry/HeadRequestTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/HeadRequestTests.java
@@ -48,7 +48,7 @@
 	}
 
 	private HttpResponse<String> send(String method) throws Exception {
-		return this.installation.send(this.installation.request(0, "/read/x")
+		return this.installation.send(this.installation.request(0, "/push/x")
 			.method(method, HttpRequest.BodyPublishers.noBody())
 			.header(CallerWire.ATTEMPT_ID, method + this.lastId.incrementAndGet())
 			.header(CallerWire.TIME_LEFT_MS, "5000"));
