Accept no answer with the ids of two requests

A caller got an answer whose first id was its own and whose second was that of another request; with the ids the other way round its call waited for the whole timeout (504).

Cause: only the first id of an answer was read.

Evidence: EarlierAnswerTests.anAnswerWithTheIdsOfTwoRequestsIsNotForwarded failed before in both cases (200 and 504), and gets 502 at once now.

Why this works: such an answer belongs to no call for certain, so it is neither forwarded nor skipped, and its connection is closed.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
@@ -29,6 +29,9 @@
 	/** The answer has the attempt id of another request. It is skipped. */
 	OTHER_ATTEMPT_ID,
 
+	/** The answer has several attempt ids. */
+	SEVERAL_ATTEMPT_IDS,
+
 	/** More answers than the limit were skipped during one call. */
 	TOO_MANY_SKIPPED,
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -205,6 +205,10 @@
 			reject(AnswerFault.JOINED_HEADS);
 			return;
 		}
+		if (EndpointHeaders.isAmbiguous((name) -> head.headers().getAll(name))) {
+			reject(AnswerFault.SEVERAL_ATTEMPT_IDS);
+			return;
+		}
 		if (isFinal && lacksAttemptId(answer)) {
 			reject(AnswerFault.NO_ATTEMPT_ID);
 			return;
--- a/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -30,6 +32,9 @@
 
 	private static final long REFUSED_PAUSE_MS = 100;
 
+	/** Half of the timeout of the route. */
+	private static final long SOON_MS = 1_000;
+
 	private static final String LONG_BODY = "x".repeat(3 << 20);
 
 	private final List<RawEndpointStandIn> endpoints = new ArrayList<>();
@@ -179,6 +184,21 @@
 		assertThat(this.installation.send(this.installation.request(0, "/push/x")).statusCode()).isEqualTo(503);
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void anAnswerWithTheIdsOfTwoRequestsIsNotForwarded(boolean ownFirst) throws Exception {
+		startVm(new ScriptedAnswers(List.of((socket, request) -> {
+			String own = ScriptedAnswers.idHeader(request.attemptId());
+			String other = ScriptedAnswers.idHeader("other");
+			String ids = (ownFirst) ? own + other : other + own;
+			RawEndpointStandIn.write(socket, ScriptedAnswers.answer(200, ids + ScriptedAnswers.signature(), "done"));
+			return true;
+		})), 1);
+		long startedAtMs = System.currentTimeMillis();
+		assertThat(send("/push/x").statusCode()).isEqualTo(502);
+		assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(SOON_MS);
+	}
+
 	/**
 	 * Refuses the first request on each connection, and sends an earlier answer before
 	 * the answers to the others.
