Answer HEAD requests of streaming routes

Callers got 502, and the endpoint was counted as crashed: an answer to a HEAD request of a stream has no event, so it was taken for a stream that broke off. Found by the review.

Evidence: HeadRequestTests.aHeadRequestOfAStreamIsServed got 502 before and gets 200 now. Why this works: an answer without a body is no stream.

--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -568,8 +568,8 @@
 		}
 
 		private boolean isStream() {
-			return RequestFlow.this.route.kind().isStreaming() && this.answer.isSuccess() && this.answer.signed()
-					&& hasEvents();
+			return RequestFlow.this.route.kind().isStreaming() && !RequestFlow.this.message.isHead()
+					&& this.answer.isSuccess() && this.answer.signed() && hasEvents();
 		}
 
 		// How the end of the body is known.
--- a/entry/src/test/java/org/fulmargap/entry/HeadRequestTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/HeadRequestTests.java
@@ -41,14 +41,18 @@
 		this.installation.close();
 	}
 
-	private void startVm(RawEndpointStandIn endpoint) throws Exception {
-		this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "raw-1", endpoint.record("core"));
+	private void startVm(RawEndpointStandIn endpoint, String service) throws Exception {
+		this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "raw-1", endpoint.record(service));
 		this.installation.vm("vm-0");
 		this.installation.awaitReady();
 	}
 
 	private HttpResponse<String> send(String method) throws Exception {
-		return this.installation.send(this.installation.request(0, "/push/x")
+		return send(method, "/push/x");
+	}
+
+	private HttpResponse<String> send(String method, String path) throws Exception {
+		return this.installation.send(this.installation.request(0, path)
 			.method(method, HttpRequest.BodyPublishers.noBody())
 			.header(CallerWire.ATTEMPT_ID, method + this.lastId.incrementAndGet())
 			.header(CallerWire.TIME_LEFT_MS, "5000"));
@@ -59,7 +63,7 @@
 	}
 
 	private void assertAllAreServed(RawEndpointStandIn endpoint, String length) throws Exception {
-		startVm(endpoint);
+		startVm(endpoint, "core");
 		for (int i = 0; i < REQUESTS; i++) {
 			HttpResponse<String> head = send("HEAD");
 			assertThat(head.statusCode()).isEqualTo(200);
@@ -120,6 +124,19 @@
 		}
 	}
 
+	@Test
+	void aHeadRequestOfAStreamIsServed() throws Exception {
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			RawEndpointStandIn.write(socket, RawEndpointStandIn.head(request.attemptId(),
+					"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+			return true;
+		};
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
+			startVm(endpoint, "pool");
+			assertThat(send("HEAD", "/stream/x").statusCode()).isEqualTo(200);
+		}
+	}
+
 	@Test
 	void aRefusalOfAHeadRequestStatesItsLength() throws Exception {
 		this.installation.vm("vm-0");
