Follow the review: clearer fields of answer_fault, id header in bodies, input ends

answer_fault showed the id and status of an earlier call beside INVALID_HTTP, and its field 'call' had two meanings: the newest head is forgotten when a call is sent, and the field is connection_calls, at the connection only. The search in bodies looks for a header with the id instead of the bare id, which callers choose and which may be short. A connection whose input has ended counts as closed before its close is handled. 'framing' is none without a body. Comments that the reviewer could not follow are reworded.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
@@ -13,11 +13,11 @@
 	 * Writes a complete answer. If {@link #begin} was called before, the connection is
 	 * closed instead, like by {@link #abort}.
 	 * @param status the HTTP status
-	 * @param headers the headers except {@code Connection} and {@code Content-Length}; to
-	 * a HEAD request with the length that the answer to a GET request would have, if it
-	 * is known
-	 * @param body the body; the exchange releases it. To a HEAD request, only its length
-	 * is sent, if it is not empty
+	 * @param headers the headers except {@code Connection} and {@code Content-Length}. In
+	 * an answer to a HEAD request, {@code Content-Length} may be set to the length that
+	 * the body of an answer to GET would have
+	 * @param body the body; the exchange releases it. For a HEAD request it is not sent;
+	 * unless it is empty, its length is stated
 	 */
 	void answer(int status, HttpHeaders headers, ByteBuf body);
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
@@ -5,12 +5,13 @@
  */
 public enum AnswerFault {
 
-	/** The bytes are not valid HTTP. */
+	/** The bytes are not valid HTTP, or the connection ended inside a head. */
 	INVALID_HTTP,
 
 	/**
 	 * The head contains the status line of another answer: it was put together from the
-	 * start of one that was cut, and the true one.
+	 * start of one that was cut, and the true one. The logged status is that of the cut
+	 * one.
 	 */
 	JOINED_HEADS,
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
@@ -18,9 +18,9 @@
 	STREAM_CUT(true),
 
 	/**
-	 * The endpoint sent invalid HTTP, an answer without the attempt id, a success without
-	 * its signature header, or an answer that does not continue the stream that the
-	 * caller receives.
+	 * The endpoint sent invalid HTTP, an answer without the attempt id, one that was put
+	 * together from two, a success without its signature header, or an answer that does
+	 * not continue the stream that the caller receives.
 	 */
 	WRONG_ANSWER(true),
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -53,8 +54,8 @@
 
 	private int calls;
 
-	// The newest one on this connection.
-	private EndpointAnswer answer;
+	// The newest head since the call was sent, also of an answer that is skipped.
+	private EndpointAnswer newestAnswer;
 
 	private JoinedBody joinedBody;
 
@@ -95,7 +96,7 @@
 	}
 
 	boolean isOpen() {
-		return this.channel.isActive();
+		return this.channel.isActive() && !((DuplexChannel) this.channel).isInputShutdown();
 	}
 
 	boolean hasCall() {
@@ -126,6 +127,7 @@
 		this.call = newCall;
 		this.isHead = request.method().equals(HttpMethod.HEAD);
 		this.calls++;
+		this.newestAnswer = null;
 		this.requestWritten = false;
 		this.skipping = false;
 		this.skippedAnswers = 0;
@@ -199,7 +201,7 @@
 	private void readHead(HttpResponse head) {
 		EndpointAnswer answer = decode(head);
 		boolean isFinal = answer.status() >= FIRST_FINAL_STATUS;
-		this.answer = answer;
+		this.newestAnswer = answer;
 		this.joinedBody = new JoinedBody(this.call.attemptId());
 		if (JoinedHeads.matches(head)) {
 			reject(AnswerFault.JOINED_HEADS);
@@ -290,9 +292,8 @@
 				.write();
 		}
 		// If the answer is complete before the request is written, the endpoint may not
-		// have read the whole request, so the connection can't be reused. Nor can it
-		// after
-		// a HEAD request: the end of a late copy of its answer would not be known.
+		// have read the whole request, so the connection can't be reused. After a HEAD
+		// request it can't either: the end of a late copy of its answer is not known.
 		if (!attributed || this.closesAfterAnswer || !this.requestWritten || this.isHead || this.calls >= MAX_CALLS) {
 			this.channel.close();
 			return;
@@ -313,9 +314,9 @@
 			.with("address", this.address)
 			.with("local_port", localPort())
 			.with("fault", fault)
-			.with("answer_id", (this.answer != null) ? this.answer.attemptId() : "")
-			.with("status", (this.answer != null) ? this.answer.status() : 0)
-			.with("call", this.calls)
+			.with("answer_id", (this.newestAnswer != null) ? this.newestAnswer.attemptId() : "")
+			.with("status", (this.newestAnswer != null) ? this.newestAnswer.status() : 0)
+			.with("connection_calls", this.calls)
 			.write();
 	}
 
@@ -324,6 +325,7 @@
 		return (this.channel.localAddress() instanceof InetSocketAddress local) ? local.getPort() : 0;
 	}
 
+	// A body that the end of the input completes has ended before this event.
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
 		if (event instanceof ChannelInputShutdownEvent) {
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -64,7 +64,8 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			// The end of the input is seen apart from the end of the connection.
+			// A body without a length ends with the endpoint's output, not with any
+			// close.
 			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedBody.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedBody.java
@@ -20,13 +20,14 @@
 	 * @param attemptId the id of the call in flight, which each answer to it has
 	 */
 	JoinedBody(String attemptId) {
-		this.id = (attemptId.isEmpty()) ? null : new ByteSearch(attemptId);
+		this.id = (attemptId.isEmpty()) ? null : new ByteSearch(": " + attemptId + '\r');
 	}
 
 	/**
 	 * Adds a part of the body.
 	 * @param content the part, which is not read
-	 * @return {@code true} if the body so far has a status line and, after it, the id
+	 * @return {@code true} if the body so far has a status line and, after it, a header
+	 * with the id
 	 */
 	boolean add(ByteBuf content) {
 		if (this.id == null) {
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -577,7 +577,10 @@
 			if (HttpUtil.isTransferEncodingChunked(this.head)) {
 				return "chunks";
 			}
-			return (this.statedBytes >= 0) ? "length" : "connection";
+			if (this.statedBytes >= 0) {
+				return "length";
+			}
+			return (this.receivedBytes > 0) ? "connection" : "none";
 		}
 
 		private boolean hasEvents() {
@@ -696,7 +699,6 @@
 				.with("fault", fault)
 				.with("answer_id", this.answer.attemptId())
 				.with("status", this.answer.status())
-				.with("call", RequestFlow.this.calls)
 				.write();
 		}
 
