Refuse a large body after the answers to earlier requests

A caller that sends a request with a body over the limit behind another request got the 413 first, where the answer to the earlier request was due, and then a closed connection. Behind a stream, the 413 or an answer to an Expect header broke the stream off.

Cause: Netty's aggregator writes its own answers (100, 413, 417) as soon as it has read a head, past the order of answers in CallerConnection.

Evidence: CallerFramingTests.RequestBehindAnother.

Why this works: the aggregator writes nothing while a request waits for its answer. A request whose body is over the limit is passed on in order, and CallerConnection refuses it in its turn; the rest of the body is dropped. A caller that expects an interim answer behind another request gets none and sends its body after a while, as HTTP requires.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
  * The connection of one caller. Passes its requests to the handler one at a time, in
@@ -89,11 +90,16 @@
 	private void start(FullHttpRequest request) {
 		Exchange exchange = new Exchange(request);
 		this.current = exchange;
+		boolean tooLarge = request.decoderResult().cause() instanceof TooLongHttpContentException;
+		if (tooLarge) {
+			request.release();
+			exchange.refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+			return;
+		}
 		if (request.decoderResult().isFailure() || isAmbiguous(request)) {
 			request.release();
 			exchange.keepAlive = false;
-			exchange.answer(HttpResponseStatus.BAD_REQUEST.code(),
-					DefaultHttpHeadersFactory.headersFactory().newHeaders(), Unpooled.EMPTY_BUFFER);
+			exchange.refuse(HttpResponseStatus.BAD_REQUEST);
 			return;
 		}
 		exchange.listener = this.server.handler().handle(request, exchange);
@@ -128,6 +134,15 @@
 		startNext();
 	}
 
+	/**
+	 * Returns whether a request waits for its answer or is being answered.
+	 * @return {@code true} if the next answer on the connection belongs to a request that
+	 * was read
+	 */
+	boolean hasRequests() {
+		return this.current != null || !this.pipelined.isEmpty();
+	}
+
 	private void startNext() {
 		if (mayStart() && !this.closing && !this.pipelined.isEmpty()) {
 			start(this.pipelined.poll());
@@ -187,6 +202,10 @@
 			this.keepAlive = HttpUtil.isKeepAlive(request);
 		}
 
+		private void refuse(HttpResponseStatus status) {
+			answer(status.code(), DefaultHttpHeadersFactory.headersFactory().newHeaders(), Unpooled.EMPTY_BUFFER);
+		}
+
 		@Override
 		public void answer(int status, HttpHeaders headers, ByteBuf body) {
 			if (this.begun) {
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.fulmargap.catalog.RequestLimits;
@@ -85,10 +84,10 @@
 
 	private void addHandlers(Channel channel) {
 		RequestLimits bounds = this.limits.get();
+		CallerConnection connection = new CallerConnection(this);
 		channel.pipeline()
 			.addLast(new HttpRequestDecoder(bounds.maxHeaderBytes(), bounds.maxHeaderBytes(), MAX_CHUNK_BYTES),
-					new HttpResponseEncoder(), new HttpObjectAggregator(bounds.maxBodyBytes()),
-					new CallerConnection(this));
+					new HttpResponseEncoder(), new RequestAggregator(bounds.maxBodyBytes(), connection), connection);
 	}
 
 	private void closeIdle() {
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/caller/RequestAggregator.java
@@ -0,0 +1,54 @@
+package org.fulmargap.entry.caller;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+
+/**
+ * Puts the parts of a caller's requests together. Writes nothing while an answer is
+ * outstanding, because a caller takes what it receives then for that answer: a request
+ * with a body over the limit is passed on as a failed one, so that it is refused in its
+ * turn. The rest of its body is dropped.
+ */
+final class RequestAggregator extends HttpObjectAggregator {
+
+	private final CallerConnection connection;
+
+	/**
+	 * Creates an aggregator.
+	 * @param maxBodyBytes the highest size of a body in bytes
+	 * @param connection the connection that answers the requests
+	 */
+	RequestAggregator(int maxBodyBytes, CallerConnection connection) {
+		super(maxBodyBytes);
+		this.connection = connection;
+	}
+
+	// A caller that gets no interim answer sends the body after a while. Expectations
+	// other than the standard one may be ignored.
+	@Override
+	protected Object newContinueResponse(HttpMessage request, int maxBodyBytes, ChannelPipeline pipeline) {
+		boolean expected = HttpUtil.is100ContinueExpected(request)
+				&& HttpUtil.getContentLength(request, 0L) <= maxBodyBytes && !this.connection.hasRequests();
+		return (expected) ? super.newContinueResponse(request, maxBodyBytes, pipeline) : null;
+	}
+
+	@Override
+	protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+		HttpRequest head = (HttpRequest) oversized;
+		FullHttpRequest refused = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(),
+				Unpooled.EMPTY_BUFFER, head.headers(), DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+		refused.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("the body is over the limit")));
+		context.fireChannelRead(refused);
+	}
+
+}
