Close the connection after a refused body that may not be sent

A caller that sent "Expect: 100-continue" with a body over the limit, and then the body, could have parts of this body run as requests of its own (UNASKED: smuggled inside another request).

Cause: after a 413 in place of the interim answer, the decoder was reset to the start of a request, as if no body would follow. HTTP lets the caller do either, so the place of the next request is not known.

Why this works: the connection is closed after such a 413, and what was read after it is dropped.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -93,6 +93,9 @@
 		boolean tooLarge = request.decoderResult().cause() instanceof TooLongHttpContentException;
 		if (tooLarge) {
 			request.release();
+			// A caller that waits for an interim answer may send the body or not, so the
+			// place of the next request is not known.
+			exchange.keepAlive &= !HttpUtil.is100ContinueExpected(request);
 			exchange.refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 			return;
 		}
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerFramingTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerFramingTests.java
@@ -202,6 +202,14 @@
 			assertThat(this.handled).doesNotContain("/smuggled#");
 		}
 
+		@Test
+		void aBodyThatMayStillFollowARefusalIsNotReadAsARequest() throws Exception {
+			String received = exchange(post("Content-Length: " + (MAX_BODY_BYTES + 1) + "\r\nExpect: 100-continue\r\n")
+					+ SMUGGLED + GET_LAST);
+			assertThat(statuses(received)).containsExactly("413");
+			assertThat(this.handled).isEmpty();
+		}
+
 	}
 
 }
