Forward no event that holds the head of another answer

Cause: an endpoint that stops inside the data of an event and goes on with another answer sends the status line at the end of the line that was cut. The headers after it look like fields of an event, which have no fixed list, and the empty line after them ends the event. The id of the event is right.

Evidence: BrokenStreamTests.AnotherAnswerFollowsInsideAnEvent and EventSequenceTests.anEventWithTheHeadOfAnotherAnswerIsNoEvent.

Why this works: a line with a status line, followed by a field that no event has, is no part of an event, so the call fails after the last whole event. Data that quotes an HTTP head is kept, since each of its lines is a data field. A second head without any header would still pass; endpoints send their id and signature with each answer.

--- a/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
@@ -1,5 +1,8 @@
 package org.fulmargap.entry.request;
 
+import java.util.Set;
+import java.util.regex.Pattern;
+
 /**
  * Checks the ids of the events that a caller receives, which may come from several
  * endpoints in turn: they increase, and no event is missing where another endpoint
@@ -12,6 +15,10 @@
 	/** The only field that may stand without a colon, as an empty line of data. */
 	private static final String DATA_FIELD = "data";
 
+	private static final Set<String> EVENT_FIELDS = Set.of("data", "event", ID_FIELD, "retry");
+
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
 	private static final long NONE = -1;
 
 	private long lastId = NONE;
@@ -34,11 +41,18 @@
 	boolean accept(String event) {
 		String idText = null;
 		boolean hasFields = false;
+		boolean afterStatusLine = false;
 		for (String line : event.split("\n")) {
 			int colon = line.indexOf(':');
 			if (colon < 0 && !line.isBlank() && !line.strip().equals(DATA_FIELD)) {
 				return false;
 			}
+			// An answer that stops inside an event may be followed by another one, whose
+			// status line then ends the line that was cut, before its headers.
+			if (afterStatusLine && colon > 0 && !EVENT_FIELDS.contains(line.substring(0, colon))) {
+				return false;
+			}
+			afterStatusLine = STATUS_LINE.matcher(line).find();
 			hasFields |= colon > 0;
 			if (colon > 0 && line.substring(0, colon).equals(ID_FIELD)) {
 				idText = line.substring(colon + 1).trim();
--- a/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -278,4 +279,30 @@
 
 	}
 
+	@Nested
+	class AnotherAnswerFollowsInsideAnEvent {
+
+		private static RawEndpointStandIn.Handler cutAndJoined(String length) {
+			return (socket, request) -> {
+				String head = RawEndpointStandIn.head(request.attemptId(), EVENT_STREAM + length);
+				String cut = head + ScriptedAnswers.events(0, 2) + PARTIAL_EVENT;
+				RawEndpointStandIn.write(socket, cut + head + ScriptedAnswers.events(0, 5));
+				return false;
+			};
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "Connection: close\r\n", "Content-Length: 900\r\n" })
+		void itsHeadIsNotForwardedAsAPartOfTheEvent(String length) throws Exception {
+			assertThat(stream(answers(cutAndJoined(length)), 1, false)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@Test
+		void theStreamContinuesAtAnotherEndpoint() throws Exception {
+			ScriptedAnswers answers = answers(cutAndJoined("Connection: close\r\n"), ScriptedAnswers.soundStream());
+			assertThat(stream(answers, 2, true)).isEqualTo(Received.ALL_EVENTS);
+		}
+
+	}
+
 }
--- a/entry/src/test/java/org/fulmargap/entry/request/EventSequenceTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/request/EventSequenceTests.java
@@ -61,6 +61,18 @@
 		assertThat(this.sequence.lastEventId()).isNull();
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "id: 1\ndata: tok", "id: 1\ndata: a\ndata:", "id: 1\nevent: e", "id: 1\r\ndata: tok" })
+	void anEventWithTheHeadOfAnotherAnswerIsNoEvent(String cutEvent) {
+		String head = "HTTP/1.1 200 OK\r\nX-Fulmargap-Attempt-Id: 1\r\nContent-Length: 4\r\n\r\n";
+		assertThat(this.sequence.accept(cutEvent + head)).isFalse();
+	}
+
+	@Test
+	void dataMayQuoteTheHeadOfAnAnswer() {
+		assertThat(this.sequence.accept("id: 1\ndata: HTTP/1.1 200 OK\ndata: Content-Length: 4\ndata\n\n")).isTrue();
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "id: 1\r\ndata: token\r\n\r\n", "weight-versions: 2\nid: 1\ndata: token\n\n",
 			"data: a\ndata\nid:1\n\n" })
