Forward no success that has an encoding

Callers got a success with a Content-Encoding, or with a transfer coding other than chunks whose name was dropped on the way, so that the coded bytes looked like the endpoint's body.

Cause: nothing looked at the codings of an answer; only the signature header decided whether a success was forwarded.

Why this works: such a success is a wrong answer, like one without the signature: the call fails and its connection is closed. Failures are forwarded as before; their bodies don't count.

--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -588,6 +588,9 @@
 		@Override
 		public boolean received(ByteBuf content) {
 			this.receivedBytes += content.readableBytes();
+			if (hasForeignBody()) {
+				return false;
+			}
 			if (this.buffered != null) {
 				this.buffered.addComponent(true, Unpooled.copiedBuffer(content));
 				return Math.max(this.statedBytes, this.buffered.readableBytes()) <= MAX_ANSWER_BYTES
@@ -603,6 +606,10 @@
 					&& this.memory.hold(heldBytes);
 		}
 
+		private boolean hasForeignBody() {
+			return this.answer.isSuccess() && this.answer.encoded();
+		}
+
 		private void recordFirstEvent() {
 			if (!this.firstEventReceived) {
 				this.firstEventReceived = true;
@@ -649,9 +656,9 @@
 
 		private void endedBuffered(long nowMs) {
 			RequestFlow flow = RequestFlow.this;
-			boolean signed = !this.answer.isSuccess() || this.answer.signed();
-			if (!signed || flow.stream.hasBegun()) {
-				logFault((signed) ? AnswerFault.NO_STREAM : AnswerFault.NOT_SIGNED);
+			AnswerFault fault = fault();
+			if (fault != null) {
+				logFault(fault);
 				this.endpoint.failed(false, nowMs);
 				flow.callFailed(this, CallFailure.WRONG_ANSWER);
 				return;
@@ -688,6 +695,17 @@
 			flow.done(this, this.answer.status());
 		}
 
+		// Why the answer is not forwarded; null if it is.
+		private AnswerFault fault() {
+			if (this.answer.isSuccess() && !this.answer.signed()) {
+				return AnswerFault.NOT_SIGNED;
+			}
+			if (hasForeignBody()) {
+				return AnswerFault.BODY_REFUSED;
+			}
+			return (RequestFlow.this.stream.hasBegun()) ? AnswerFault.NO_STREAM : null;
+		}
+
 		private void logFault(AnswerFault fault) {
 			EventLog.state("answer_fault")
 				.with("request", attemptId())
