Send a request without an id on a connection of its own

A caller whose request had no attempt id could get the answer to another request (MIXED): the endpoint's late copy of an earlier answer.

Cause: without an id, any answer fits a call. Such a call could take a kept connection, on which the copy of an earlier answer came first.

Evidence: UnidentifiedRequestTests. Before, the caller got the body that was made for the request before; now it gets its own.

Why this works: a new connection has carried no other call, and it is closed after a call without an id anyway. PROTOCOL gives each attempt an id, so this costs nothing in the usual case.

--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -484,7 +484,10 @@
 			String address = this.endpoint.record().address();
 			FullHttpRequest http = httpRequest(nowMs);
 			EndpointPool pool = flow.services.pool();
-			this.running = (flow.calledAddresses.add(address)) ? pool.send(address, http, this)
+			// A late answer to an earlier call of the connection would fit a request
+			// without an id.
+			boolean onAnyConnection = flow.calledAddresses.add(address) && !attemptId().isEmpty();
+			this.running = (onAnyConnection) ? pool.send(address, http, this)
 					: pool.sendOnNewConnection(address, http, this);
 			this.timer.start();
 			if (!flow.exchange.isWritable()) {
