Send no chunks to a caller that does not know them

A caller that speaks HTTP/1.0 got a stream in chunks, whose sizes it reads as a part of the body.

Cause: an answer in parts was always sent in chunks.

Evidence: CallerFramingTests.CallerWithoutChunks.theEndOfTheConnectionEnds- AnAnswerInParts failed before (the caller got "6, begin, 3, end, 0") and passes now, as does anAnswerThatIsBrokenOffIsReset.

Why this works: the end of the connection ends such an answer. Until the answer is complete, any close of the connection is a reset, also when the process ends, so that a part does not look complete.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -196,11 +197,14 @@
 
 		private boolean keepAlive;
 
+		private final boolean knowsChunks;
+
 		private boolean begun;
 
 		private CallerListener listener;
 
 		private Exchange(FullHttpRequest request) {
+			this.knowsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
 			this.isHead = request.method().equals(HttpMethod.HEAD);
 			this.keepAlive = HttpUtil.isKeepAlive(request);
 		}
@@ -236,7 +240,14 @@
 			this.begun = true;
 			HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
 			response.headers().set(headers);
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+			if (this.knowsChunks) {
+				response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+			}
+			else {
+				// The end of the connection ends the body, so any other end is a reset.
+				this.keepAlive = false;
+				resetOnClose(true);
+			}
 			setConnection(response);
 			CallerConnection.this.context.write(response);
 		}
@@ -258,6 +269,9 @@
 		@Override
 		public void end() {
 			if (!isFinished()) {
+				if (!this.knowsChunks) {
+					resetOnClose(false);
+				}
 				write(LastHttpContent.EMPTY_LAST_CONTENT, true);
 			}
 		}
@@ -270,6 +284,10 @@
 			}
 		}
 
+		private void resetOnClose(boolean reset) {
+			CallerConnection.this.context.channel().config().setOption(ChannelOption.SO_LINGER, (reset) ? 0 : -1);
+		}
+
 		private boolean isFinished() {
 			return CallerConnection.this.current != this;
 		}
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerFramingTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerFramingTests.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -26,6 +27,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 /**
  * Guards against answers that a caller takes for those to other requests of its
@@ -89,6 +91,11 @@
 				exchange.end();
 			}, WORK_MS, TimeUnit.MILLISECONDS);
 		}
+		else if (path.equals("/aborted")) {
+			exchange.begin(200, new DefaultHttpHeaders());
+			exchange.write(text("begin,"));
+			this.loop.schedule(exchange::abort, WORK_MS, TimeUnit.MILLISECONDS);
+		}
 		else {
 			exchange.answer(200, new DefaultHttpHeaders(), text(path));
 		}
@@ -212,4 +219,23 @@
 
 	}
 
+	@Nested
+	class CallerWithoutChunks {
+
+		@Test
+		void theEndOfTheConnectionEndsAnAnswerInParts() throws Exception {
+			String received = exchange("GET /stream HTTP/1.0\r\nHost: h\r\n\r\n");
+			assertThat(received).startsWith("HTTP/1.1 200 ")
+				.doesNotContainIgnoringCase("chunked")
+				.endsWith("\r\n\r\nbegin,end");
+		}
+
+		@Test
+		void anAnswerThatIsBrokenOffIsReset() {
+			assertThatExceptionOfType(SocketException.class)
+				.isThrownBy(() -> exchange("GET /aborted HTTP/1.0\r\nHost: h\r\n\r\n"));
+		}
+
+	}
+
 }
