Read no further requests while many wait, instead of closing

A caller that sent 17 or more requests behind one that was in progress got no answer at all: its connection was closed, and the request that an endpoint was running was cut off (LOST).

Cause: the limit of pipelined requests closed the connection.

Why this works: at the limit, reading stops until a request has been started. What was decoded from the bytes that were read before is kept, at most one read of the socket. While reading stops, a disconnect of such a caller is noticed only when an answer is written.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -32,7 +32,8 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
 	/**
-	 * The number of pipelined requests that may wait for the answer to the current one.
+	 * No more is read while this number of pipelined requests wait for the answer to the
+	 * current one.
 	 */
 	private static final int MAX_PIPELINED = 16;
 
@@ -49,6 +50,8 @@
 
 	private boolean closing;
 
+	private boolean readingStopped;
+
 	private long idleSinceMs;
 
 	CallerConnection(CallerServer server) {
@@ -71,12 +74,8 @@
 			return;
 		}
 		if (!mayStart()) {
-			if (this.pipelined.size() >= MAX_PIPELINED) {
-				request.release();
-				context.close();
-				return;
-			}
 			this.pipelined.add(request);
+			updateReading();
 			return;
 		}
 		start(request);
@@ -149,7 +148,9 @@
 
 	private void startNext() {
 		if (mayStart() && !this.closing && !this.pipelined.isEmpty()) {
-			start(this.pipelined.poll());
+			FullHttpRequest next = this.pipelined.poll();
+			updateReading();
+			start(next);
 		}
 	}
 
@@ -169,7 +170,13 @@
 	}
 
 	void stopReading() {
-		this.context.channel().config().setAutoRead(false);
+		this.readingStopped = true;
+		updateReading();
+	}
+
+	private void updateReading() {
+		boolean reading = !this.readingStopped && this.pipelined.size() < MAX_PIPELINED;
+		this.context.channel().config().setAutoRead(reading);
 	}
 
 	void closeIfUnused() {
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerFramingTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerFramingTests.java
@@ -159,6 +159,12 @@
 			assertThat(received).startsWith("HTTP/1.1 200 ").contains(chunk("begin,") + chunk("end") + "0\r\n\r\n");
 		}
 
+		@Test
+		void allRequestsOfALongPipelineAreAnswered() throws Exception {
+			String received = exchange(GET_SLOW.repeat(20) + GET_LAST);
+			assertThat(statuses(received)).hasSize(21);
+		}
+
 		@ParameterizedTest
 		@ValueSource(strings = { "\0\1\2 / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost h\r\n\r\n",
 				"POST /post" + HOST + "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
