--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
  * The connection of one caller. Passes its requests to the handler one at a time, in
@@ -30,7 +32,8 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
 	/**
-	 * The number of pipelined requests that may wait for the answer to the current one.
+	 * No more is read while this number of pipelined requests wait for the answer to the
+	 * current one.
 	 */
 	private static final int MAX_PIPELINED = 16;
 
@@ -47,6 +50,8 @@
 
 	private boolean closing;
 
+	private boolean readingStopped;
+
 	private long idleSinceMs;
 
 	CallerConnection(CallerServer server) {
@@ -69,12 +74,8 @@
 			return;
 		}
 		if (!mayStart()) {
-			if (this.pipelined.size() >= MAX_PIPELINED) {
-				request.release();
-				context.close();
-				return;
-			}
 			this.pipelined.add(request);
+			updateReading();
 			return;
 		}
 		start(request);
@@ -89,11 +90,19 @@
 	private void start(FullHttpRequest request) {
 		Exchange exchange = new Exchange(request);
 		this.current = exchange;
+		boolean tooLarge = request.decoderResult().cause() instanceof TooLongHttpContentException;
+		if (tooLarge) {
+			request.release();
+			// A caller that waits for an interim answer may send the body or not, so the
+			// place of the next request is not known.
+			exchange.keepAlive &= !HttpUtil.is100ContinueExpected(request);
+			exchange.refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+			return;
+		}
 		if (request.decoderResult().isFailure() || isAmbiguous(request)) {
 			request.release();
 			exchange.keepAlive = false;
-			exchange.answer(HttpResponseStatus.BAD_REQUEST.code(),
-					DefaultHttpHeadersFactory.headersFactory().newHeaders(), Unpooled.EMPTY_BUFFER);
+			exchange.refuse(HttpResponseStatus.BAD_REQUEST);
 			return;
 		}
 		exchange.listener = this.server.handler().handle(request, exchange);
@@ -128,9 +137,20 @@
 		startNext();
 	}
 
+	/**
+	 * Returns whether a request waits for its answer or is being answered.
+	 * @return {@code true} if the next answer on the connection belongs to a request that
+	 * was read
+	 */
+	boolean hasRequests() {
+		return this.current != null || !this.pipelined.isEmpty();
+	}
+
 	private void startNext() {
 		if (mayStart() && !this.closing && !this.pipelined.isEmpty()) {
-			start(this.pipelined.poll());
+			FullHttpRequest next = this.pipelined.poll();
+			updateReading();
+			start(next);
 		}
 	}
 
@@ -150,7 +170,13 @@
 	}
 
 	void stopReading() {
-		this.context.channel().config().setAutoRead(false);
+		this.readingStopped = true;
+		updateReading();
+	}
+
+	private void updateReading() {
+		boolean reading = !this.readingStopped && this.pipelined.size() < MAX_PIPELINED;
+		this.context.channel().config().setAutoRead(reading);
 	}
 
 	void closeIfUnused() {
@@ -178,15 +204,22 @@
 
 		private boolean keepAlive;
 
+		private final boolean knowsChunks;
+
 		private boolean begun;
 
 		private CallerListener listener;
 
 		private Exchange(FullHttpRequest request) {
+			this.knowsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
 			this.isHead = request.method().equals(HttpMethod.HEAD);
 			this.keepAlive = HttpUtil.isKeepAlive(request);
 		}
 
+		private void refuse(HttpResponseStatus status) {
+			answer(status.code(), DefaultHttpHeadersFactory.headersFactory().newHeaders(), Unpooled.EMPTY_BUFFER);
+		}
+
 		@Override
 		public void answer(int status, HttpHeaders headers, ByteBuf body) {
 			if (this.begun) {
@@ -214,7 +247,14 @@
 			this.begun = true;
 			HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
 			response.headers().set(headers);
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+			if (this.knowsChunks) {
+				response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+			}
+			else {
+				// The end of the connection ends the body, so any other end is a reset.
+				this.keepAlive = false;
+				resetOnClose(true);
+			}
 			setConnection(response);
 			CallerConnection.this.context.write(response);
 		}
@@ -236,6 +276,9 @@
 		@Override
 		public void end() {
 			if (!isFinished()) {
+				if (!this.knowsChunks) {
+					resetOnClose(false);
+				}
 				write(LastHttpContent.EMPTY_LAST_CONTENT, true);
 			}
 		}
@@ -248,6 +291,10 @@
 			}
 		}
 
+		private void resetOnClose(boolean reset) {
+			CallerConnection.this.context.channel().config().setOption(ChannelOption.SO_LINGER, (reset) ? 0 : -1);
+		}
+
 		private boolean isFinished() {
 			return CallerConnection.this.current != this;
 		}
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -484,7 +484,10 @@
 			String address = this.endpoint.record().address();
 			FullHttpRequest http = httpRequest(nowMs);
 			EndpointPool pool = flow.services.pool();
-			this.running = (flow.calledAddresses.add(address)) ? pool.send(address, http, this)
+			// A late answer to an earlier call of the connection would fit a request
+			// without an id.
+			boolean onAnyConnection = flow.calledAddresses.add(address) && !attemptId().isEmpty();
+			this.running = (onAnyConnection) ? pool.send(address, http, this)
 					: pool.sendOnNewConnection(address, http, this);
 			this.timer.start();
 			if (!flow.exchange.isWritable()) {
@@ -591,6 +594,9 @@
 		@Override
 		public boolean received(ByteBuf content) {
 			this.receivedBytes += content.readableBytes();
+			if (hasForeignBody()) {
+				return false;
+			}
 			if (this.buffered != null) {
 				this.buffered.addComponent(true, Unpooled.copiedBuffer(content));
 				return Math.max(this.statedBytes, this.buffered.readableBytes()) <= MAX_ANSWER_BYTES
@@ -606,6 +612,10 @@
 					&& this.memory.hold(heldBytes);
 		}
 
+		private boolean hasForeignBody() {
+			return this.answer.isSuccess() && this.answer.encoded();
+		}
+
 		private void recordFirstEvent() {
 			if (!this.firstEventReceived) {
 				this.firstEventReceived = true;
@@ -652,9 +662,9 @@
 
 		private void endedBuffered(long nowMs) {
 			RequestFlow flow = RequestFlow.this;
-			boolean signed = !this.answer.isSuccess() || this.answer.signed();
-			if (!signed || flow.stream.hasBegun()) {
-				logFault((signed) ? AnswerFault.NO_STREAM : AnswerFault.NOT_SIGNED);
+			AnswerFault fault = fault();
+			if (fault != null) {
+				logFault(fault);
 				this.endpoint.failed(false, nowMs);
 				flow.callFailed(this, CallFailure.WRONG_ANSWER);
 				return;
@@ -691,6 +701,17 @@
 			flow.done(this, this.answer.status());
 		}
 
+		// Why the answer is not forwarded; null if it is.
+		private AnswerFault fault() {
+			if (this.answer.isSuccess() && !this.answer.signed()) {
+				return AnswerFault.NOT_SIGNED;
+			}
+			if (hasForeignBody()) {
+				return AnswerFault.BODY_REFUSED;
+			}
+			return (RequestFlow.this.stream.hasBegun()) ? AnswerFault.NO_STREAM : null;
+		}
+
 		private void logFault(AnswerFault fault) {
 			EventLog.state("answer_fault")
 				.with("request", attemptId())
