Give a leaving endpoint no new work from its first answer that says so

Cause: an endpoint that leaves says so in its answers (Server-Leaving: 1), often before its record in the store says it. The header was not read, so requests, stage calls and resumed streams went on to it until the record arrived.

Change: EndpointAnswer carries the header of each head that is read, also of answers that are skipped or rejected. EndpointDirectory keeps the announcement by name and start time of the process, also after the endpoint was removed, so that no later, older or relayed record takes it back; a later process starts clean. Unavailability lists the reasons why an endpoint gets no new work. A request whose connection is still being opened is withdrawn. A request is refused at once when all endpoints of a service that it needs announced it, waiting work items fail at once, and results at a leaving endpoint are no longer released there. One log line when an endpoint is set aside and one when it is back; a gauge by reason.

--- a/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
@@ -104,6 +104,18 @@
 		return this.waiting.remove(item) || this.late.remove(item);
 	}
 
+	/**
+	 * Removes all waiting work items, including late ones.
+	 * @return the work items
+	 */
+	public List<WorkItem> removeAll() {
+		List<WorkItem> removed = new ArrayList<>(this.waiting);
+		removed.addAll(this.late);
+		this.waiting.clear();
+		this.late.clear();
+		return removed;
+	}
+
 	/**
 	 * Returns the number of waiting work items, including late ones.
 	 * @return the number of work items
--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The state of an endpoint as seen by this entry VM: its record in the store, the
@@ -32,6 +33,8 @@
 
 	private EndpointRecord record;
 
+	private EndpointNotice notice;
+
 	private long coldUntilMs = Long.MIN_VALUE;
 
 	private long removeAtMs = Long.MAX_VALUE;
@@ -45,6 +48,11 @@
 	private long busyUntilMs = Long.MIN_VALUE;
 
 	Endpoint(EndpointRecord record, long nowMs) {
+		this(record, EndpointNotice.NONE, nowMs);
+	}
+
+	Endpoint(EndpointRecord record, EndpointNotice notice, long nowMs) {
+		this.notice = notice;
 		update(record, nowMs);
 	}
 
@@ -72,13 +80,43 @@
 		this.removeAtMs = Math.min(this.removeAtMs, removeAtMs);
 	}
 
+	boolean isRemoved(long nowMs) {
+		return nowMs >= this.removeAtMs;
+	}
+
+	EndpointNotice notice() {
+		return this.notice;
+	}
+
+	void notice(EndpointNotice newNotice) {
+		this.notice = newNotice;
+	}
+
+	/**
+	 * Returns why the endpoint gets no new work.
+	 * @param nowMs the current time in milliseconds
+	 * @return the reason, or empty if it may get new work
+	 */
+	public Optional<Unavailability> unavailability(long nowMs) {
+		return Unavailability.of(this, nowMs);
+	}
+
 	/**
 	 * Returns whether new work may be sent to the endpoint.
 	 * @param nowMs the current time in milliseconds
-	 * @return {@code true} if it is neither draining nor removed
+	 * @return {@code true} if no reason against it applies
 	 */
 	public boolean isAvailable(long nowMs) {
-		return !this.record.draining() && nowMs < this.removeAtMs;
+		return unavailability(nowMs).isEmpty();
+	}
+
+	/**
+	 * Returns whether the endpoint announced in an answer that it wants no new work.
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if it did, also if its record is another reason
+	 */
+	public boolean isSetAside(long nowMs) {
+		return Unavailability.isAnnounced(this, nowMs);
 	}
 
 	/**
--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -1,8 +1,10 @@
 package org.fulmargap.placement;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,8 +22,22 @@
 	 */
 	public static final long LAPSE_GRACE_MS = 1_000;
 
+	/**
+	 * The number of endpoints whose notices are remembered, those that were deleted
+	 * included. An endpoint that is known keeps its notice beyond that.
+	 */
+	private static final int MAX_NOTICES = 16_384;
+
 	private final Map<String, Endpoint> byId = new HashMap<>();
 
+	// A deleted endpoint may be listed again by an older record of its process.
+	private final Map<String, EndpointNotice> notices = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, EndpointNotice> eldest) {
+			return size() > MAX_NOTICES;
+		}
+	};
+
 	private final Map<String, List<Endpoint>> byService = new HashMap<>();
 
 	private Set<String> evacuatedDomains = Set.of();
@@ -35,7 +51,7 @@
 	public Change put(EndpointRecord record, long nowMs) {
 		Endpoint known = this.byId.get(record.id());
 		if (known == null) {
-			Endpoint added = new Endpoint(record, nowMs);
+			Endpoint added = new Endpoint(record, this.notices.getOrDefault(record.id(), EndpointNotice.NONE), nowMs);
 			this.byId.put(record.id(), added);
 			list(record.service()).add(added);
 			return Change.ADDED;
@@ -72,7 +88,7 @@
 	 */
 	public void purge(long nowMs) {
 		for (Endpoint endpoint : List.copyOf(this.byId.values())) {
-			boolean removable = !endpoint.isAvailable(nowMs) && !endpoint.record().draining();
+			boolean removable = endpoint.isRemoved(nowMs) && !endpoint.record().draining();
 			if (removable && endpoint.ownInFlight() == 0) {
 				this.byId.remove(endpoint.record().id());
 				list(endpoint.record().service()).remove(endpoint);
@@ -126,6 +142,74 @@
 		return endpoint.isAvailable(nowMs) && !this.evacuatedDomains.contains(endpoint.record().failureDomain());
 	}
 
+	/**
+	 * Records that a process of an endpoint said that it is leaving. It gets no new work
+	 * any more, whatever its record says.
+	 * @param process the process
+	 */
+	public void recordLeaving(EndpointProcess process) {
+		add(process.endpoint(), EndpointNotice.leaving(process.startedAtMs()));
+	}
+
+	private void add(String id, EndpointNotice notice) {
+		Endpoint known = this.byId.get(id);
+		EndpointNotice earlier = (known != null) ? known.notice() : this.notices.getOrDefault(id, EndpointNotice.NONE);
+		EndpointNotice newest = earlier.plus(notice);
+		this.notices.put(id, newest);
+		if (known != null) {
+			known.notice(newest);
+		}
+	}
+
+	/**
+	 * Returns the processes of listed endpoints that said that they are leaving, other
+	 * than those that are also draining by their record.
+	 * @param nowMs the current time in milliseconds
+	 * @return the processes
+	 */
+	public Set<EndpointProcess> leaving(long nowMs) {
+		Set<EndpointProcess> leaving = new HashSet<>();
+		setAside(nowMs).forEach((endpoint, reason) -> {
+			if (reason == Unavailability.LEAVING) {
+				leaving.add(new EndpointProcess(endpoint.record().id(), endpoint.notice().startedAtMs()));
+			}
+		});
+		return leaving;
+	}
+
+	/**
+	 * Returns the listed endpoints that get no new work because they announced it.
+	 * @param nowMs the current time in milliseconds
+	 * @return the reason of each of these endpoints
+	 */
+	public Map<Endpoint, Unavailability> setAside(long nowMs) {
+		Map<Endpoint, Unavailability> setAside = new HashMap<>();
+		for (Endpoint endpoint : this.byId.values()) {
+			endpoint.unavailability(nowMs)
+				.filter(Unavailability::isAnnounced)
+				.ifPresent((reason) -> setAside.put(endpoint, reason));
+		}
+		return setAside;
+	}
+
+	/**
+	 * Returns whether a service gets no work because its endpoints announced it.
+	 * @param service the name of the service
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if none of its endpoints is available and one of them is set
+	 * aside
+	 */
+	public boolean isSetAside(String service, long nowMs) {
+		boolean setAside = false;
+		for (Endpoint endpoint : this.byService.getOrDefault(service, List.of())) {
+			if (mayUse(endpoint, nowMs)) {
+				return false;
+			}
+			setAside |= endpoint.isSetAside(nowMs);
+		}
+		return setAside;
+	}
+
 	/**
 	 * Returns the endpoint of a name.
 	 * @param id the name of the endpoint
@@ -135,6 +219,18 @@
 		return Optional.ofNullable(this.byId.get(id));
 	}
 
+	/**
+	 * Returns the endpoint at an address, which may have belonged to others before.
+	 * @param address the address as {@code IP:port}
+	 * @return the endpoint that started last, or empty if none has the address
+	 */
+	public Optional<Endpoint> findByAddress(String address) {
+		return this.byId.values()
+			.stream()
+			.filter((endpoint) -> endpoint.record().address().equals(address))
+			.max(Comparator.comparingLong((endpoint) -> endpoint.record().startedAtMs()));
+	}
+
 	/**
 	 * Returns all known endpoints, including draining and removed ones.
 	 * @return the endpoints
--- a/entry/src/main/java/org/fulmargap/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMetrics.java
@@ -4,14 +4,16 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SettableGauge;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
 
 /**
- * Counters of this process since its start and latencies of the last minute. Safe for use
- * by several threads.
+ * Counters of this process since its start, gauges, and latencies of the last minute.
+ * Safe for use by several threads.
  */
 public final class EntryMetrics {
 
@@ -40,6 +42,15 @@
 		this.registry.counter(name).inc(number);
 	}
 
+	/**
+	 * Sets the value of a gauge.
+	 * @param name the name of the gauge, with its labels
+	 * @param value the value
+	 */
+	public void gauge(String name, int value) {
+		this.registry.<SettableGauge<Integer>>gauge(name, DefaultSettableGauge::new).setValue(value);
+	}
+
 	/**
 	 * Adds a duration to a timer.
 	 * @param name the name of the timer
@@ -52,7 +63,7 @@
 	}
 
 	/**
-	 * Returns all counters and timers in the text format of Prometheus.
+	 * Returns all counters, gauges and timers in the text format of Prometheus.
 	 * @return one line with the name and the value of each
 	 */
 	public String text() {
@@ -60,6 +71,7 @@
 		for (Map.Entry<String, Counter> counter : this.registry.getCounters().entrySet()) {
 			appendLine(text, counter.getKey() + "_total", counter.getValue().getCount());
 		}
+		this.registry.getGauges().forEach((name, gauge) -> appendLine(text, name, gauge.getValue()));
 		for (Map.Entry<String, Timer> timer : this.registry.getTimers().entrySet()) {
 			Snapshot snapshot = timer.getValue().getSnapshot();
 			for (double quantile : QUANTILES) {
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -81,6 +81,9 @@
 
 	private final EntryMetrics metrics = new EntryMetrics();
 
+	private final SetAsideEndpoints setAside = new SetAsideEndpoints(this.loop, this.clockMs, this.view.directory(),
+			this.metrics);
+
 	private final CrashQuarantine quarantine = new CrashQuarantine(MAX_FINGERPRINTS, CRASHES_TO_QUARANTINE);
 
 	private final PromptPartQuarantine promptParts = new PromptPartQuarantine();
@@ -119,14 +122,14 @@
 		SharedRetryBudget retries = new SharedRetryBudget(settings.retryRatio(), settings.retrySlack(),
 				settings.retryWindowMs());
 		this.dispatcher = new StageCallDispatcher(this.loop, this.clockMs, this.view, pool, retries,
-				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.metrics);
+				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.setAside, this.metrics);
 		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
 		OpenRequests openRequests = new OpenRequests();
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine,
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
-				new CallerTimes(), openRequests, this.metrics);
+				new CallerTimes(), openRequests, this.setAside, this.metrics);
 		RequestRouter router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, router);
 		this.store = new StoreClient(settings.storeAddress());
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
@@ -8,6 +8,9 @@
 	/** The connection could not be opened, so nothing was sent. */
 	NOT_CONNECTED(false),
 
+	/** The endpoint was set aside before the request was sent. */
+	WITHDRAWN(false),
+
 	/** The endpoint answered that it has not run the request. */
 	REFUSED(false),
 
@@ -39,7 +42,15 @@
 	 * @return {@code false} if nothing was sent
 	 */
 	public boolean mayHaveArrived() {
-		return this != NOT_CONNECTED;
+		return this != NOT_CONNECTED && this != WITHDRAWN;
+	}
+
+	/**
+	 * Returns whether the endpoint is at fault.
+	 * @return {@code false} if it was set aside meanwhile or refused the call
+	 */
+	public boolean isFault() {
+		return this != WITHDRAWN && this != REFUSED;
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
@@ -18,6 +18,23 @@
 	 */
 	String attemptId();
 
+	/**
+	 * Returns whether the request may still be sent, asked when its connection is open.
+	 * @return {@code false} if it must not be sent any more; the call then fails as
+	 * {@link CallFailure#WITHDRAWN}
+	 */
+	default boolean maySend() {
+		return true;
+	}
+
+	/**
+	 * Receives the status and headers of each answer that the endpoint sends during the
+	 * call, those included that are then skipped or rejected.
+	 * @param answer the decoded status and headers
+	 */
+	default void headRead(EndpointAnswer answer) {
+	}
+
 	/**
 	 * Receives the status and headers of the answer.
 	 * @param answer the decoded status and headers
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -188,6 +188,7 @@
 			reject(AnswerFault.JOINED_HEADS);
 			return;
 		}
+		this.call.headRead(answer);
 		if (isFinal && lacksAttemptId(answer)) {
 			reject(AnswerFault.NO_ATTEMPT_ID);
 			return;
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -117,6 +117,11 @@
 				request.release();
 				call.failed(CallFailure.NOT_CONNECTED);
 			}
+			else if (!call.maySend()) {
+				request.release();
+				future.channel().close();
+				call.failed(CallFailure.WITHDRAWN);
+			}
 			else {
 				pending.connection = new EndpointConnection(this, address, future.channel());
 				future.channel().pipeline().addLast(new AnswerDecoder(pending.connection), pending.connection);
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -33,6 +33,8 @@
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.placement.Choice;
 import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.EndpointDirectory;
+import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.placement.Placement;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.RetryRule;
@@ -172,6 +174,10 @@
 			.schedule(this::deadlinePassed, this.deadlineAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
 		this.services.openRequests().add(this);
 		this.services.retryBudget().firstRequest(this.service.name(), this.arrivedAtMs);
+		if (isSetAside(this.arrivedAtMs)) {
+			refuseWithoutEndpoint();
+			return;
+		}
 		PipelineAdmission.ExpectedTimes expected = this.stageRun.estimate(this.services::availableEndpoints,
 				this.catalog, this.arrivedAtMs);
 		if (!isTimeFor(expected.stagesMs(), 1, this.arrivedAtMs)) {
@@ -182,6 +188,15 @@
 		}
 	}
 
+	// Whether a service that the request needs gets no work because its endpoints
+	// announced
+	// it. They may all be leaving for good, so the request does not wait for them.
+	private boolean isSetAside(long nowMs) {
+		EndpointDirectory directory = this.services.view().directory();
+		return directory.isSetAside(this.service.name(), nowMs)
+				|| this.stageRun.services().anyMatch((stage) -> directory.isSetAside(stage, nowMs));
+	}
+
 	// Whether the stages and then a number of runs, one after the other, can be done
 	// before this VM stops.
 	private boolean isTimeFor(double stagesMs, int runs, long nowMs) {
@@ -420,6 +435,9 @@
 
 		private final Choice choice;
 
+		// The record may change during the call.
+		private final EndpointRecord calledRecord;
+
 		private final long sentAtMs;
 
 		private final PromptEvidence promptEvidence;
@@ -456,6 +474,7 @@
 		private Call(Choice choice, long nowMs) {
 			this.choice = choice;
 			this.endpoint = choice.endpoint();
+			this.calledRecord = this.endpoint.record();
 			this.sentAtMs = nowMs;
 			RequestFlow flow = RequestFlow.this;
 			this.promptEvidence = new PromptEvidence(flow.services.promptParts(), flow.sharedParts);
@@ -552,6 +571,16 @@
 			return RequestFlow.this.request.attemptId();
 		}
 
+		@Override
+		public boolean maySend() {
+			return !this.endpoint.isSetAside(RequestFlow.this.services.nowMs());
+		}
+
+		@Override
+		public void headRead(EndpointAnswer newAnswer) {
+			RequestFlow.this.services.setAside().headRead(this.calledRecord, newAnswer);
+		}
+
 		@Override
 		public void answered(EndpointAnswer newAnswer, HttpResponse newHead) {
 			this.answer = newAnswer;
@@ -728,7 +757,9 @@
 			close();
 			RequestFlow flow = RequestFlow.this;
 			long nowMs = flow.services.nowMs();
-			this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
+			if (failure.isFault()) {
+				this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
+			}
 			// A crash may also end an answer that has neither a length nor chunks.
 			if (failure == CallFailure.CONNECTION_LOST || failure == CallFailure.STREAM_CUT) {
 				this.promptEvidence.connectionLost(this.endpoint.record(), nowMs);
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -7,6 +7,7 @@
 import org.fulmargap.batch.AvailableEndpoints;
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.SetAsideEndpoints;
 import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.peer.PeerMessage;
@@ -36,13 +37,14 @@
  * @param runTimes the duration of the runs of each route
  * @param callerTimes the longest time that callers of each route allow
  * @param openRequests the requests that are not answered yet
+ * @param setAside the endpoints that announced that they want no new work
  * @param metrics counters and latencies
  */
 public record RequestServices(EventLoop loop, LongSupplier clockMs, StoreView view, Placement placement,
 		SharedRetryBudget retryBudget, CrashQuarantine quarantine, PromptPartWatch promptParts, EndpointPool pool,
 		StageClient stages, AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers,
 		ServiceTimes serviceTimes, RunTimes runTimes, CallerTimes callerTimes, OpenRequests openRequests,
-		EntryMetrics metrics) {
+		SetAsideEndpoints setAside, EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and probes the endpoint to find out
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -135,6 +135,14 @@
 				this.promptMs);
 	}
 
+	/**
+	 * Returns the services of the stages in which the request has work items.
+	 * @return the names of the services
+	 */
+	Stream<String> services() {
+		return this.stages.stream().filter((stage) -> !stage.isOmitted()).map(StageProgress::service);
+	}
+
 	private int depth(int index) {
 		int longest = 0;
 		for (int dependency : this.stages.get(index).spec().dependencies()) {
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -24,12 +24,14 @@
 import org.fulmargap.catalog.ServiceSpec;
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.SetAsideEndpoints;
 import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.endpoint.AnswerMemory;
 import org.fulmargap.entry.endpoint.CallFailure;
 import org.fulmargap.entry.endpoint.EndpointCall;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.placement.SharedRetryBudget;
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.MalformedRecordException;
@@ -107,6 +109,8 @@
 
 	private final IntSupplier vmCount;
 
+	private final SetAsideEndpoints setAside;
+
 	private final EntryMetrics metrics;
 
 	private final Map<String, ServiceQueue> queues = new HashMap<>();
@@ -123,16 +127,18 @@
 	 * @param pool connections to endpoints
 	 * @param retryBudget this VM's share of the retry budget
 	 * @param vmCount the number of entry VMs that share the retry budget
+	 * @param setAside the endpoints that announced that they want no new work
 	 * @param metrics counters and latencies
 	 */
 	public StageCallDispatcher(EventLoop loop, LongSupplier clockMs, StoreView view, EndpointPool pool,
-			SharedRetryBudget retryBudget, IntSupplier vmCount, EntryMetrics metrics) {
+			SharedRetryBudget retryBudget, IntSupplier vmCount, SetAsideEndpoints setAside, EntryMetrics metrics) {
 		this.loop = loop;
 		this.clockMs = clockMs;
 		this.view = view;
 		this.pool = pool;
 		this.retryBudget = retryBudget;
 		this.vmCount = vmCount;
+		this.setAside = setAside;
 		this.metrics = metrics;
 	}
 
@@ -249,10 +255,16 @@
 	}
 
 	private void sendFreeCalls() {
+		long nowMs = this.clockMs.getAsLong();
 		Map<String, List<String>> freed = Map.copyOf(this.releasedByAddress);
 		this.releasedByAddress.clear();
 		freed.forEach((address, handles) -> {
-			if (AddressFormat.isHostAddress(address)) {
+			boolean setAside = this.view.directory()
+				.findByAddress(address)
+				.filter((endpoint) -> endpoint.isSetAside(nowMs))
+				.isPresent();
+			// An endpoint that leaves gets no further results that would need the space.
+			if (!setAside && AddressFormat.isHostAddress(address)) {
 				new FreeCall(address, handles).send();
 			}
 		});
@@ -314,6 +326,10 @@
 			if (this.scheduler.waitingCount() == 0) {
 				return;
 			}
+			if (StageCallDispatcher.this.view.directory().isSetAside(this.service, nowMs)) {
+				refuseAll();
+				return;
+			}
 			List<Endpoint> available = StageCallDispatcher.this.view.directory().available(this.service, nowMs);
 			for (WorkItem expired : this.scheduler.expire(available.size(), nowMs)) {
 				StageCallDispatcher.this.metrics.count("pieces_expired");
@@ -334,6 +350,13 @@
 			release(this.scheduler.evict(nowMs));
 		}
 
+		// All endpoints may be leaving for good, so no work item waits for them.
+		private void refuseAll() {
+			List<WorkItem> refused = this.scheduler.removeAll();
+			EventLog.state("pieces_refused").with("service", this.service).with("pieces", refused.size()).write();
+			refused.forEach((item) -> finish(item, WorkItemOutcome.failed(item.itemId())));
+		}
+
 		private void send(StageCall call, long nowMs) {
 			call.items().forEach((item) -> this.pendingItems.get(item).calls++);
 			StageCallDispatcher.this.metrics.count("stage_calls");
@@ -422,6 +445,9 @@
 
 		private final StageCall call;
 
+		// The record may change during the call.
+		private final EndpointRecord calledRecord;
+
 		private final long startedAtMs;
 
 		private final ByteBuf body = Unpooled.buffer(512);
@@ -439,6 +465,7 @@
 		private RunningCall(ServiceQueue queue, StageCall call, long startedAtMs) {
 			this.queue = queue;
 			this.call = call;
+			this.calledRecord = call.endpoint().record();
 			this.startedAtMs = startedAtMs;
 		}
 
@@ -447,6 +474,16 @@
 			return "";
 		}
 
+		@Override
+		public boolean maySend() {
+			return !this.call.endpoint().isSetAside(StageCallDispatcher.this.clockMs.getAsLong());
+		}
+
+		@Override
+		public void headRead(EndpointAnswer newAnswer) {
+			StageCallDispatcher.this.setAside.headRead(this.calledRecord, newAnswer);
+		}
+
 		@Override
 		public void answered(EndpointAnswer newAnswer, HttpResponse head) {
 			this.answer = newAnswer;
@@ -547,7 +584,9 @@
 		@Override
 		public void failed(CallFailure failure) {
 			long nowMs = close();
-			this.call.endpoint().failed(true, nowMs);
+			if (failure.isFault()) {
+				this.call.endpoint().failed(true, nowMs);
+			}
 			retryAll(failure.name(), failure.mayHaveRun(), nowMs);
 			this.queue.scheduleDispatch();
 		}
@@ -637,6 +676,11 @@
 			return "";
 		}
 
+		@Override
+		public void headRead(EndpointAnswer newAnswer) {
+			StageCallDispatcher.this.setAside.headRead(this.address, newAnswer);
+		}
+
 		@Override
 		public void answered(EndpointAnswer newAnswer, HttpResponse head) {
 			this.answer = newAnswer;
--- a/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -10,6 +10,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.entry.EntryMetrics;
+import org.fulmargap.entry.SetAsideEndpoints;
 import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.peer.PeerMessage;
@@ -70,7 +71,7 @@
 		EntryMetrics metrics = new EntryMetrics();
 		StageCallDispatcher dispatcher = new StageCallDispatcher(this.loop, System::currentTimeMillis, view,
 				new EndpointPool(this.loop, System::currentTimeMillis), new SharedRetryBudget(0.2, 54, 10_000), () -> 1,
-				metrics);
+				new SetAsideEndpoints(this.loop, System::currentTimeMillis, view.directory(), metrics), metrics);
 		FleetMember own = new FleetMember("vm-0", "127.0.0.1:1", "a", 1);
 		this.client = new StageClient(this.loop, dispatcher,
 				new PeerNetwork(own, 1, this.loop, System::currentTimeMillis, metrics));
