Send an endpoint nothing for the time that it asks for with status 503

Cause: an endpoint that turns a request away with 503 and Retry-After was called again after 40 ms (60 ms for stage calls), and a 503 without the statement that nothing was run counted as its fault.

Change: EndpointAnswer carries the time, for status 503 only: whole seconds and fractions, rounded up to milliseconds; 0 asks for nothing; negative and malformed values and dates count as absent; EndpointHeaders.MAX_REST_MS bounds it. Unavailability.RESTING leaves the endpoint out until then, for that process, on this VM. It is no failure of the endpoint. If all endpoints of a service rest, the request is refused at once with the earliest end; callers are spread over half of that time after it, and half a second at least. A rest goes on while the machine is suspended: SuspendedTime compares the steady clock with the kernel's uptime.

--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -151,6 +151,48 @@
 		add(process.endpoint(), EndpointNotice.leaving(process.startedAtMs()));
 	}
 
+	/**
+	 * Records that a process of an endpoint asked this VM to send nothing for some time.
+	 * An earlier request for a longer time stays in force.
+	 * @param process the process
+	 * @param untilMs the end of that time, in milliseconds
+	 */
+	public void recordRest(EndpointProcess process, long untilMs) {
+		add(process.endpoint(), EndpointNotice.resting(process.startedAtMs(), untilMs));
+	}
+
+	/**
+	 * Records that the clock of this VM stood still. The endpoints' rest goes on in the
+	 * meantime.
+	 * @param suspendedMs how long it stood still, in milliseconds
+	 */
+	public void recordSuspension(long suspendedMs) {
+		this.notices.replaceAll((id, notice) -> notice.afterSuspension(suspendedMs));
+		this.byId.values().forEach((endpoint) -> endpoint.notice(endpoint.notice().afterSuspension(suspendedMs)));
+	}
+
+	/**
+	 * Returns how long it takes until an endpoint of a service has rested.
+	 * @param service the name of the service
+	 * @param nowMs the current time in milliseconds
+	 * @return the shortest time in milliseconds, or 0 if an endpoint is available or none
+	 * will be after its rest
+	 */
+	public long restMs(String service, long nowMs) {
+		long shortestMs = Long.MAX_VALUE;
+		for (Endpoint endpoint : this.byService.getOrDefault(service, List.of())) {
+			boolean evacuated = this.evacuatedDomains.contains(endpoint.record().failureDomain());
+			Unavailability reason = endpoint.unavailability(nowMs).orElse(null);
+			if (reason == null && !evacuated) {
+				return 0;
+			}
+			if (reason == Unavailability.RESTING && !evacuated) {
+				shortestMs = Math.min(shortestMs, endpoint.notice().restUntilMs() - nowMs);
+			}
+		}
+		return (shortestMs != Long.MAX_VALUE) ? shortestMs : 0;
+	}
+
 	private void add(String id, EndpointNotice notice) {
 		Endpoint known = this.byId.get(id);
 		EndpointNotice earlier = (known != null) ? known.notice() : this.notices.getOrDefault(id, EndpointNotice.NONE);
--- a/core/src/main/java/org/fulmargap/placement/EndpointNotice.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointNotice.java
@@ -6,14 +6,19 @@
  *
  * @param startedAtMs when the process started, in milliseconds since the epoch
  * @param leaving whether it said that it is leaving
+ * @param restUntilMs the time until which it wants no work of this VM, in milliseconds
  */
-record EndpointNotice(long startedAtMs, boolean leaving) {
+record EndpointNotice(long startedAtMs, boolean leaving, long restUntilMs) {
 
 	/** Nothing was announced. */
-	static final EndpointNotice NONE = new EndpointNotice(Long.MIN_VALUE, false);
+	static final EndpointNotice NONE = new EndpointNotice(Long.MIN_VALUE, false, Long.MIN_VALUE);
 
 	static EndpointNotice leaving(long startedAtMs) {
-		return new EndpointNotice(startedAtMs, true);
+		return new EndpointNotice(startedAtMs, true, Long.MIN_VALUE);
+	}
+
+	static EndpointNotice resting(long startedAtMs, long restUntilMs) {
+		return new EndpointNotice(startedAtMs, false, restUntilMs);
 	}
 
 	/**
@@ -25,11 +30,30 @@
 		if (this.startedAtMs != other.startedAtMs) {
 			return (this.startedAtMs > other.startedAtMs) ? this : other;
 		}
-		return new EndpointNotice(this.startedAtMs, this.leaving || other.leaving);
+		return new EndpointNotice(this.startedAtMs, this.leaving || other.leaving,
+				Math.max(this.restUntilMs, other.restUntilMs));
+	}
+
+	/**
+	 * Counts a suspension as part of the rest.
+	 * @param suspendedMs how long the clock of this VM stood still, in milliseconds
+	 * @return the notice with an earlier end of the rest
+	 */
+	EndpointNotice afterSuspension(long suspendedMs) {
+		boolean rested = this.restUntilMs != Long.MIN_VALUE;
+		return (rested) ? new EndpointNotice(this.startedAtMs, this.leaving, this.restUntilMs - suspendedMs) : this;
 	}
 
 	boolean isLeaving(EndpointRecord record) {
-		return this.leaving && record.startedAtMs() <= this.startedAtMs;
+		return this.leaving && appliesTo(record);
+	}
+
+	boolean isResting(EndpointRecord record, long nowMs) {
+		return nowMs < this.restUntilMs && appliesTo(record);
+	}
+
+	private boolean appliesTo(EndpointRecord record) {
+		return record.startedAtMs() <= this.startedAtMs;
 	}
 
 }
--- a/core/src/main/java/org/fulmargap/placement/Unavailability.java
+++ b/core/src/main/java/org/fulmargap/placement/Unavailability.java
@@ -29,6 +29,14 @@
 		boolean applies(Endpoint endpoint, long nowMs) {
 			return endpoint.notice().isLeaving(endpoint.record());
 		}
+	},
+
+	/** It asked this VM in an answer to send nothing for some time. */
+	RESTING(true) {
+		@Override
+		boolean applies(Endpoint endpoint, long nowMs) {
+			return endpoint.notice().isResting(endpoint.record(), nowMs);
+		}
 	};
 
 	private final boolean announced;
--- a/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
+++ b/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
@@ -34,6 +34,8 @@
 
 	private final EntryMetrics metrics;
 
+	private final SuspendedTime suspendedTime;
+
 	private final Map<Endpoint, Unavailability> logged = new HashMap<>();
 
 	/**
@@ -47,7 +49,8 @@
 		this.clockMs = clockMs;
 		this.directory = directory;
 		this.metrics = metrics;
-		loop.scheduleWithFixedDelay(() -> check("record"), CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.suspendedTime = new SuspendedTime(SuspendedTime::uptimeMs, clockMs.getAsLong());
+		loop.scheduleWithFixedDelay(this::checkAgain, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -57,9 +60,27 @@
 	 * address
 	 */
 	public void headRead(EndpointRecord called, EndpointAnswer answer) {
+		if (!answer.leaving() && answer.restMs() <= 0) {
+			return;
+		}
+		sender(called, answer).ifPresent((process) -> record(process, answer));
+		check("answer");
+	}
+
+	private void record(EndpointProcess process, EndpointAnswer answer) {
 		if (answer.leaving()) {
-			sender(called, answer).ifPresent(this.directory::recordLeaving);
-			check("answer");
+			this.directory.recordLeaving(process);
+		}
+		if (answer.restMs() > 0) {
+			countSuspension();
+			this.directory.recordRest(process, this.clockMs.getAsLong() + answer.restMs());
+		}
+	}
+
+	private void countSuspension() {
+		long suspendedMs = this.suspendedTime.passedMs(this.clockMs.getAsLong());
+		if (suspendedMs > 0) {
+			this.directory.recordSuspension(suspendedMs);
 		}
 	}
 
@@ -91,6 +112,13 @@
 		}
 	}
 
+	private void checkAgain() {
+		if (this.logged.containsValue(Unavailability.RESTING)) {
+			countSuspension();
+		}
+		check("record");
+	}
+
 	private void check(String source) {
 		long nowMs = this.clockMs.getAsLong();
 		Map<Endpoint, Unavailability> current = this.directory.setAside(nowMs);
--- a/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -33,6 +33,12 @@
 	/** No endpoint accepts the request at present. */
 	NO_ENDPOINT(503, 300),
 
+	/**
+	 * All endpoints that could run the request asked for rest. The caller may retry after
+	 * the earliest end of it, not before.
+	 */
+	ENDPOINTS_RESTING(503, 0, RetryAfterSpread.AFTER),
+
 	/**
 	 * The stage services are so loaded that the response is expected to be late.
 	 * Admission computes the time after which the caller may retry instead of the one
@@ -56,9 +62,16 @@
 
 	private final long retryAfterMs;
 
+	private final RetryAfterSpread spread;
+
 	Refusal(int status, long retryAfterMs) {
+		this(status, retryAfterMs, RetryAfterSpread.AROUND);
+	}
+
+	Refusal(int status, long retryAfterMs, RetryAfterSpread spread) {
 		this.status = status;
 		this.retryAfterMs = retryAfterMs;
+		this.spread = spread;
 	}
 
 	int status() {
@@ -69,4 +82,8 @@
 		return this.retryAfterMs;
 	}
 
+	RetryAfterSpread spread() {
+		return this.spread;
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/request/RefusalAnswer.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RefusalAnswer.java
@@ -16,18 +16,6 @@
  */
 final class RefusalAnswer {
 
-	/**
-	 * The longest {@code Retry-After} before the random spread, as a share of the time
-	 * that the caller has left.
-	 */
-	private static final double MAX_RETRY_AFTER_SHARE = 0.25;
-
-	/**
-	 * The width of the random spread of {@code Retry-After}, as a share of its mean: 0.5
-	 * gives 0.75 to 1.25 times the mean.
-	 */
-	private static final double RETRY_AFTER_SPREAD = 0.5;
-
 	private static final double MS_PER_SECOND = 1_000;
 
 	private RefusalAnswer() {
@@ -44,17 +32,15 @@
 	static void send(CallerExchange exchange, Refusal refusal, long retryAfterMs, long leftMs) {
 		HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
 		if (retryAfterMs > 0) {
-			headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(retryAfterMs, leftMs));
+			headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(refusal.spread(), retryAfterMs, leftMs));
 		}
 		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 		ByteBuf body = Unpooled.copiedBuffer("{\"error\":\"" + refusal.name() + "\"}", StandardCharsets.UTF_8);
 		exchange.answer(refusal.status(), headers, body);
 	}
 
-	// The spread keeps callers that were refused together from retrying all at once.
-	private static String retryAfter(long retryAfterMs, long leftMs) {
-		double spread = 1 - RETRY_AFTER_SPREAD / 2 + RETRY_AFTER_SPREAD * ThreadLocalRandom.current().nextDouble();
-		double afterMs = Math.min(retryAfterMs, leftMs * MAX_RETRY_AFTER_SHARE) * spread;
+	private static String retryAfter(RetryAfterSpread spread, long retryAfterMs, long leftMs) {
+		double afterMs = spread.spreadMs(retryAfterMs, leftMs, ThreadLocalRandom.current().nextDouble());
 		return String.format(Locale.ROOT, "%.2f", afterMs / MS_PER_SECOND);
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -259,7 +260,16 @@
 	@Override
 	public void stageFailed(String stageService) {
 		EventLog.request("stage_failed", this.request.attemptId()).with("service", stageService).write();
-		refuse((this.services.openRequests().isStopping()) ? Refusal.STOPPING : Refusal.STAGE_FAILED);
+		long restMs = this.services.view().directory().restMs(stageService, this.services.nowMs());
+		if (this.services.openRequests().isStopping()) {
+			refuse(Refusal.STOPPING);
+		}
+		else if (restMs > 0) {
+			refuse(Refusal.ENDPOINTS_RESTING, restMs);
+		}
+		else {
+			refuse(Refusal.STAGE_FAILED);
+		}
 	}
 
 	private void dispatch() {
@@ -317,7 +327,26 @@
 	}
 
 	private void refuseWithoutEndpoint() {
-		refuse((this.runs > 0) ? Refusal.OUTCOME_UNKNOWN : Refusal.NO_ENDPOINT);
+		if (this.runs > 0) {
+			refuse(Refusal.OUTCOME_UNKNOWN);
+			return;
+		}
+		long restMs = restMs(this.services.nowMs());
+		if (restMs > 0) {
+			refuse(Refusal.ENDPOINTS_RESTING, restMs);
+		}
+		else {
+			refuse(Refusal.NO_ENDPOINT);
+		}
+	}
+
+	// The time until no service that the request needs rests any more.
+	private long restMs(long nowMs) {
+		EndpointDirectory directory = this.services.view().directory();
+		return Stream.concat(Stream.of(this.service.name()), this.stageRun.services())
+			.mapToLong((name) -> directory.restMs(name, nowMs))
+			.max()
+			.orElse(0);
 	}
 
 	private void refuse(Refusal refusal) {
@@ -696,7 +725,7 @@
 					.with("status", this.answer.status())
 					.with("after_ms", nowMs - this.sentAtMs)
 					.write();
-				this.endpoint.failed(false, nowMs);
+				recordError(nowMs);
 				flow.runs++;
 				flow.triedEndpoints.add(this.endpoint.record().id());
 				flow.dispatch();
@@ -704,7 +733,7 @@
 			}
 			flow.runs++;
 			if (this.answer.isServerError()) {
-				this.endpoint.failed(false, nowMs);
+				recordError(nowMs);
 			}
 			else {
 				succeeded(nowMs);
@@ -717,6 +746,12 @@
 			flow.done(this, this.answer.status());
 		}
 
+		private void recordError(long nowMs) {
+			if (!this.answer.asksForRest()) {
+				this.endpoint.failed(false, nowMs);
+			}
+		}
+
 		private void logFault(AnswerFault fault) {
 			EventLog.state("answer_fault")
 				.with("request", attemptId())
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -263,13 +263,24 @@
 				.findByAddress(address)
 				.filter((endpoint) -> endpoint.isSetAside(nowMs))
 				.isPresent();
-			// An endpoint that leaves gets no further results that would need the space.
-			if (!setAside && AddressFormat.isHostAddress(address)) {
+			// It wants no calls now, and its results expire.
+			if (setAside) {
+				logFreeFailed(address, handles, CallFailure.WITHDRAWN);
+			}
+			else if (AddressFormat.isHostAddress(address)) {
 				new FreeCall(address, handles).send();
 			}
 		});
 	}
 
+	private static void logFreeFailed(String address, List<String> handles, CallFailure failure) {
+		EventLog.state("free_failed")
+			.with("address", address)
+			.with("results", handles.size())
+			.with("reason", failure)
+			.write();
+	}
+
 	private void scheduleTick() {
 		if (!this.tickScheduled) {
 			this.tickScheduled = true;
@@ -509,7 +520,9 @@
 				refused(nowMs);
 			}
 			else {
-				this.call.endpoint().failed(true, nowMs);
+				if (!this.answer.asksForRest()) {
+					this.call.endpoint().failed(true, nowMs);
+				}
 				retryAll("status_" + this.answer.status(), true, nowMs);
 			}
 			return false;
@@ -711,11 +724,7 @@
 		@Override
 		public void failed(CallFailure failure) {
 			close();
-			EventLog.state("free_failed")
-				.with("address", this.address)
-				.with("results", this.handles.size())
-				.with("reason", failure)
-				.write();
+			logFreeFailed(this.address, this.handles, failure);
 		}
 
 		private void close() {
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -197,6 +197,10 @@
 		throw new IOException("no port is free", last);
 	}
 
+	String metrics(int vm) throws IOException, InterruptedException {
+		return send(get("127.0.0.1:" + this.metricsPorts.get(vm), "/metrics")).body();
+	}
+
 	private static HttpRequest.Builder get(String address, String path) {
 		return HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(Duration.ofMillis(TIMEOUT_MS));
 	}
