Tell the other VMs which endpoints are leaving

Cause: only the VM that had read Server-Leaving knew it; the others learned it from the endpoint's next answer to themselves, or from the store.

Change: the load report carries the processes that are leaving as long as their records don't say it, so it costs no message of its own. Hubs pass them on with the sums. Each VM repeats what it knows, so the loss of the VM that read the answer does not matter. Rest is not told: it is asked of one VM.

Measured: LeavingEndpointTests (two VMs, loss of the peer, 14 VMs with hubs), RestingEndpointTests, PeerCodecTests, LoadReportsTests, FleetTests, PeerNetworkTests and LogTableTests pass.

--- a/core/src/main/java/org/fulmargap/fleet/LoadReports.java
+++ b/core/src/main/java/org/fulmargap/fleet/LoadReports.java
@@ -3,10 +3,13 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.fulmargap.placement.EndpointProcess;
+
 /**
  * The newest load report of each VM from which this one receives heartbeats, and their
  * sums for those that rely on this VM. Confined to one thread.
@@ -56,6 +59,7 @@
 		Map<String, EndpointLoad> loads = new HashMap<>(own.loads());
 		Map<String, int[]> admitted = new HashMap<>();
 		Map<String, Map<String, Double>> available = new HashMap<>(own.availableEndpoints());
+		Set<EndpointProcess> leaving = new HashSet<>(own.leaving());
 		own.admittedItems().forEach((service, items) -> admitted.put(service, items.clone()));
 		for (String vm : vms) {
 			Received received = this.reports.get(vm);
@@ -66,8 +70,9 @@
 			report.loads().forEach((endpoint, load) -> loads.merge(endpoint, load, EndpointLoad::plus));
 			report.admittedItems().forEach((service, items) -> admitted.merge(service, items, LoadReports::add));
 			available.putAll(report.availableEndpoints());
+			leaving.addAll(report.leaving());
 		}
-		return new LoadReport(loads, admitted, available);
+		return new LoadReport(loads, admitted, available, leaving);
 	}
 
 	private static int[] add(int[] sum, int[] items) {
--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -146,9 +146,10 @@
 	 * Records that a process of an endpoint said that it is leaving. It gets no new work
 	 * any more, whatever its record says.
 	 * @param process the process
+	 * @return whether this was not known
 	 */
-	public void recordLeaving(EndpointProcess process) {
-		add(process.endpoint(), EndpointNotice.leaving(process.startedAtMs()));
+	public boolean recordLeaving(EndpointProcess process) {
+		return add(process.endpoint(), EndpointNotice.leaving(process.startedAtMs()));
 	}
 
 	/**
@@ -193,7 +194,7 @@
 		return (shortestMs != Long.MAX_VALUE) ? shortestMs : 0;
 	}
 
-	private void add(String id, EndpointNotice notice) {
+	private boolean add(String id, EndpointNotice notice) {
 		Endpoint known = this.byId.get(id);
 		EndpointNotice earlier = (known != null) ? known.notice() : this.notices.getOrDefault(id, EndpointNotice.NONE);
 		EndpointNotice newest = earlier.plus(notice);
@@ -201,6 +202,7 @@
 		if (known != null) {
 			known.notice(newest);
 		}
+		return !newest.equals(earlier);
 	}
 
 	/**
--- a/core/src/test/java/org/fulmargap/fleet/LoadReportsTests.java
+++ b/core/src/test/java/org/fulmargap/fleet/LoadReportsTests.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
+import org.fulmargap.placement.EndpointProcess;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -16,7 +18,8 @@
 
 	private static LoadReport report(String endpoint, int inFlight) {
 		return new LoadReport(Map.of(endpoint, new EndpointLoad(inFlight, 10L * inFlight)),
-				Map.of("stage", new int[] { inFlight, 0 }), Map.of("vm-" + inFlight, Map.of("stage", 2.0)));
+				Map.of("stage", new int[] { inFlight, 0 }), Map.of("vm-" + inFlight, Map.of("stage", 2.0)),
+				Set.of(new EndpointProcess(endpoint, inFlight)));
 	}
 
 	@Test
@@ -28,6 +31,7 @@
 		assertThat(sum.loads()).containsExactly(Map.entry("e", new EndpointLoad(13, 130)));
 		assertThat(sum.admittedItems().get("stage")).containsExactly(13, 0);
 		assertThat(sum.availableEndpoints()).containsOnlyKeys("vm-1", "vm-4", "vm-8");
+		assertThat(sum.leaving()).extracting(EndpointProcess::startedAtMs).containsExactlyInAnyOrder(1L, 4L, 8L);
 	}
 
 	@Test
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -251,6 +251,7 @@
 	public void reported(String peer, LoadReport report) {
 		long nowMs = this.clockMs.getAsLong();
 		this.admittedWork.recordReport(peer, report.admittedItems(), nowMs);
+		this.setAside.reportedLeaving(report.leaving());
 		report.availableEndpoints().forEach((vm, available) -> this.endpointReports.recordReport(vm, available, nowMs));
 		for (Endpoint endpoint : this.view.directory().all()) {
 			EndpointLoad load = report.loads().get(endpoint.record().id());
@@ -303,7 +304,8 @@
 						new EndpointLoad(endpoint.ownInFlight(), endpoint.ownPrefillTokens()));
 			}
 		}
-		return new LoadReport(loads, this.admittedWork.own(), Map.of(this.settings.vm(), available));
+		return new LoadReport(loads, this.admittedWork.own(), Map.of(this.settings.vm(), available),
+				this.view.directory().leaving(this.clockMs.getAsLong()));
 	}
 
 	@Override
--- a/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
+++ b/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
@@ -106,8 +106,11 @@
 	 * @param leaving their processes
 	 */
 	public void reportedLeaving(Collection<EndpointProcess> leaving) {
-		if (!leaving.isEmpty()) {
-			leaving.forEach(this.directory::recordLeaving);
+		boolean changed = false;
+		for (EndpointProcess process : leaving) {
+			changed |= this.directory.recordLeaving(process);
+		}
+		if (changed) {
 			check("peer");
 		}
 	}
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,6 +15,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.PromptPart;
 import org.fulmargap.platform.KeyedRecord;
@@ -86,6 +88,10 @@
 			out.packString(vm.getKey());
 			writeAvailable(out, vm.getValue());
 		}
+		out.packArrayHeader(report.leaving().size());
+		for (EndpointProcess process : report.leaving()) {
+			out.packString(process.endpoint()).packLong(process.startedAtMs());
+		}
 		out.packArrayHeader(heartbeat.nextOffsets().size());
 		for (long offset : heartbeat.nextOffsets()) {
 			out.packLong(offset);
@@ -339,7 +345,15 @@
 			available.put(in.unpackString(), readAvailable(in));
 		}
 		return new PeerMessage.Heartbeat(relation, draining, receiving, storeReached,
-				new LoadReport(loads, admitted, available), readOffsets(in));
+				new LoadReport(loads, admitted, available, readProcesses(in)), readOffsets(in));
+	}
+
+	private static Set<EndpointProcess> readProcesses(MessageUnpacker in) throws IOException {
+		Set<EndpointProcess> processes = new HashSet<>();
+		for (int i = readSize(in); i > 0; i--) {
+			processes.add(new EndpointProcess(in.unpackString(), in.unpackLong()));
+		}
+		return processes;
 	}
 
 	private static PeerRelation readRelation(MessageUnpacker in) throws IOException {
--- a/entry/src/test/java/org/fulmargap/entry/LeavingEndpointTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LeavingEndpointTests.java
@@ -271,4 +271,53 @@
 
 	}
 
+	@Nested
+	class Peers {
+
+		private static final int MANY_VMS = 14;
+
+		private EndpointStandIn leaving;
+
+		private void hearAt(int vm) throws Exception {
+			this.leaving = LeavingEndpointTests.this.installation.endpoint("core-1", "core");
+			this.leaving.leaving(true);
+			startVms(vm + 1);
+			assertThat(statusAt(vm)).isEqualTo(200);
+			Thread.sleep(SETTLE_MS);
+		}
+
+		private int statusAt(int vm) throws Exception {
+			return LeavingEndpointTests.this.installation
+				.send(LeavingEndpointTests.this.installation.attempt(vm, "/push/x"))
+				.statusCode();
+		}
+
+		@Test
+		void aVmLearnsOfItFromAnother() throws Exception {
+			hearAt(1);
+			assertThat(statusAt(0)).isEqualTo(503);
+			assertThat(this.leaving.arrivals()).isEqualTo(1);
+		}
+
+		@Test
+		void theLossOfAllPeersDoesNotTakeItBack() throws Exception {
+			hearAt(1);
+			LeavingEndpointTests.this.installation.vm(1).close();
+			Thread.sleep(2 * SETTLE_MS);
+			assertThat(statusAt(0)).isEqualTo(503);
+			assertThat(this.leaving.arrivals()).isEqualTo(1);
+		}
+
+		// From a member to its hub, to the other hubs and to their members.
+		@Test
+		void allVmsOfAFleetWithHubsLearnOfIt() throws Exception {
+			hearAt(MANY_VMS - 1);
+			for (int vm = 0; vm < MANY_VMS; vm++) {
+				assertThat(statusAt(vm)).as("VM %d", vm).isEqualTo(503);
+			}
+			assertThat(this.leaving.arrivals()).isEqualTo(1);
+		}
+
+	}
+
 }
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -11,6 +11,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.PromptPart;
 import org.fulmargap.platform.KeyedRecord;
@@ -61,12 +62,14 @@
 	@Test
 	void heartbeatsAreDecodedWithAllFields() throws IOException {
 		LoadReport report = new LoadReport(Map.of("e", new EndpointLoad(2, 900)),
-				Map.of("stage", new int[] { 1, 0, 2, 0 }), Map.of("vm-1", Map.of("stage", 2.5)));
+				Map.of("stage", new int[] { 1, 0, 2, 0 }), Map.of("vm-1", Map.of("stage", 2.5)),
+				Set.of(new EndpointProcess("e", 1_700_000_000_000L), new EndpointProcess("f", 0)));
 		PeerMessage.Heartbeat sent = new PeerMessage.Heartbeat(PeerRelation.MEMBER, true, false, true, report,
 				List.of(4L, -1L));
 		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(PeerCodec.encode(sent, 0), 0);
 		assertThat(received.report().loads()).isEqualTo(report.loads());
 		assertThat(received.report().availableEndpoints()).isEqualTo(report.availableEndpoints());
+		assertThat(received.report().leaving()).isEqualTo(report.leaving());
 		assertThat(received.relation()).isEqualTo(PeerRelation.MEMBER);
 		assertThat(received.draining()).isTrue();
 		assertThat(received.receiving()).isFalse();
