--- a/core/src/main/java/org/fulmargap/placement/Unavailability.java
+++ b/core/src/main/java/org/fulmargap/placement/Unavailability.java
@@ -1,5 +1,6 @@
 package org.fulmargap.placement;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -39,6 +40,8 @@
 		}
 	};
 
+	private static final List<Unavailability> ALL = List.of(values());
+
 	private final boolean announced;
 
 	Unavailability(boolean announced) {
@@ -56,7 +59,7 @@
 	}
 
 	static boolean isAnnounced(Endpoint endpoint, long nowMs) {
-		for (Unavailability reason : values()) {
+		for (Unavailability reason : ALL) {
 			if (reason.announced && reason.applies(endpoint, nowMs)) {
 				return true;
 			}
@@ -65,7 +68,7 @@
 	}
 
 	static Optional<Unavailability> of(Endpoint endpoint, long nowMs) {
-		for (Unavailability reason : values()) {
+		for (Unavailability reason : ALL) {
 			if (reason.applies(endpoint, nowMs)) {
 				return Optional.of(reason);
 			}
