--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -45,6 +45,8 @@
 
 	private final Channel channel;
 
+	private final AnswerDecoder decoder = new AnswerDecoder(this);
+
 	private EndpointCall call;
 
 	private boolean isHead;
@@ -54,6 +56,8 @@
 	// The newest one on this connection.
 	private EndpointAnswer answer;
 
+	private JoinedBody joinedBody;
+
 	private boolean requestWritten;
 
 	private boolean skipping;
@@ -74,6 +78,10 @@
 		this.channel = channel;
 	}
 
+	AnswerDecoder decoder() {
+		return this.decoder;
+	}
+
 	String address() {
 		return this.address;
 	}
@@ -125,11 +133,19 @@
 		this.channel.writeAndFlush(request).addListener((future) -> {
 			this.requestWritten = future.isSuccess();
 			if (!future.isSuccess()) {
-				fail(CallFailure.CONNECTION_LOST);
+				// A write may fail at once; the call fails after this method has
+				// returned.
+				this.channel.eventLoop().execute(() -> writeFailed(newCall));
 			}
 		});
 	}
 
+	private void writeFailed(EndpointCall failed) {
+		if (this.call == failed) {
+			fail(CallFailure.CONNECTION_LOST);
+		}
+	}
+
 	@Override
 	public void cancel() {
 		this.call = null;
@@ -184,6 +200,7 @@
 		EndpointAnswer answer = decode(head);
 		boolean isFinal = answer.status() >= FIRST_FINAL_STATUS;
 		this.answer = answer;
+		this.joinedBody = new JoinedBody(this.call.attemptId());
 		if (JoinedHeads.matches(head)) {
 			reject(AnswerFault.JOINED_HEADS);
 			return;
@@ -228,6 +245,11 @@
 	}
 
 	private void readContent(HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		if (this.joinedBody.add(content.content()) || (last && this.joinedBody.goesOnIn(this.decoder.unread()))) {
+			reject(AnswerFault.JOINED_BODY);
+			return;
+		}
 		if (this.skipping) {
 			this.skippedBytes += content.content().readableBytes();
 			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
@@ -239,7 +261,7 @@
 			reject(AnswerFault.BODY_REFUSED);
 			return;
 		}
-		if (content instanceof LastHttpContent && this.call != null) {
+		if (last && this.call != null) {
 			endCall();
 		}
 	}
