--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -211,6 +211,7 @@
 			reject(AnswerFault.SEVERAL_ATTEMPT_IDS);
 			return;
 		}
+		this.call.headRead(answer);
 		if (isFinal && lacksAttemptId(answer)) {
 			reject(AnswerFault.NO_ATTEMPT_ID);
 			return;
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -33,6 +34,8 @@
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.placement.Choice;
 import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.EndpointDirectory;
+import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.placement.Placement;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.RetryRule;
@@ -172,6 +175,10 @@
 			.schedule(this::deadlinePassed, this.deadlineAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
 		this.services.openRequests().add(this);
 		this.services.retryBudget().firstRequest(this.service.name(), this.arrivedAtMs);
+		if (isSetAside(this.arrivedAtMs)) {
+			refuseWithoutEndpoint();
+			return;
+		}
 		PipelineAdmission.ExpectedTimes expected = this.stageRun.estimate(this.services::availableEndpoints,
 				this.catalog, this.arrivedAtMs);
 		if (!isTimeFor(expected.stagesMs(), 1, this.arrivedAtMs)) {
@@ -182,6 +189,15 @@
 		}
 	}
 
+	// Whether a service that the request needs gets no work because its endpoints
+	// announced
+	// it. They may all be leaving for good, so the request does not wait for them.
+	private boolean isSetAside(long nowMs) {
+		EndpointDirectory directory = this.services.view().directory();
+		return directory.isSetAside(this.service.name(), nowMs)
+				|| this.stageRun.services().anyMatch((stage) -> directory.isSetAside(stage, nowMs));
+	}
+
 	// Whether the stages and then a number of runs, one after the other, can be done
 	// before this VM stops.
 	private boolean isTimeFor(double stagesMs, int runs, long nowMs) {
@@ -244,7 +260,16 @@
 	@Override
 	public void stageFailed(String stageService) {
 		EventLog.request("stage_failed", this.request.attemptId()).with("service", stageService).write();
-		refuse((this.services.openRequests().isStopping()) ? Refusal.STOPPING : Refusal.STAGE_FAILED);
+		long restMs = this.services.view().directory().restMs(stageService, this.services.nowMs());
+		if (this.services.openRequests().isStopping()) {
+			refuse(Refusal.STOPPING);
+		}
+		else if (restMs > 0) {
+			refuse(Refusal.ENDPOINTS_RESTING, restMs);
+		}
+		else {
+			refuse(Refusal.STAGE_FAILED);
+		}
 	}
 
 	private void dispatch() {
@@ -302,7 +327,26 @@
 	}
 
 	private void refuseWithoutEndpoint() {
-		refuse((this.runs > 0) ? Refusal.OUTCOME_UNKNOWN : Refusal.NO_ENDPOINT);
+		if (this.runs > 0) {
+			refuse(Refusal.OUTCOME_UNKNOWN);
+			return;
+		}
+		long restMs = restMs(this.services.nowMs());
+		if (restMs > 0) {
+			refuse(Refusal.ENDPOINTS_RESTING, restMs);
+		}
+		else {
+			refuse(Refusal.NO_ENDPOINT);
+		}
+	}
+
+	// The time until no service that the request needs rests any more.
+	private long restMs(long nowMs) {
+		EndpointDirectory directory = this.services.view().directory();
+		return Stream.concat(Stream.of(this.service.name()), this.stageRun.services())
+			.mapToLong((name) -> directory.restMs(name, nowMs))
+			.max()
+			.orElse(0);
 	}
 
 	private void refuse(Refusal refusal) {
@@ -420,6 +464,9 @@
 
 		private final Choice choice;
 
+		// The record may change during the call.
+		private final EndpointRecord calledRecord;
+
 		private final long sentAtMs;
 
 		private final PromptEvidence promptEvidence;
@@ -456,6 +503,7 @@
 		private Call(Choice choice, long nowMs) {
 			this.choice = choice;
 			this.endpoint = choice.endpoint();
+			this.calledRecord = this.endpoint.record();
 			this.sentAtMs = nowMs;
 			RequestFlow flow = RequestFlow.this;
 			this.promptEvidence = new PromptEvidence(flow.services.promptParts(), flow.sharedParts);
@@ -555,6 +603,16 @@
 			return RequestFlow.this.request.attemptId();
 		}
 
+		@Override
+		public boolean maySend() {
+			return !this.endpoint.isSetAside(RequestFlow.this.services.nowMs());
+		}
+
+		@Override
+		public void headRead(EndpointAnswer newAnswer) {
+			RequestFlow.this.services.setAside().headRead(this.calledRecord, newAnswer);
+		}
+
 		@Override
 		public void answered(EndpointAnswer newAnswer, HttpResponse newHead) {
 			this.answer = newAnswer;
@@ -680,7 +738,7 @@
 					.with("status", this.answer.status())
 					.with("after_ms", nowMs - this.sentAtMs)
 					.write();
-				this.endpoint.failed(false, nowMs);
+				recordError(nowMs);
 				flow.runs++;
 				flow.triedEndpoints.add(this.endpoint.record().id());
 				flow.dispatch();
@@ -688,7 +746,7 @@
 			}
 			flow.runs++;
 			if (this.answer.isServerError()) {
-				this.endpoint.failed(false, nowMs);
+				recordError(nowMs);
 			}
 			else {
 				succeeded(nowMs);
@@ -712,6 +770,12 @@
 			return (RequestFlow.this.stream.hasBegun()) ? AnswerFault.NO_STREAM : null;
 		}
 
+		private void recordError(long nowMs) {
+			if (!this.answer.asksForRest()) {
+				this.endpoint.failed(false, nowMs);
+			}
+		}
+
 		private void logFault(AnswerFault fault) {
 			EventLog.state("answer_fault")
 				.with("request", attemptId())
@@ -751,7 +815,9 @@
 			close();
 			RequestFlow flow = RequestFlow.this;
 			long nowMs = flow.services.nowMs();
-			this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
+			if (failure.isFault()) {
+				this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
+			}
 			// A crash may also end an answer that has neither a length nor chunks.
 			if (failure == CallFailure.CONNECTION_LOST || failure == CallFailure.STREAM_CUT) {
 				this.promptEvidence.connectionLost(this.endpoint.record(), nowMs);
