Accept heads that name a protocol beside an address, and bodies that quote a request

A status is followed by a space or the end of the line; in a joined head it always is, because the true status line is whole. CutCopyTests has the header and a body that quotes its request; the case got 502 before and 200 now. All cuts of the class are still recognised.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedHeads.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedHeads.java
@@ -13,7 +13,7 @@
  */
 final class JoinedHeads {
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}( |$)");
 
 	private JoinedHeads() {
 	}
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
@@ -17,7 +17,7 @@
 
 	private static final Set<String> EVENT_FIELDS = Set.of("data", "event", ID_FIELD, "retry");
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(\\s|$)");
 
 	private static final long NONE = -1;
 
--- a/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/CutCopyTests.java
@@ -195,6 +195,21 @@
 		}
 	}
 
+	@Test
+	void anAnswerMayNameItsProtocolAndQuoteItsRequest() throws Exception {
+		RawEndpointStandIn.Handler handler = (socket, request) -> {
+			String id = ScriptedAnswers.idHeader(request.attemptId());
+			RawEndpointStandIn.write(socket,
+					ScriptedAnswers.answer(OK, id + ScriptedAnswers.signature() + "Via: HTTP/1.1 192.168.0.1:8080\r\n",
+							"POST /push/x HTTP/1.1\r\n" + id + "\r\n"));
+			return true;
+		};
+		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(handler)) {
+			startVm(endpoint, "core");
+			assertThat(send("POST", "/push/x", "quoted").statusCode()).isEqualTo(OK);
+		}
+	}
+
 	@Test
 	void aSecondAnswerBehindAWholeOneDoesNotSpoilIt() throws Exception {
 		RawEndpointStandIn.Handler handler = (socket, request) -> {
