--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -189,9 +189,8 @@
 		}
 	}
 
-	// Whether a service that the request needs gets no work because its endpoints
-	// announced
-	// it. They may all be leaving for good, so the request does not wait for them.
+	// Whether all endpoints of a service that the request needs are leaving or rest, so
+	// that waiting for one of them could take until the deadline.
 	private boolean isSetAside(long nowMs) {
 		EndpointDirectory directory = this.services.view().directory();
 		return directory.isSetAside(this.service.name(), nowMs)
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -361,7 +361,7 @@
 			release(this.scheduler.evict(nowMs));
 		}
 
-		// All endpoints may be leaving for good, so no work item waits for them.
+		// All endpoints are leaving or rest: waiting could take until the deadline.
 		private void refuseAll() {
 			List<WorkItem> refused = this.scheduler.removeAll();
 			EventLog.state("pieces_refused").with("service", this.service).with("pieces", refused.size()).write();
