--- a/entry/src/test/java/org/fulmargap/entry/request/EventSequenceTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/request/EventSequenceTests.java
@@ -1,5 +1,6 @@
 package org.fulmargap.entry.request;
 
+import org.fulmargap.platform.standin.ScriptedAnswers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -64,7 +65,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "id: 1\ndata: tok", "id: 1\ndata: a\ndata:", "id: 1\nevent: e", "id: 1\r\ndata: tok" })
 	void anEventWithTheHeadOfAnotherAnswerIsNoEvent(String cutEvent) {
-		String head = "HTTP/1.1 200 OK\r\nX-Fulmargap-Attempt-Id: 1\r\nContent-Length: 4\r\n\r\n";
+		String head = "HTTP/1.1 200 OK\r\n" + ScriptedAnswers.idHeader("1") + "Content-Length: 4\r\n\r\n";
 		assertThat(this.sequence.accept(cutEvent + head)).isFalse();
 	}
 
