--- a/entry/src/test/java/org/fulmargap/entry/SecondAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/SecondAnswerTests.java
@@ -87,6 +87,8 @@
 
 		private final ExecutorService threads = Executors.newCachedThreadPool();
 
+		private final ProcessStalls stalls = new ProcessStalls();
+
 		private final AtomicInteger sent = new AtomicInteger();
 
 		private final AtomicInteger served = new AtomicInteger();
@@ -194,7 +196,8 @@
 			Map<String, String> mistakes = this.check.mistakes();
 			int secondAnswers = this.endpoints.stream().mapToInt(SecondAnswerStandIn::secondAnswers).sum();
 			String summary = "seed " + this.seed + ": " + this.sent + " requests, " + this.served + " served, "
-					+ secondAnswers + " second answers, " + mistakes.size() + " mistakes; " + this.outcomes;
+					+ secondAnswers + " second answers, " + mistakes.size() + " mistakes, longest stall of the process "
+					+ this.stalls.longestMs() + " ms; " + this.outcomes;
 			System.out.println(summary);
 			assertThat(mistakes).as(() -> summary + '\n' + details(mistakes)).isEmpty();
 			assertThat(secondAnswers).as(summary).isPositive();
@@ -213,6 +216,7 @@
 
 		@Override
 		public void close() throws IOException {
+			this.stalls.close();
 			this.threads.shutdownNow();
 			this.installation.close();
 			for (SecondAnswerStandIn endpoint : this.endpoints) {
