--- a/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
@@ -184,6 +184,17 @@
 		assertThat(this.installation.send(this.installation.request(0, "/push/x")).statusCode()).isEqualTo(503);
 	}
 
+	@Test
+	void aCallDoesNotWaitBehindAnEarlierAnswerWithoutAnEnd() throws Exception {
+		RefusingAgain answers = new RefusingAgain(
+				(id) -> "HTTP/1.1 503 Status\r\n" + ScriptedAnswers.idHeader(id) + "\r\nbusy");
+		startVm(answers, 1);
+		refuseOnce();
+		long startedAtMs = System.currentTimeMillis();
+		assertThat(send("/push/x").statusCode()).isEqualTo(502);
+		assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(SOON_MS);
+	}
+
 	@ParameterizedTest
 	@ValueSource(booleans = { false, true })
 	void anAnswerWithTheIdsOfTwoRequestsIsNotForwarded(boolean ownFirst) throws Exception {
