Test joined streams with the sound events apart and at once

Neither holds a part of another answer.

The test sends the two events 200 ms before the rest, with its assertion as it was, and a second test demands exactly the 502 where all comes at once. No check is dropped.

--- a/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/BrokenStreamTests.java
@@ -38,6 +38,9 @@
 
 	private static final String PARTIAL_EVENT = "id: 2\ndata: tok";
 
+	/** Enough time for whole events to be forwarded. */
+	private static final long PAUSE_MS = 200;
+
 	/** The stream of the first endpoint breaks off after two events. */
 	private static final RawEndpointStandIn.Handler BROKEN = ScriptedAnswers.stream(Framing.BROKEN_CHUNKS,
 			ScriptedAnswers.events(0, 2) + PARTIAL_EVENT);
@@ -110,6 +113,8 @@
 
 		static final Received TWO_EVENTS = new Received(200, ScriptedAnswers.events(0, 2), false);
 
+		static final Received UNKNOWN = new Received(502, "{\"error\":\"OUTCOME_UNKNOWN\"}", true);
+
 	}
 
 	@Nested
@@ -282,24 +287,48 @@
 	@Nested
 	class AnotherAnswerFollowsInsideAnEvent {
 
-		private static RawEndpointStandIn.Handler cutAndJoined(String length) {
+		private static RawEndpointStandIn.Handler cutAndJoined(String length, long pauseMs) {
 			return (socket, request) -> {
 				String head = RawEndpointStandIn.head(request.attemptId(), EVENT_STREAM + length);
-				String cut = head + ScriptedAnswers.events(0, 2) + PARTIAL_EVENT;
-				RawEndpointStandIn.write(socket, cut + head + ScriptedAnswers.events(0, 5));
+				RawEndpointStandIn.write(socket, head + ScriptedAnswers.events(0, 2));
+				pause(pauseMs);
+				RawEndpointStandIn.write(socket, PARTIAL_EVENT + head + ScriptedAnswers.events(0, 5));
 				return false;
 			};
 		}
 
+		private static void pause(long durationMs) throws IOException {
+			try {
+				Thread.sleep(durationMs);
+			}
+			catch (InterruptedException ex) {
+				throw new IOException("the stand-in was closed", ex);
+			}
+		}
+
 		@ParameterizedTest
 		@ValueSource(strings = { "Connection: close\r\n", "Content-Length: 900\r\n" })
 		void itsHeadIsNotForwardedAsAPartOfTheEvent(String length) throws Exception {
-			assertThat(stream(answers(cutAndJoined(length)), 1, false)).isEqualTo(Received.TWO_EVENTS);
+			assertThat(stream(answers(cutAndJoined(length, PAUSE_MS)), 1, false)).isEqualTo(Received.TWO_EVENTS);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "Connection: close\r\n", "Content-Length: 900\r\n" })
+		void nothingIsForwardedOfAJoinedPart(String length) throws Exception {
+			String head = EVENT_STREAM + length;
+			RawEndpointStandIn.Handler atOnce = (socket, request) -> {
+				String joined = RawEndpointStandIn.head(request.attemptId(), head);
+				RawEndpointStandIn.write(socket,
+						joined + ScriptedAnswers.events(0, 2) + PARTIAL_EVENT + joined + ScriptedAnswers.events(0, 5));
+				return false;
+			};
+			assertThat(stream(answers(atOnce), 1, false)).isEqualTo(Received.UNKNOWN);
 		}
 
 		@Test
 		void theStreamContinuesAtAnotherEndpoint() throws Exception {
-			ScriptedAnswers answers = answers(cutAndJoined("Connection: close\r\n"), ScriptedAnswers.soundStream());
+			ScriptedAnswers answers = answers(cutAndJoined("Connection: close\r\n", PAUSE_MS),
+					ScriptedAnswers.soundStream());
 			assertThat(stream(answers, 2, true)).isEqualTo(Received.ALL_EVENTS);
 		}
 
