Close all connections of a VM that is closed

The process held about ten sets of listeners and connections of VMs that were closed long before.

Cause: the event loop was shut down without a quiet period. If the request to end comes while the loop runs its tasks, it ends without closing its connections. In the deployed process the exit follows at once, which closes them; tests that restart VMs in one process met it. It also explains ports of closed VMs that stayed taken.

Why this works: with a quiet period the loop goes on until it has been idle for 20 ms, and closes its connections first.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -67,6 +67,12 @@
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
+	/** How long the event loop must be idle before it ends, in milliseconds. */
+	private static final long CLOSE_QUIET_MS = 20;
+
+	/** The longest time in which the event loop ends, in milliseconds. */
+	private static final long CLOSE_TIMEOUT_MS = 1_000;
+
 	private final NodeSettings settings;
 
 	private final int metricsPort;
@@ -313,7 +319,9 @@
 		this.watch.close();
 		this.quarantineSync.close();
 		this.store.close();
-		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+		// Without a quiet period the event loop may end before it has closed its
+		// connections.
+		this.group.shutdownGracefully(CLOSE_QUIET_MS, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
 	}
 
 }
