Move the body of an answer out of RequestFlow; share the pattern of a status line

AnswerBody keeps the parts of a body, its size, its framing and its share of the memory; StatusLine holds the pattern.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedHeads.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/JoinedHeads.java
@@ -1,7 +1,6 @@
 package org.fulmargap.entry.endpoint;
 
 import java.util.Map;
-import java.util.regex.Pattern;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,8 +12,6 @@
  */
 final class JoinedHeads {
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}( |$)");
-
 	private JoinedHeads() {
 	}
 
@@ -24,7 +21,7 @@
 	 * @return {@code true} if its status and its headers may belong to two answers
 	 */
 	static boolean matches(HttpResponse head) {
-		return holdsStatusLine(head.status().reasonPhrase()) || matches(head.headers());
+		return StatusLine.isIn(head.status().reasonPhrase()) || matches(head.headers());
 	}
 
 	/**
@@ -34,15 +31,11 @@
 	 */
 	static boolean matches(HttpHeaders headers) {
 		for (Map.Entry<String, String> header : headers) {
-			if (holdsStatusLine(header.getValue())) {
+			if (StatusLine.isIn(header.getValue())) {
 				return true;
 			}
 		}
 		return false;
 	}
 
-	private static boolean holdsStatusLine(String text) {
-		return STATUS_LINE.matcher(text).find();
-	}
-
 }
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSequence.java
@@ -1,7 +1,8 @@
 package org.fulmargap.entry.request;
 
 import java.util.Set;
-import java.util.regex.Pattern;
+
+import org.fulmargap.entry.endpoint.StatusLine;
 
 /**
  * Checks the ids of the events that a caller receives, which may come from several
@@ -17,8 +18,6 @@
 
 	private static final Set<String> EVENT_FIELDS = Set.of("data", "event", ID_FIELD, "retry");
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(\\s|$)");
-
 	private static final long NONE = -1;
 
 	private long lastId = NONE;
@@ -52,7 +51,7 @@
 			if (afterStatusLine && colon > 0 && !EVENT_FIELDS.contains(line.substring(0, colon))) {
 				return false;
 			}
-			afterStatusLine = STATUS_LINE.matcher(line).find();
+			afterStatusLine = StatusLine.isIn(line);
 			hasFields |= colon > 0;
 			if (colon > 0 && line.substring(0, colon).equals(ID_FIELD)) {
 				idText = line.substring(colon + 1).trim();
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -9,12 +9,8 @@
 import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
@@ -27,7 +23,6 @@
 import org.fulmargap.entry.caller.CallerExchange;
 import org.fulmargap.entry.caller.CallerListener;
 import org.fulmargap.entry.endpoint.AnswerFault;
-import org.fulmargap.entry.endpoint.AnswerMemory;
 import org.fulmargap.entry.endpoint.CallFailure;
 import org.fulmargap.entry.endpoint.EndpointCall;
 import org.fulmargap.entry.endpoint.EndpointPool;
@@ -55,9 +50,6 @@
 	/** The number of the lowest priority that an engine accepts; 0 is the highest. */
 	private static final int LOWEST_PRIORITY = 9;
 
-	/** The size of the largest answer that is not a stream, in bytes. */
-	private static final int MAX_ANSWER_BYTES = 8 << 20;
-
 	/**
 	 * The most that a stream may contain from one event to the end of the next, comments
 	 * included, in bytes.
@@ -416,8 +408,8 @@
 			.with("route", this.route.name())
 			.with("endpoint", answered.endpoint)
 			.with("local_port", answered.running.localPort())
-			.with("framing", answered.framing())
-			.with("bytes", answered.receivedBytes)
+			.with("framing", answered.body.framing())
+			.with("bytes", answered.body.receivedBytes())
 			.with("age_ms", ageMs)
 			.with("runs", this.runs)
 			.write();
@@ -478,15 +470,7 @@
 
 		private EndpointAnswer answer;
 
-		private HttpResponse head;
-
-		private CompositeByteBuf buffered;
-
-		private AnswerMemory.Share memory;
-
-		private long statedBytes;
-
-		private long receivedBytes;
+		private AnswerBody body;
 
 		private boolean callerWritable = true;
 
@@ -615,58 +599,39 @@
 		@Override
 		public void answered(EndpointAnswer newAnswer, HttpResponse newHead) {
 			this.answer = newAnswer;
-			this.head = newHead;
 			if (newAnswer.coldForMs() > 0) {
 				this.endpoint.markCold(newAnswer.coldForMs(), RequestFlow.this.services.nowMs());
 			}
-			this.statedBytes = HttpUtil.getContentLength(newHead, -1L);
-			if (!isStream()) {
-				this.buffered = Unpooled.compositeBuffer(Integer.MAX_VALUE);
-			}
-			boolean hasLength = this.buffered != null && this.statedBytes >= 0;
-			this.memory = RequestFlow.this.services.pool().answerMemory().share(hasLength, this::memoryAvailable);
+			this.body = new AnswerBody(newHead, isStream(newHead), RequestFlow.this.services.pool().answerMemory(),
+					this::memoryAvailable);
 		}
 
-		private boolean isStream() {
+		private boolean isStream(HttpResponse newHead) {
 			return RequestFlow.this.route.kind().isStreaming() && !RequestFlow.this.message.isHead()
-					&& this.answer.isSuccess() && this.answer.signed() && hasEvents();
+					&& this.answer.isSuccess() && this.answer.signed() && hasEvents(newHead);
 		}
 
-		// How the end of the body is known.
-		private String framing() {
-			if (HttpUtil.isTransferEncodingChunked(this.head)) {
-				return "chunks";
-			}
-			if (this.statedBytes >= 0) {
-				return "length";
-			}
-			return (this.receivedBytes > 0) ? "connection" : "none";
-		}
-
-		private boolean hasEvents() {
-			CharSequence type = HttpUtil.getMimeType(this.head);
+		private static boolean hasEvents(HttpResponse newHead) {
+			CharSequence type = HttpUtil.getMimeType(newHead);
 			return type != null && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
 		}
 
 		@Override
 		public boolean received(ByteBuf content) {
-			this.receivedBytes += content.readableBytes();
+			this.body.countReceived(content);
 			if (hasForeignBody()) {
 				return false;
 			}
-			if (this.buffered != null) {
-				this.buffered.addComponent(true, Unpooled.copiedBuffer(content));
-				return Math.max(this.statedBytes, this.buffered.readableBytes()) <= MAX_ANSWER_BYTES
-						&& this.memory.hold(this.buffered.readableBytes());
+			if (!this.body.isStream()) {
+				return this.body.keep(content);
 			}
-			if (RequestFlow.this.stream.forward(content, this.head)) {
+			if (RequestFlow.this.stream.forward(content, this.body.head())) {
 				recordFirstEvent();
 				this.promptEvidence.event(RequestFlow.this.services.nowMs());
 				this.timer.restart();
 			}
 			long heldBytes = RequestFlow.this.stream.bytesSinceEvent();
-			return !RequestFlow.this.stream.isMalformed() && heldBytes <= MAX_EVENT_BYTES
-					&& this.memory.hold(heldBytes);
+			return !RequestFlow.this.stream.isMalformed() && heldBytes <= MAX_EVENT_BYTES && this.body.hold(heldBytes);
 		}
 
 		private boolean hasForeignBody() {
@@ -703,8 +668,8 @@
 				notExecuted(nowMs);
 				return;
 			}
-			if (this.buffered != null) {
-				endedBuffered(nowMs);
+			if (!this.body.isStream()) {
+				endedWhole(nowMs);
 			}
 			else if (flow.stream.mayEnd()) {
 				flow.runs++;
@@ -717,7 +682,7 @@
 			}
 		}
 
-		private void endedBuffered(long nowMs) {
+		private void endedWhole(long nowMs) {
 			RequestFlow flow = RequestFlow.this;
 			AnswerFault fault = fault();
 			if (fault != null) {
@@ -750,11 +715,8 @@
 			else {
 				succeeded(nowMs);
 			}
-			HttpHeaders headers = CallerMessage.toCaller(this.head.headers());
-			if (flow.message.isHead() && this.statedBytes >= 0) {
-				headers.set(HttpHeaderNames.CONTENT_LENGTH, this.statedBytes);
-			}
-			flow.exchange.answer(this.answer.status(), headers, this.buffered);
+			flow.exchange.answer(this.answer.status(), this.body.headersForCaller(flow.message.isHead()),
+					this.body.whole());
 			flow.done(this, this.answer.status());
 		}
 
@@ -795,7 +757,7 @@
 			}
 			flow.services.runTimes().record(flow.route.name(), nowMs - this.sentAtMs);
 			this.endpoint.succeeded(nowMs - this.sentAtMs, expectedMs, nowMs);
-			this.promptEvidence.completed(isStream(), nowMs);
+			this.promptEvidence.completed(this.body.isStream(), nowMs);
 			flow.services.quarantine().completed(flow.fingerprint);
 		}
 
@@ -846,8 +808,8 @@
 				this.endpoint.firstEvent(this.unreadTokens);
 			}
 			this.timer.close();
-			if (this.memory != null) {
-				this.memory.close();
+			if (this.body != null) {
+				this.body.close();
 			}
 		}
 
