Refuse the greeting of a peer's previous process that is read late

Seen: a VM that was suspended reads the greetings of two processes of a peer in the wrong order. It then takes the messages of the process that has ended and drops those of the running one until it connects again. Cause: each greeting replaced the connection, whatever its process. The condition covers a step of the peer's clock between its two starts.

--- a/entry/src/main/java/org/fulmargap/entry/peer/Peer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/Peer.java
@@ -55,6 +55,22 @@
 		return this.link;
 	}
 
+	/**
+	 * Returns whether a greeting comes from a process of the VM before the one that is
+	 * connected. A step of the clock may put the two in the wrong order, so no greeting
+	 * is outdated once the connected process is silent.
+	 * @param newStartedAtMs when the greeting process started, in milliseconds since the
+	 * epoch
+	 * @param silenceMs how long a process that is connected may be silent, in
+	 * milliseconds
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if it started before the connected one
+	 */
+	boolean isOutdated(long newStartedAtMs, long silenceMs, long nowMs) {
+		boolean connected = this.receiver != null && nowMs - this.lastContactAtMs < silenceMs;
+		return connected && newStartedAtMs < this.startedAtMs;
+	}
+
 	/**
 	 * Records the receiving end of a new connection from the VM, which starts with a
 	 * greeting.
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -543,8 +543,12 @@
 
 		private void greet(PeerServer.Receiver receiver, PeerMessage.Hello hello, long nowMs) {
 			FleetMember sender = hello.sender();
-			PeerNetwork.this.fleet.put(sender, nowMs);
 			Peer peer = peer(sender.name(), sender.address());
+			if (peer.isOutdated(hello.startedAtMs(), LOST_AFTER_MS, nowMs)) {
+				refuse(receiver, peer, hello);
+				return;
+			}
+			PeerNetwork.this.fleet.put(sender, nowMs);
 			receiver.peer(peer);
 			if (peer.greeted(receiver, hello.startedAtMs())) {
 				lose(peer, "restarted");
@@ -554,6 +558,15 @@
 			peer.link().open();
 		}
 
+		// A process that is alive connects again; by then the one before it is lost.
+		private void refuse(PeerServer.Receiver receiver, Peer peer, PeerMessage.Hello hello) {
+			EventLog.state("peer_greeting_refused")
+				.with("peer", peer.name())
+				.with("started_at_ms", hello.startedAtMs())
+				.write();
+			receiver.close();
+		}
+
 		@Override
 		public void closed(PeerServer.Receiver receiver) {
 			if (isCurrent(receiver)) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
@@ -81,6 +81,8 @@
 
 		private Peer peer;
 
+		private Channel channel;
+
 		/**
 		 * Returns the sender.
 		 * @return the VM, or {@code null} before its greeting
@@ -93,6 +95,16 @@
 			this.peer = newPeer;
 		}
 
+		/** Closes the connection. */
+		void close() {
+			this.channel.close();
+		}
+
+		@Override
+		public void channelActive(ChannelHandlerContext context) {
+			this.channel = context.channel();
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
 			byte[] bytes = ByteBufUtil.getBytes(frame);
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerNetworkTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerNetworkTests.java
@@ -86,6 +86,20 @@
 		}
 	}
 
+	@Test
+	void aProcessWithAnEarlierTimeOfDayIsHeardAfterTheEndOfThePreviousOne() throws Exception {
+		try (Socket previous = connect(200)) {
+			send(previous, new PeerMessage.Cancellation(1));
+			awaitReceived(new PeerMessage.Cancellation(1));
+			previous.shutdownOutput();
+			assertThat(previous.getInputStream().read()).isEqualTo(-1);
+		}
+		try (Socket current = connect(100)) {
+			send(current, new PeerMessage.Cancellation(2));
+			awaitReceived(new PeerMessage.Cancellation(2));
+		}
+	}
+
 	private void awaitReceived(PeerMessage expected) throws InterruptedException {
 		assertThat(this.received.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isEqualTo(expected);
 	}
