Log where configurations come from and how long reads of the store take

Cause: config_read did not say whether a configuration came from the store or from a peer, nor how long the read took and when the one before began; no line said whether this VM read the store or relied on a hub; store_lost and store_reached had no durations. So "never arrived", "arrived late" and "applied late" looked alike.

Change: config_read has source, records, read_ms, previous_read_age_ms and queued_ms (the wait for the event loop); store_lost has open_ms, store_reached unread_ms; store_source is written when the VM changes between the store and a hub, or between hubs. No decision and no timing changes.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -225,7 +225,7 @@
 			this.watch.sendRecords(peer, request);
 		}
 		else if (message instanceof PeerMessage.Records records) {
-			this.watch.received(peer, records);
+			this.watch.received(peer, records, nowMs);
 		}
 		else if (message instanceof PeerMessage.CrashReport crashReport) {
 			this.quarantine.mergeCrashReports(Map.of(crashReport.fingerprint(), List.of(crashReport.endpoint())),
--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -1,6 +1,6 @@
 package org.fulmargap.entry;
 
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
 import org.fulmargap.platform.StoreClient;
@@ -16,6 +16,8 @@
 
 	private static final long FIRST_RETRY_DELAY_MS = 100;
 
+	private static final long NEVER_MS = Long.MIN_VALUE;
+
 	private final StoreClient store;
 
 	private final StoreTopic topic;
@@ -26,7 +28,7 @@
 
 	private final LongSupplier clockMs;
 
-	private final Consumer<StorePage> pages;
+	private final BiConsumer<StorePage, PageOrigin> pages;
 
 	private final Runnable outageListener;
 
@@ -39,6 +41,11 @@
 	// The records from the known offset on are deleted; the topic is listed again.
 	private boolean expired;
 
+	private long previousReadAtMs = NEVER_MS;
+
+	// When the newest successful read ended.
+	private long succeededAtMs = NEVER_MS;
+
 	private volatile boolean reached;
 
 	private volatile boolean failing;
@@ -51,13 +58,13 @@
 	 * @param minIntervalMs the shortest time between the starts of two reads, in
 	 * milliseconds; one read then returns several changes, because each call is charged
 	 * @param clockMs the current time in milliseconds
-	 * @param pages receives the pages, on the tail's thread
+	 * @param pages receives the pages and their origin, on the tail's thread
 	 * @param outageListener called on the tail's thread when an outage of the store
 	 * begins and when it ends
 	 * @param need whether and from where on the topic is to be read
 	 */
 	StoreTail(StoreClient store, StoreTopic topic, long waitMs, long minIntervalMs, LongSupplier clockMs,
-			Consumer<StorePage> pages, Runnable outageListener, Need need) {
+			BiConsumer<StorePage, PageOrigin> pages, Runnable outageListener, Need need) {
 		this.store = store;
 		this.topic = topic;
 		this.waitMs = waitMs;
@@ -85,7 +92,7 @@
 					this.nextOffset = Math.max(this.nextOffset, this.need.nextOffset());
 				}
 				long startedAtMs = this.clockMs.getAsLong();
-				long delayMs = readPage() - (this.clockMs.getAsLong() - startedAtMs);
+				long delayMs = readPage(startedAtMs) - (this.clockMs.getAsLong() - startedAtMs);
 				if (delayMs > 0) {
 					Thread.sleep(delayMs);
 				}
@@ -110,40 +117,66 @@
 		notifyAll();
 	}
 
-	private long readPage() {
+	private long readPage(long startedAtMs) {
 		try {
 			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic)
 					: this.store.read(this.topic, this.nextOffset, this.waitMs);
-			this.expired = false;
-			this.nextOffset = page.nextOffset();
-			this.retryDelayMs = FIRST_RETRY_DELAY_MS;
-			if (!this.reached || this.failing) {
-				boolean recovered = this.failing;
-				this.reached = true;
-				this.failing = false;
-				EventLog.state("store_reached").with("topic", this.topic).with("offset", this.nextOffset).write();
-				if (recovered) {
-					this.outageListener.run();
-				}
-			}
-			if (!page.unreadableOffsets().isEmpty()) {
-				EventLog.state("store_records_skipped")
-					.with("topic", this.topic)
-					.with("offset", page.unreadableOffsets().get(0))
-					.with("records", page.unreadableOffsets().size())
-					.write();
-			}
+			long nowMs = this.clockMs.getAsLong();
+			succeeded(page, nowMs);
 			if (page.isComplete() || !page.records().isEmpty()) {
-				this.pages.accept(page);
+				this.pages.accept(page, originOf(page, startedAtMs, nowMs));
 			}
 			return this.minIntervalMs;
 		}
 		catch (StoreException ex) {
-			return failed(ex);
+			return failed(ex, this.clockMs.getAsLong() - startedAtMs);
 		}
+		finally {
+			this.previousReadAtMs = startedAtMs;
+		}
+	}
+
+	private void succeeded(StorePage page, long nowMs) {
+		this.expired = false;
+		this.nextOffset = page.nextOffset();
+		this.retryDelayMs = FIRST_RETRY_DELAY_MS;
+		if (!isReached()) {
+			reachedAgain(nowMs);
+		}
+		this.succeededAtMs = nowMs;
+		if (!page.unreadableOffsets().isEmpty()) {
+			EventLog.state("store_records_skipped")
+				.with("topic", this.topic)
+				.with("offset", page.unreadableOffsets().get(0))
+				.with("records", page.unreadableOffsets().size())
+				.write();
+		}
+	}
+
+	private void reachedAgain(long nowMs) {
+		boolean recovered = this.failing;
+		this.reached = true;
+		this.failing = false;
+		EventLog.state("store_reached")
+			.with("topic", this.topic)
+			.with("offset", this.nextOffset)
+			.with("unread_ms", ageMs(this.succeededAtMs, nowMs))
+			.write();
+		if (recovered) {
+			this.outageListener.run();
+		}
+	}
+
+	private PageOrigin originOf(StorePage page, long startedAtMs, long nowMs) {
+		return new PageOrigin(PageOrigin.STORE, page.records().size(), nowMs - startedAtMs,
+				ageMs(this.previousReadAtMs, nowMs), nowMs);
+	}
+
+	private static long ageMs(long atMs, long nowMs) {
+		return (atMs != NEVER_MS) ? nowMs - atMs : -1;
 	}
 
-	private long failed(StoreException ex) {
+	private long failed(StoreException ex, long openMs) {
 		if (ex.type() == StoreException.Type.EXPIRED) {
 			EventLog.state("store_gap").with("topic", this.topic).with("offset", this.nextOffset).write();
 			this.expired = true;
@@ -155,6 +188,7 @@
 			EventLog.state("store_lost")
 				.with("topic", this.topic)
 				.with("type", ex.type())
+				.with("open_ms", openMs)
 				.with("cause", ex.getMessage())
 				.write();
 			this.outageListener.run();
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -114,6 +114,14 @@
 
 	private long relayedAtMs;
 
+	// The hub that relayed records last.
+	private String relayingHub = "";
+
+	// From where this VM gets records: the store or the name of a hub.
+	private String source = PageOrigin.STORE;
+
+	private long sourceSinceMs;
+
 	private long storeOutageAtMs = Long.MIN_VALUE / 2;
 
 	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers,
@@ -124,6 +132,7 @@
 		this.view = view;
 		this.peers = peers;
 		this.quarantine = quarantine;
+		this.sourceSinceMs = clockMs.getAsLong();
 		for (StoreTopic topic : StoreTopic.values()) {
 			this.topics.put(topic, new TopicView());
 			this.lags.put(topic, new RecordLag());
@@ -148,8 +157,8 @@
 	private void addTail(StoreTopic topic, long waitMs, long minIntervalMs, Runnable outageListener) {
 		this.tails.put(topic,
 				new StoreTail(this.store, topic, waitMs, minIntervalMs, this.clockMs,
-						(page) -> this.loop.execute(() -> apply(topic, page)), () -> this.loop.execute(outageListener),
-						new TailNeed(topic)));
+						(page, origin) -> this.loop.execute(() -> apply(topic, page, origin)),
+						() -> this.loop.execute(outageListener), new TailNeed(topic)));
 	}
 
 	/**
@@ -158,15 +167,31 @@
 	 */
 	void updateNeed(long nowMs) {
 		this.hub = this.peers.isHub();
-		if (this.peers.isStoreRelayed()) {
+		this.peers.relayingHub().ifPresent((name) -> {
+			this.relayingHub = name;
 			this.relayedAtMs = nowMs;
-		}
+		});
 		this.relayed = nowMs - this.relayedAtMs < RELAY_GRACE_MS;
-		if (this.hub || !this.relayed) {
+		boolean reading = this.hub || !this.relayed;
+		updateSource((reading) ? PageOrigin.STORE : this.relayingHub, nowMs);
+		if (reading) {
 			this.tails.values().forEach(StoreTail::needChanged);
 		}
 	}
 
+	private void updateSource(String newSource, long nowMs) {
+		if (newSource.equals(this.source)) {
+			return;
+		}
+		EventLog.state("store_source")
+			.with("source", newSource)
+			.with("previous", this.source)
+			.with("previous_ms", nowMs - this.sourceSinceMs)
+			.write();
+		this.source = newSource;
+		this.sourceSinceMs = nowMs;
+	}
+
 	/**
 	 * Returns whether this VM reads the store itself, without failures.
 	 * @return {@code true} if the last reads of configuration and endpoints succeeded
@@ -209,7 +234,7 @@
 		}
 	}
 
-	private void apply(StoreTopic topic, StorePage page) {
+	private void apply(StoreTopic topic, StorePage page, PageOrigin origin) {
 		long previousOffset = this.topics.get(topic).nextOffset();
 		StorePage fresh = this.topics.get(topic).apply(page);
 		long nextOffset = this.topics.get(topic).nextOffset();
@@ -220,7 +245,7 @@
 			this.peers.sendToMembers(new PeerMessage.Records(topic, previousOffset, news));
 		}
 		switch (topic) {
-			case OPERATOR -> applyOperatorPage(fresh);
+			case OPERATOR -> applyOperatorPage(fresh, origin);
 			case ENDPOINTS -> applyEndpointPage(fresh);
 			case MEMBERS -> applyMemberPage(fresh);
 			case QUARANTINE -> this.quarantine.apply(fresh.records());
@@ -279,20 +304,23 @@
 	 * Applies records that a peer relayed, unless records before them are missing.
 	 * @param peer the name of the peer
 	 * @param records the records
+	 * @param nowMs the current time in milliseconds
 	 */
-	void received(String peer, PeerMessage.Records records) {
+	void received(String peer, PeerMessage.Records records, long nowMs) {
 		boolean complete = records.page().isComplete();
 		if (!complete && records.from() > this.topics.get(records.topic()).nextOffset()) {
 			request(peer, records.topic());
 			return;
 		}
-		apply(records.topic(), records.page());
+		PageOrigin origin = PageOrigin.relayed(peer, records.page().records().size(), nowMs);
+		apply(records.topic(), records.page(), origin);
 	}
 
-	private void applyOperatorPage(StorePage page) {
+	private void applyOperatorPage(StorePage page, PageOrigin origin) {
+		long nowMs = this.clockMs.getAsLong();
 		for (KeyedRecord record : page.records()) {
 			try {
-				apply(OperatorRecord.decode(record), record.offset());
+				apply(OperatorRecord.decode(record), record.offset(), origin, nowMs);
 			}
 			catch (MalformedRecordException ex) {
 				EventLog.state("operator_record_refused")
@@ -304,13 +332,18 @@
 		}
 	}
 
-	private void apply(OperatorRecord record, long offset) {
+	private void apply(OperatorRecord record, long offset, PageOrigin origin, long nowMs) {
 		if (record instanceof OperatorRecord.Configuration configuration) {
 			boolean inForce = this.view.replace(configuration.catalog());
 			EventLog.state("config_read")
 				.with("version", configuration.catalog().version())
 				.with("offset", offset)
 				.with("in_force", inForce)
+				.with("source", origin.source())
+				.with("records", origin.records())
+				.with("read_ms", origin.readMs())
+				.with("previous_read_age_ms", origin.previousReadAgeMs())
+				.with("queued_ms", origin.queuedMs(nowMs))
 				.write();
 		}
 		else if (record instanceof OperatorRecord.Evacuation evacuation) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -181,8 +182,18 @@
 	 * @return {@code true} if it sends heartbeats and gets the newest records
 	 */
 	public boolean isStoreRelayed() {
-		Peer hub = (this.ownHub != null) ? this.peers.get(this.ownHub) : null;
-		return hub != null && hub.relation() == PeerRelation.MEMBER && hub.isStoreReached();
+		return relayingHub().isPresent();
+	}
+
+	/**
+	 * Returns the hub that relays the records of the store to this VM.
+	 * @return the name of the hub, or empty if none does
+	 */
+	public Optional<String> relayingHub() {
+		return Optional.ofNullable(this.ownHub)
+			.map(this.peers::get)
+			.filter((hub) -> hub.relation() == PeerRelation.MEMBER && hub.isStoreReached())
+			.map(Peer::name);
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -365,7 +365,7 @@
 		void aVmThatTheStoreRefusesGetsRecordsFromItsPeers() throws Exception {
 			endpoint("core-1", "core");
 			EntryVmTests.this.installation.vm("vm-0");
-			try (StoreStandIn refusing = new StoreStandIn()) {
+			try (StoreStandIn refusing = new StoreStandIn(); LogLines log = new LogLines()) {
 				refusing.fault(StoreStandIn.Fault.BUSY);
 				EntryVmTests.this.installation.vm("vm-1", refusing);
 				EntryVmTests.this.installation.store()
@@ -379,6 +379,24 @@
 					.statusCode() != 401) {
 					assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(4_000);
 				}
+				assertThat(log.contain("config_read", "version=2 .* source=store records=1 read_ms=\\d+ "
+						+ "previous_read_age_ms=\\d+ queued_ms=\\d+"))
+					.isTrue();
+				assertThat(log.contain("config_read",
+						"version=2 .* source=vm-0 records=\\d+ read_ms=-1 previous_read_age_ms=-1 queued_ms=\\d+"))
+					.isTrue();
+			}
+		}
+
+		@Test
+		void anOutageOfTheStoreIsLoggedWithItsLength() throws Exception {
+			try (LogLines log = new LogLines()) {
+				startVms(1);
+				assertThat(log.contain("store_reached", "topic=OPERATOR .*unread_ms=-1")).isTrue();
+				EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.DOWN);
+				Installation.await(() -> log.contain("store_lost", "topic=OPERATOR .*open_ms=\\d+"));
+				EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.NONE);
+				Installation.await(() -> log.contain("store_reached", "topic=OPERATOR .*unread_ms=\\d+"));
 			}
 		}
 
--- a/entry/src/test/java/org/fulmargap/entry/FleetTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/FleetTests.java
@@ -25,6 +25,8 @@
 	/** The shortest time that the platform gives VMs to apply a change, in ms. */
 	private static final long APPLY_MS = 2_000;
 
+	private final LogLines log = new LogLines();
+
 	private Installation installation;
 
 	@BeforeEach
@@ -43,6 +45,7 @@
 	@AfterEach
 	void stop() {
 		this.installation.close();
+		this.log.close();
 	}
 
 	private static Set<String> hubs() {
@@ -110,9 +113,12 @@
 	@Test
 	void aChangeReachesTheMembersOfAHubThatIsGone() throws Exception {
 		String hub = hubs().iterator().next();
+		Installation
+			.await(() -> this.log.contain("store_source", "source=" + hub + " previous=store previous_ms=\\d+"));
 		this.installation.vm(Integer.parseInt(hub.substring("vm-".length()))).close();
 		replaceKey(2);
 		assertAppliedByAll(APPLY_MS, others(hub));
+		Installation.await(() -> this.log.contain("store_source", "source=\\S+ previous=" + hub + " previous_ms=\\d+"));
 	}
 
 	@Test
