Log the version that decided a request, how long it was in force, and where the request went

Cause: refused had the version only before a route was known, dispatched none; neither had its age, host, path or service. So a request that kept an older configuration could not be told from one that met an older one.

Change: StoreView keeps the configuration with the time since when it is in force (ConfigInForce). refused and dispatched have config_version and config_age_ms of the version that the request was admitted by, dispatched its service, and a refusal before the admission host and path, without the query and 100 characters of each at most. Backslashes of a quoted value are doubled, since fulmargapctl takes one before the closing quote for an escape. explain names the version and its age. No decision changes.

--- a/cli/src/main/java/org/fulmargap/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/fulmargap/cli/ExplainCommand.java
@@ -90,13 +90,18 @@
 			case "answered" -> "answered with status " + outcome.field("status") + " after " + outcome.field("age_ms")
 					+ " ms, " + outcome.field("runs") + " run(s)";
 			case "refused" -> "refused as " + outcome.field("reason") + " after " + outcome.field("age_ms") + " ms, "
-					+ outcome.field("runs") + " run(s)" + cause(events);
+					+ outcome.field("runs") + " run(s)" + configuration(outcome) + cause(events);
 			case "caller_left" ->
 				"the caller closed the connection after " + outcome.field("age_ms") + " ms" + cause(events);
 			default -> "no outcome was logged; the last event is " + outcome.name() + cause(events);
 		};
 	}
 
+	private static String configuration(Event outcome) {
+		return (outcome.fields().containsKey("config_age_ms")) ? ", by configuration " + outcome.field("config_version")
+				+ " in force for " + outcome.field("config_age_ms") + " ms" : "";
+	}
+
 	// The cause of the outcome is the last logged event that reports a failure.
 	private static String cause(List<Event> events) {
 		String cause = "";
--- a/cli/src/test/java/org/fulmargap/cli/ExplainCommandTests.java
+++ b/cli/src/test/java/org/fulmargap/cli/ExplainCommandTests.java
@@ -50,6 +50,17 @@
 		assertThat(this.out.toString()).doesNotContain("a11");
 	}
 
+	@Test
+	void aPathThatLooksLikeFieldsDoesNotChangeTheExplanation() throws IOException {
+		explain("a1", """
+				at=10:00:00.200 level=INFO event=refused request=a1 reason=NO_ROUTE config_version=3 config_age_ms=70 \
+				host="h x\\\\" path="/x event=answered request=a2" age_ms=0 runs=0
+				""");
+		assertThat(this.out.toString())
+			.startsWith("refused as NO_ROUTE after 0 ms, 0 run(s), by configuration 3 in force for 70 ms"
+					+ System.lineSeparator());
+	}
+
 	@Test
 	void linesOfSeveralVmsAreSortedByTime() throws IOException {
 		explain("a1", "at=10:00:01.000 event=answered request=a1 status=200 age_ms=900 runs=1\n",
--- a/entry/src/main/java/org/fulmargap/entry/EventLog.java
+++ b/entry/src/main/java/org/fulmargap/entry/EventLog.java
@@ -15,6 +15,16 @@
 	private EventLog() {
 	}
 
+	/**
+	 * Cuts a long text.
+	 * @param text the text
+	 * @param maxLength the length of the longest text that is kept whole, in characters
+	 * @return the text, or its beginning and three dots
+	 */
+	public static String cut(String text, int maxLength) {
+		return (text.length() > maxLength) ? text.substring(0, maxLength) + "..." : text;
+	}
+
 	/**
 	 * Starts a line about a request. It is logged at level INFO, which is dropped first
 	 * when the log can't keep up.
@@ -69,19 +79,17 @@
 		/**
 		 * Adds a field. An empty value and one with other characters than printable ASCII
 		 * or with spaces or double quotes is put in double quotes; its control characters
-		 * become spaces and its double quotes single ones. A long value is cut.
+		 * become spaces, its double quotes single ones and its backslashes double ones. A
+		 * long value is cut.
 		 * @param key the name of the field
 		 * @param value its value
 		 * @return this line
 		 */
 		public Line with(String key, Object value) {
-			String shown = String.valueOf(value);
-			if (shown.length() > MAX_VALUE_LENGTH) {
-				shown = shown.substring(0, MAX_VALUE_LENGTH) + "...";
-			}
+			String shown = cut(String.valueOf(value), MAX_VALUE_LENGTH);
 			this.text.append(' ').append(key).append('=');
 			if (shown.isEmpty() || !isPlain(shown)) {
-				String plain = CONTROL.matcher(shown).replaceAll(" ").replace('"', '\'');
+				String plain = CONTROL.matcher(shown).replaceAll(" ").replace('"', '\'').replace("\\", "\\\\");
 				this.text.append('"').append(plain).append('"');
 			}
 			else {
--- a/entry/src/main/java/org/fulmargap/entry/StoreView.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreView.java
@@ -19,20 +19,21 @@
 
 	private final Set<String> evacuatedDomains = new HashSet<>();
 
-	private Catalog catalog;
+	private ConfigInForce config;
 
 	private boolean endpointsKnown;
 
 	/**
 	 * Replaces the configuration if the given one has a higher version.
 	 * @param newest the configuration
+	 * @param nowMs the current time in milliseconds
 	 * @return whether it was replaced
 	 */
-	public boolean replace(Catalog newest) {
-		if (this.catalog != null && newest.version() <= this.catalog.version()) {
+	public boolean replace(Catalog newest, long nowMs) {
+		if (this.config != null && newest.version() <= this.config.version()) {
 			return false;
 		}
-		this.catalog = newest;
+		this.config = new ConfigInForce(newest, nowMs);
 		return true;
 	}
 
@@ -73,7 +74,15 @@
 	 * @return the configuration, or empty before the first one
 	 */
 	public Optional<Catalog> catalog() {
-		return Optional.ofNullable(this.catalog);
+		return config().map(ConfigInForce::catalog);
+	}
+
+	/**
+	 * Returns the configuration in force and since when it has been.
+	 * @return the configuration, or empty before the first one
+	 */
+	public Optional<ConfigInForce> config() {
+		return Optional.ofNullable(this.config);
 	}
 
 	/**
@@ -81,7 +90,7 @@
 	 * @return the limits, or the defaults before the first configuration
 	 */
 	public RequestLimits limits() {
-		return (this.catalog != null) ? this.catalog.limits() : RequestLimits.DEFAULT;
+		return (this.config != null) ? this.config.catalog().limits() : RequestLimits.DEFAULT;
 	}
 
 	/**
@@ -97,7 +106,7 @@
 	 * @return {@code true} once the configuration and the endpoints are known
 	 */
 	public boolean isComplete() {
-		return this.catalog != null && this.endpointsKnown;
+		return this.config != null && this.endpointsKnown;
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -334,7 +334,7 @@
 
 	private void apply(OperatorRecord record, long offset, PageOrigin origin, long nowMs) {
 		if (record instanceof OperatorRecord.Configuration configuration) {
-			boolean inForce = this.view.replace(configuration.catalog());
+			boolean inForce = this.view.replace(configuration.catalog(), nowMs);
 			EventLog.state("config_read")
 				.with("version", configuration.catalog().version())
 				.with("offset", offset)
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -15,10 +15,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.PipelineAdmission;
-import org.fulmargap.catalog.Catalog;
 import org.fulmargap.catalog.ClientAccount;
 import org.fulmargap.catalog.Route;
 import org.fulmargap.catalog.ServiceSpec;
+import org.fulmargap.entry.ConfigInForce;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.caller.CallerExchange;
 import org.fulmargap.entry.caller.CallerListener;
@@ -71,7 +71,7 @@
 
 	private final CallerMessage message;
 
-	private final Catalog catalog;
+	private final ConfigInForce config;
 
 	private final Route route;
 
@@ -114,16 +114,18 @@
 	private boolean finished;
 
 	RequestFlow(RequestServices services, CallerExchange exchange, FullHttpRequest http, CallerRequest request,
-			Catalog catalog, Route route, ClientAccount account, String fingerprint) {
+			ConfigInForce config, Route route, ClientAccount account, String fingerprint) {
 		this.services = services;
 		this.exchange = exchange;
 		this.stream = new CallerStream(exchange);
 		this.request = request;
 		this.message = new CallerMessage(http);
-		this.catalog = catalog;
+		this.config = config;
 		this.route = route;
 		String serviceName = route.service(request.attemptId().hashCode());
-		this.service = catalog.services().getOrDefault(serviceName, new ServiceSpec(serviceName, 0, 0, null, null));
+		this.service = config.catalog()
+			.services()
+			.getOrDefault(serviceName, new ServiceSpec(serviceName, 0, 0, null, null));
 		this.account = account;
 		this.fingerprint = fingerprint;
 		this.sharedParts = request.prompt().sharedParts();
@@ -172,7 +174,7 @@
 			return;
 		}
 		PipelineAdmission.ExpectedTimes expected = this.stageRun.estimate(this.services::availableEndpoints,
-				this.catalog, this.arrivedAtMs);
+				this.config.catalog(), this.arrivedAtMs);
 		if (!isTimeFor(expected.stagesMs(), 1, this.arrivedAtMs)) {
 			refuse(Refusal.STOPPING);
 		}
@@ -348,14 +350,17 @@
 		if (this.finished) {
 			return;
 		}
-		long leftMs = Math.max(0, this.deadlineAtMs - this.services.nowMs());
+		long nowMs = this.services.nowMs();
+		long leftMs = Math.max(0, this.deadlineAtMs - nowMs);
 		EventLog.request("refused", this.request.attemptId())
 			.with("reason", refusal)
 			.with("route", this.route.name())
-			.with("age_ms", this.services.nowMs() - this.arrivedAtMs)
+			.with("age_ms", nowMs - this.arrivedAtMs)
 			.with("left_ms", leftMs)
 			.with("calls", this.calls)
 			.with("runs", this.runs)
+			.with("config_version", this.config.version())
+			.with("config_age_ms", this.config.ageMs(nowMs))
 			.write();
 		this.services.metrics().count("refused_" + refusal.name().toLowerCase(Locale.ROOT));
 		if (this.stream.hasBegun()) {
@@ -502,12 +507,15 @@
 			flow.calls++;
 			EventLog.request("dispatched", flow.request.attemptId())
 				.with("route", flow.route.name())
+				.with("service", flow.service.name())
 				.with("endpoint", this.endpoint)
 				.with("cost_ms", Math.round(this.choice.costMs()))
 				.with("candidates", this.choice.candidates())
 				.with("in_flight", this.endpoint.inFlight(nowMs))
 				.with("unread_tokens", this.unreadTokens)
 				.with("age_ms", nowMs - flow.arrivedAtMs)
+				.with("config_version", flow.config.version())
+				.with("config_age_ms", flow.config.ageMs(nowMs))
 				.write();
 			if (!prompt.parts().isEmpty()) {
 				flow.services.peers().announce(new PeerMessage.PromptSent(this.endpoint.record().id(), prompt));
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestRouter.java
@@ -10,6 +10,7 @@
 import org.fulmargap.catalog.Catalog;
 import org.fulmargap.catalog.ClientAccount;
 import org.fulmargap.catalog.Route;
+import org.fulmargap.entry.ConfigInForce;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.caller.CallerExchange;
 import org.fulmargap.entry.caller.CallerHandler;
@@ -30,6 +31,9 @@
 	 */
 	private static final int MAX_WORK_ITEMS = 1_000;
 
+	/** The length of the longest host or path that is logged whole, in characters. */
+	private static final int MAX_LOGGED_LENGTH = 100;
+
 	private final RequestServices services;
 
 	private boolean refusing;
@@ -57,19 +61,20 @@
 		if (this.refusing) {
 			return refuse(http, exchange, request, Refusal.STOPPING);
 		}
-		Optional<Catalog> catalog = this.services.view().catalog();
-		if (catalog.isEmpty() || !this.services.view().isComplete()) {
+		Optional<ConfigInForce> config = this.services.view().config();
+		if (config.isEmpty() || !this.services.view().isComplete()) {
 			return refuse(http, exchange, request, Refusal.NO_CONFIGURATION);
 		}
-		String host = http.headers().get(HttpHeaderNames.HOST, "");
+		Catalog catalog = config.get().catalog();
+		String host = host(http);
 		int colon = host.indexOf(':');
 		String name = (colon >= 0) ? host.substring(0, colon) : host;
-		Optional<Route> route = catalog.get().route(name, http.uri());
+		Optional<Route> route = catalog.route(name, http.uri());
 		if (route.isEmpty()) {
 			return refuse(http, exchange, request, Refusal.NO_ROUTE);
 		}
-		Optional<ClientAccount> account = catalog.get().account(request.apiKey());
-		if (account.isEmpty() && catalog.get().needsKey(route.get())) {
+		Optional<ClientAccount> account = catalog.account(request.apiKey());
+		if (account.isEmpty() && catalog.needsKey(route.get())) {
 			return refuse(http, exchange, request, Refusal.UNKNOWN_KEY);
 		}
 		if (request.totalItems(route.get().stages().size()) > MAX_WORK_ITEMS) {
@@ -81,7 +86,7 @@
 		if (!verdict.mayRun() || refused) {
 			return refuse(http, exchange, request, Refusal.QUARANTINED);
 		}
-		RequestFlow flow = new RequestFlow(this.services, exchange, http, request, catalog.get(), route.get(),
+		RequestFlow flow = new RequestFlow(this.services, exchange, http, request, config.get(), route.get(),
 				account.orElse(null), fingerprint);
 		http.release();
 		flow.start();
@@ -90,9 +95,14 @@
 
 	private CallerListener refuse(FullHttpRequest http, CallerExchange exchange, CallerRequest request,
 			Refusal refusal) {
+		Optional<ConfigInForce> config = this.services.view().config();
+		long nowMs = this.services.nowMs();
 		EventLog.request("refused", request.attemptId())
 			.with("reason", refusal)
-			.with("config_version", this.services.view().catalog().map(Catalog::version).orElse(0L))
+			.with("config_version", config.map(ConfigInForce::version).orElse(0L))
+			.with("config_age_ms", config.map((known) -> known.ageMs(nowMs)).orElse(-1L))
+			.with("host", EventLog.cut(host(http), MAX_LOGGED_LENGTH))
+			.with("path", EventLog.cut(path(http), MAX_LOGGED_LENGTH))
 			.write();
 		this.services.metrics().count("refused_" + refusal.name().toLowerCase(Locale.ROOT));
 		http.release();
@@ -100,6 +110,16 @@
 		return null;
 	}
 
+	private static String host(FullHttpRequest http) {
+		return http.headers().get(HttpHeaderNames.HOST, "");
+	}
+
+	// The query is left out, because it may contain keys.
+	private static String path(FullHttpRequest http) {
+		int query = http.uri().indexOf('?');
+		return (query >= 0) ? http.uri().substring(0, query) : http.uri();
+	}
+
 	private static String fingerprint(FullHttpRequest http, CallerRequest request) {
 		CRC32 hash = new CRC32();
 		hash.update(request.apiKey().getBytes(StandardCharsets.UTF_8));
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -220,7 +220,12 @@
 		void anUnknownRouteAndAnUnknownKeyGetDifferentStatuses() throws Exception {
 			endpoint("core-1", "core");
 			startVms(1);
-			assertThat(send("/none/x").statusCode()).isEqualTo(404);
+			try (LogLines log = new LogLines()) {
+				assertThat(send("/none/x?key=1").statusCode()).isEqualTo(404);
+				assertThat(log.contain("refused",
+						"reason=NO_ROUTE config_version=1 config_age_ms=\\d+ host=\\S+ path=/none/x"))
+					.isTrue();
+			}
 			assertThat(EntryVmTests.this.installation
 				.send(EntryVmTests.this.installation.attempt(0, "/read/x").setHeader("Authorization", "Token bad"))
 				.statusCode()).isEqualTo(401);
@@ -245,8 +250,11 @@
 				.put(CallerWire.OPERATOR_TOPIC, "config",
 						CallerWire.CONFIG.formatted(2).replace("\"/read/\"", "\"/late/\""));
 			long startedAtMs = System.currentTimeMillis();
-			while (send("/late/x").statusCode() != 200) {
-				assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(2_000);
+			try (LogLines log = new LogLines()) {
+				while (send("/late/x").statusCode() != 200) {
+					assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(2_000);
+				}
+				assertThat(log.contain("dispatched", "service=core .* config_version=2 config_age_ms=\\d+")).isTrue();
 			}
 		}
 
--- a/entry/src/test/java/org/fulmargap/entry/EventLogTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EventLogTests.java
@@ -28,6 +28,12 @@
 		assertThat(EventLog.state("test").with("key", "").toString()).isEqualTo("event=test key=\"\"");
 	}
 
+	@Test
+	void aBackslashDoesNotHideTheEndOfAValue() {
+		assertThat(EventLog.state("test").with("key", "a b\\").with("next", 1).toString())
+			.isEqualTo("event=test key=\"a b\\\\\" next=1");
+	}
+
 	@Test
 	void aLongValueIsCut() {
 		assertThat(EventLog.state("test").with("key", "x".repeat(1_000_000)).toString()).hasSizeLessThan(1_000);
--- a/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -65,7 +65,7 @@
 		StoreView view = new StoreView();
 		KeyedRecord config = new KeyedRecord("config", CallerWire.CONFIG.formatted(1).getBytes(StandardCharsets.UTF_8),
 				0);
-		view.replace(((OperatorRecord.Configuration) OperatorRecord.decode(config)).catalog());
+		view.replace(((OperatorRecord.Configuration) OperatorRecord.decode(config)).catalog(), 0);
 		byte[] record = this.endpoint.record("stage").getBytes(StandardCharsets.UTF_8);
 		view.put(EndpointRecordDecoder.decode("raw-1", record), 0);
 		EntryMetrics metrics = new EntryMetrics();
