Log the end of a caller's connection while a request on it has no whole answer

Cause: caller_left says that the connection of a running request ended, but not why, and nothing is logged when the body of a request was not whole, when pipelined requests waited, or when an answer was not written whole.

Change: caller_closed, once a connection at most, names the oldest such request, the reason (caller, error, idle, drain, broken-off answer, last answer, end of the process), how far it had come and its age. Closing itself is unchanged.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import org.fulmargap.entry.EventLog;
 
 /**
  * The connection of one caller. Passes its requests to the handler one at a time, in
@@ -39,12 +40,22 @@
 
 	private final CallerServer server;
 
-	private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+	private final Deque<Exchange> pipelined = new ArrayDeque<>();
 
 	private ChannelHandlerContext context;
 
 	private Exchange current;
 
+	// The request of which the head was read last, until it is passed on.
+	private OpenRequest receiving;
+
+	// The request whose answer was broken off or not written whole.
+	private OpenRequest cut;
+
+	private CloseReason closeReason = CloseReason.CALLER;
+
+	private String closeCause = "none";
+
 	// Complete answers of which some bytes are not written to the socket yet.
 	private int unwrittenAnswers;
 
@@ -65,6 +76,14 @@
 		this.server.opened(this);
 	}
 
+	/**
+	 * Records that the head of a request was read.
+	 * @param headers the headers of the request
+	 */
+	void receiving(HttpHeaders headers) {
+		this.receiving = new OpenRequest(headers, this.server.nowMs());
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		FullHttpRequest request = (FullHttpRequest) message;
@@ -73,12 +92,23 @@
 			request.release();
 			return;
 		}
+		Exchange exchange = new Exchange(request, received(request));
 		if (!mayStart()) {
-			this.pipelined.add(request);
+			this.pipelined.add(exchange);
 			updateReading();
 			return;
 		}
-		start(request);
+		start(exchange);
+	}
+
+	// A head that can't be accepted is passed on without a call of receiving().
+	private OpenRequest received(FullHttpRequest request) {
+		if (this.receiving == null) {
+			receiving(request.headers());
+		}
+		OpenRequest received = this.receiving;
+		this.receiving = null;
+		return received;
 	}
 
 	// A caller that does not read its answers gets no further ones, because they would be
@@ -87,8 +117,8 @@
 		return this.current == null && this.context.channel().isWritable();
 	}
 
-	private void start(FullHttpRequest request) {
-		Exchange exchange = new Exchange(request);
+	private void start(Exchange exchange) {
+		FullHttpRequest request = exchange.request;
 		this.current = exchange;
 		boolean tooLarge = request.decoderResult().cause() instanceof TooLongHttpContentException;
 		if (tooLarge) {
@@ -119,7 +149,8 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.server.closed(this);
-		this.pipelined.forEach(FullHttpRequest::release);
+		logOpenRequest();
+		this.pipelined.forEach((waiting) -> waiting.request.release());
 		this.pipelined.clear();
 		Exchange abandoned = this.current;
 		this.current = null;
@@ -128,6 +159,35 @@
 		}
 	}
 
+	private void logOpenRequest() {
+		if (this.cut != null) {
+			logClosed(this.cut, OpenRequest.Progress.ANSWERING);
+		}
+		else if (this.current != null) {
+			logClosed(this.current.open,
+					(this.current.begun) ? OpenRequest.Progress.ANSWERING : OpenRequest.Progress.RUNNING);
+		}
+		else if (!this.pipelined.isEmpty()) {
+			logClosed(this.pipelined.peek().open, OpenRequest.Progress.READ);
+		}
+		else if (this.receiving != null) {
+			logClosed(this.receiving, (this.closing) ? OpenRequest.Progress.READ : OpenRequest.Progress.RECEIVING);
+		}
+	}
+
+	private void logClosed(OpenRequest open, OpenRequest.Progress progress) {
+		if (this.context.channel().eventLoop().isShuttingDown()) {
+			noteReason(CloseReason.STOPPED);
+		}
+		EventLog.request("caller_closed", open.id())
+			.with("reason", this.closeReason)
+			.with("cause", this.closeCause)
+			.with("progress", progress)
+			.with("age_ms", this.server.nowMs() - open.sinceMs())
+			.with("pipelined", this.pipelined.size())
+			.write();
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
 		boolean writable = context.channel().isWritable();
@@ -148,7 +208,7 @@
 
 	private void startNext() {
 		if (mayStart() && !this.closing && !this.pipelined.isEmpty()) {
-			FullHttpRequest next = this.pipelined.poll();
+			Exchange next = this.pipelined.poll();
 			updateReading();
 			start(next);
 		}
@@ -156,12 +216,29 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		// The decoders report requests that the end of the connection cut as errors.
+		if (context.channel().isActive()) {
+			this.closeCause = cause.toString();
+			noteReason(CloseReason.ERROR);
+		}
 		context.close();
 	}
 
+	private void close(CloseReason reason) {
+		noteReason(reason);
+		this.context.close();
+	}
+
+	// The first reason counts.
+	private void noteReason(CloseReason reason) {
+		if (this.closeReason == CloseReason.CALLER) {
+			this.closeReason = reason;
+		}
+	}
+
 	void closeIfIdle(long nowMs, long idleTimeoutMs) {
 		if (this.current == null && nowMs - this.idleSinceMs > idleTimeoutMs) {
-			this.context.close();
+			close(CloseReason.IDLE);
 		}
 	}
 
@@ -181,7 +258,7 @@
 
 	void closeIfUnused() {
 		if (!isBusy()) {
-			this.context.close();
+			close(CloseReason.UNUSED);
 		}
 	}
 
@@ -200,6 +277,10 @@
 
 	private final class Exchange implements CallerExchange {
 
+		private final FullHttpRequest request;
+
+		private final OpenRequest open;
+
 		private final boolean isHead;
 
 		private boolean keepAlive;
@@ -210,7 +291,9 @@
 
 		private CallerListener listener;
 
-		private Exchange(FullHttpRequest request) {
+		private Exchange(FullHttpRequest request, OpenRequest open) {
+			this.request = request;
+			this.open = open;
 			this.knowsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
 			this.isHead = request.method().equals(HttpMethod.HEAD);
 			this.keepAlive = HttpUtil.isKeepAlive(request);
@@ -287,7 +370,8 @@
 		public void abort() {
 			if (!isFinished()) {
 				CallerConnection.this.current = null;
-				CallerConnection.this.context.close();
+				CallerConnection.this.cut = this.open;
+				close(CloseReason.ABORTED);
 			}
 		}
 
@@ -312,7 +396,7 @@
 			var future = CallerConnection.this.context.writeAndFlush(message);
 			if (last) {
 				CallerConnection.this.unwrittenAnswers++;
-				future.addListener((written) -> CallerConnection.this.unwrittenAnswers--);
+				future.addListener((written) -> written(written.isSuccess()));
 				if (!this.keepAlive) {
 					future.addListener(ChannelFutureListener.CLOSE);
 				}
@@ -320,6 +404,16 @@
 			}
 		}
 
+		private void written(boolean whole) {
+			CallerConnection.this.unwrittenAnswers--;
+			if (!whole) {
+				CallerConnection.this.cut = this.open;
+			}
+			else if (!this.keepAlive) {
+				noteReason(CloseReason.LAST_ANSWER);
+			}
+		}
+
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/caller/RequestAggregator.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/RequestAggregator.java
@@ -1,11 +1,13 @@
 package org.fulmargap.entry.caller;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -42,6 +44,12 @@
 		return (expected) ? super.newContinueResponse(request, maxBodyBytes, pipeline) : null;
 	}
 
+	@Override
+	protected FullHttpMessage beginAggregation(HttpMessage head, ByteBuf content) throws Exception {
+		this.connection.receiving(head.headers());
+		return super.beginAggregation(head, content);
+	}
+
 	@Override
 	protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
 		HttpRequest head = (HttpRequest) oversized;
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -402,9 +402,9 @@
 				startVms(1);
 				assertThat(log.contain("store_reached", "topic=OPERATOR .*unread_ms=-1")).isTrue();
 				EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.DOWN);
-				Installation.await(() -> log.contain("store_lost", "topic=OPERATOR .*open_ms=\\d+"));
+				log.await("store_lost", "topic=OPERATOR .*open_ms=\\d+");
 				EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.NONE);
-				Installation.await(() -> log.contain("store_reached", "topic=OPERATOR .*unread_ms=\\d+"));
+				log.await("store_reached", "topic=OPERATOR .*unread_ms=\\d+");
 			}
 		}
 
--- a/entry/src/test/java/org/fulmargap/entry/FleetTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/FleetTests.java
@@ -118,7 +118,7 @@
 		this.installation.vm(Integer.parseInt(hub.substring("vm-".length()))).close();
 		replaceKey(2);
 		assertAppliedByAll(APPLY_MS, others(hub));
-		Installation.await(() -> this.log.contain("store_source", "source=\\S+ previous=" + hub + " previous_ms=\\d+"));
+		this.log.await("store_source", "source=\\S+ previous=" + hub + " previous_ms=\\d+");
 	}
 
 	@Test
--- a/entry/src/test/java/org/fulmargap/entry/LogLines.java
+++ b/entry/src/test/java/org/fulmargap/entry/LogLines.java
@@ -40,6 +40,16 @@
 		return this.lines.stream().anyMatch((line) -> line.matches("event=" + event + " (.* )?" + fields + "( .*)?"));
 	}
 
+	/**
+	 * Waits for a line that matches, like {@link #contain}.
+	 * @param event the name of the event
+	 * @param fields a regular expression that a part of the line after the name matches
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	public void await(String event, String fields) throws InterruptedException {
+		Installation.await(() -> contain(event, fields));
+	}
+
 	@Override
 	public void close() {
 		this.logger.detachAppender(this);
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -17,6 +17,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import org.fulmargap.catalog.RequestLimits;
+import org.fulmargap.entry.LogLines;
+import org.fulmargap.platform.standin.CallerWire;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -100,11 +102,12 @@
 
 	@Test
 	void anAnswerAfterABegunOneClosesTheConnection() throws Exception {
-		try (Socket socket = connect()) {
+		try (LogLines log = new LogLines(); Socket socket = connect()) {
 			socket.getOutputStream()
 				.write("GET /begun HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
 			String received = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 			assertThat(received).startsWith("HTTP/1.1 200 ").endsWith("\r\n\r\n4\r\npart\r\n");
+			log.await("caller_closed", "reason=ABORTED cause=none progress=ANSWERING age_ms=\\d+ pipelined=0");
 		}
 	}
 
@@ -137,6 +140,37 @@
 		}
 	}
 
+	@Test
+	void anEndWithoutAWholeAnswerIsLogged() throws Exception {
+		try (LogLines log = new LogLines()) {
+			try (Socket socket = connect()) {
+				send(socket);
+				readAnswer(socket);
+			}
+			try (Socket socket = connect()) {
+				socket.getOutputStream()
+					.write(("POST /x HTTP/1.1\r\nHost: h\r\n" + CallerWire.ATTEMPT_ID
+							+ ": a1\r\nContent-Length: 9\r\n\r\npart")
+						.getBytes(StandardCharsets.US_ASCII));
+			}
+			log.await("caller_closed", "request=a1 reason=CALLER cause=none progress=RECEIVING .*");
+			assertThat(log.contain("caller_closed", "request=\"\" .*")).isFalse();
+		}
+	}
+
+	@Test
+	void anAnswerThatIsNotWrittenWholeIsLogged() throws Exception {
+		try (LogLines log = new LogLines()) {
+			try (Socket socket = connect()) {
+				socket.getOutputStream()
+					.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+						.getBytes(StandardCharsets.US_ASCII));
+				assertThat(socket.getInputStream().read()).isEqualTo('H');
+			}
+			log.await("caller_closed", "reason=\\w+ .* progress=ANSWERING .* pipelined=1");
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
