Move the reason for the end of a caller's connection out of CallerConnection

Cause: CallerConnection had grown by a reason, a cause and the log line.

Change: ConnectionEnd keeps them; the first reason counts. No behaviour changes.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -24,7 +24,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
-import org.fulmargap.entry.EventLog;
 
 /**
  * The connection of one caller. Passes its requests to the handler one at a time, in
@@ -42,6 +41,8 @@
 
 	private final Deque<Exchange> pipelined = new ArrayDeque<>();
 
+	private final ConnectionEnd end = new ConnectionEnd();
+
 	private ChannelHandlerContext context;
 
 	private Exchange current;
@@ -52,10 +53,6 @@
 	// The request whose answer was broken off or not written whole.
 	private OpenRequest cut;
 
-	private CloseReason closeReason = CloseReason.CALLER;
-
-	private String closeCause = "none";
-
 	// Complete answers of which some bytes are not written to the socket yet.
 	private int unwrittenAnswers;
 
@@ -177,15 +174,9 @@
 
 	private void logClosed(OpenRequest open, OpenRequest.Progress progress) {
 		if (this.context.channel().eventLoop().isShuttingDown()) {
-			noteReason(CloseReason.STOPPED);
+			this.end.because(CloseReason.STOPPED);
 		}
-		EventLog.request("caller_closed", open.id())
-			.with("reason", this.closeReason)
-			.with("cause", this.closeCause)
-			.with("progress", progress)
-			.with("age_ms", this.server.nowMs() - open.sinceMs())
-			.with("pipelined", this.pipelined.size())
-			.write();
+		this.end.log(open, progress, this.pipelined.size(), this.server.nowMs());
 	}
 
 	@Override
@@ -218,24 +209,16 @@
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		// The decoders report requests that the end of the connection cut as errors.
 		if (context.channel().isActive()) {
-			this.closeCause = cause.toString();
-			noteReason(CloseReason.ERROR);
+			this.end.because(cause);
 		}
 		context.close();
 	}
 
 	private void close(CloseReason reason) {
-		noteReason(reason);
+		this.end.because(reason);
 		this.context.close();
 	}
 
-	// The first reason counts.
-	private void noteReason(CloseReason reason) {
-		if (this.closeReason == CloseReason.CALLER) {
-			this.closeReason = reason;
-		}
-	}
-
 	void closeIfIdle(long nowMs, long idleTimeoutMs) {
 		if (this.current == null && nowMs - this.idleSinceMs > idleTimeoutMs) {
 			close(CloseReason.IDLE);
@@ -410,7 +393,7 @@
 				CallerConnection.this.cut = this.open;
 			}
 			else if (!this.keepAlive) {
-				noteReason(CloseReason.LAST_ANSWER);
+				CallerConnection.this.end.because(CloseReason.LAST_ANSWER);
 			}
 		}
 
