--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -220,7 +220,12 @@
 		void anUnknownRouteAndAnUnknownKeyGetDifferentStatuses() throws Exception {
 			endpoint("core-1", "core");
 			startVms(1);
-			assertThat(send("/none/x").statusCode()).isEqualTo(404);
+			try (LogLines log = new LogLines()) {
+				assertThat(send("/none/x?key=1").statusCode()).isEqualTo(404);
+				assertThat(log.contain("refused",
+						"reason=NO_ROUTE config_version=1 config_age_ms=\\d+ host=\\S+ path=/none/x"))
+					.isTrue();
+			}
 			assertThat(EntryVmTests.this.installation
 				.send(EntryVmTests.this.installation.attempt(0, "/read/x").setHeader("Authorization", "Token bad"))
 				.statusCode()).isEqualTo(401);
@@ -245,8 +250,11 @@
 				.put(CallerWire.OPERATOR_TOPIC, "config",
 						CallerWire.CONFIG.formatted(2).replace("\"/read/\"", "\"/late/\""));
 			long startedAtMs = System.currentTimeMillis();
-			while (send("/late/x").statusCode() != 200) {
-				assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(2_000);
+			try (LogLines log = new LogLines()) {
+				while (send("/late/x").statusCode() != 200) {
+					assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(2_000);
+				}
+				assertThat(log.contain("dispatched", "service=core .* config_version=2 config_age_ms=\\d+")).isTrue();
 			}
 		}
 
@@ -365,7 +373,7 @@
 		void aVmThatTheStoreRefusesGetsRecordsFromItsPeers() throws Exception {
 			endpoint("core-1", "core");
 			EntryVmTests.this.installation.vm("vm-0");
-			try (StoreStandIn refusing = new StoreStandIn()) {
+			try (StoreStandIn refusing = new StoreStandIn(); LogLines log = new LogLines()) {
 				refusing.fault(StoreStandIn.Fault.BUSY);
 				EntryVmTests.this.installation.vm("vm-1", refusing);
 				EntryVmTests.this.installation.store()
@@ -379,6 +387,24 @@
 					.statusCode() != 401) {
 					assertThat(System.currentTimeMillis() - startedAtMs).isLessThan(4_000);
 				}
+				assertThat(log.contain("config_read", "version=2 .* source=store records=1 read_ms=\\d+ "
+						+ "previous_read_age_ms=\\d+ queued_ms=\\d+"))
+					.isTrue();
+				assertThat(log.contain("config_read",
+						"version=2 .* source=vm-0 records=\\d+ read_ms=-1 previous_read_age_ms=-1 queued_ms=\\d+"))
+					.isTrue();
+			}
+		}
+
+		@Test
+		void anOutageOfTheStoreIsLoggedWithItsLength() throws Exception {
+			try (LogLines log = new LogLines()) {
+				startVms(1);
+				assertThat(log.contain("store_reached", "topic=OPERATOR .*unread_ms=-1")).isTrue();
+				EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.DOWN);
+				log.await("store_lost", "topic=OPERATOR .*open_ms=\\d+");
+				EntryVmTests.this.installation.store().fault(StoreStandIn.Fault.NONE);
+				log.await("store_reached", "topic=OPERATOR .*unread_ms=\\d+");
 			}
 		}
 
