--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import org.fulmargap.catalog.RequestLimits;
 
 /**
  * The connection of one caller. Passes its requests to the handler one at a time, in
@@ -37,6 +39,13 @@
 	 */
 	private static final int MAX_PIPELINED = 16;
 
+	/**
+	 * The shortest time without progress after which an answer that its caller does not
+	 * read is cut, in milliseconds. It is the usual idle timeout: one that an operator
+	 * shortens is meant for connections without a request.
+	 */
+	private static final long MIN_UNREAD_ANSWER_MS = RequestLimits.DEFAULT.idleTimeoutMs();
+
 	private final CallerServer server;
 
 	private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
@@ -54,6 +63,9 @@
 
 	private long idleSinceMs;
 
+	// At the last check of the idle timeout.
+	private long lastUnwrittenBytes;
+
 	CallerConnection(CallerServer server) {
 		this.server = server;
 		this.idleSinceMs = server.nowMs();
@@ -159,12 +171,29 @@
 		context.close();
 	}
 
+	/**
+	 * Closes the connection if nothing has happened on it for the idle timeout. A caller
+	 * that has not taken its whole answer has more time.
+	 * @param nowMs the current time in milliseconds
+	 * @param idleTimeoutMs the idle timeout in milliseconds
+	 */
 	void closeIfIdle(long nowMs, long idleTimeoutMs) {
-		if (this.current == null && nowMs - this.idleSinceMs > idleTimeoutMs) {
+		long bytes = unwrittenBytes();
+		if (this.current != null || bytes != this.lastUnwrittenBytes) {
+			this.idleSinceMs = nowMs;
+		}
+		this.lastUnwrittenBytes = bytes;
+		long timeoutMs = (isBusy()) ? Math.max(idleTimeoutMs, MIN_UNREAD_ANSWER_MS) : idleTimeoutMs;
+		if (nowMs - this.idleSinceMs > timeoutMs) {
 			this.context.close();
 		}
 	}
 
+	private long unwrittenBytes() {
+		ChannelOutboundBuffer buffer = this.context.channel().unsafe().outboundBuffer();
+		return (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
+	}
+
 	boolean isBusy() {
 		return this.current != null || this.unwrittenAnswers > 0;
 	}
@@ -198,6 +227,11 @@
 		startNext();
 	}
 
+	private void answerWritten() {
+		this.unwrittenAnswers--;
+		this.idleSinceMs = this.server.nowMs();
+	}
+
 	private final class Exchange implements CallerExchange {
 
 		private final boolean isHead;
@@ -312,7 +346,7 @@
 			var future = CallerConnection.this.context.writeAndFlush(message);
 			if (last) {
 				CallerConnection.this.unwrittenAnswers++;
-				future.addListener((written) -> CallerConnection.this.unwrittenAnswers--);
+				future.addListener((written) -> answerWritten());
 				if (!this.keepAlive) {
 					future.addListener(ChannelFutureListener.CLOSE);
 				}
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -33,6 +34,8 @@
 
 	private static final int SILENCE_MS = 300;
 
+	private static final long IDLE_TIMEOUT_MS = 1_000;
+
 	/** More than the buffers of both sockets hold. */
 	private static final int LARGE_BYTES = 16 << 20;
 
@@ -42,6 +45,10 @@
 
 	private final AtomicInteger handled = new AtomicInteger();
 
+	private final AtomicLong clockOffsetMs = new AtomicLong();
+
+	private volatile RequestLimits limits = RequestLimits.DEFAULT;
+
 	private CallerServer server;
 
 	private int port;
@@ -51,8 +58,8 @@
 		try (ServerSocket free = new ServerSocket(0)) {
 			this.port = free.getLocalPort();
 		}
-		this.server = new CallerServer(this.loop, System::currentTimeMillis, () -> RequestLimits.DEFAULT,
-				(request, exchange) -> {
+		this.server = new CallerServer(this.loop, () -> System.currentTimeMillis() + this.clockOffsetMs.get(),
+				() -> this.limits, (request, exchange) -> {
 					request.release();
 					this.handled.incrementAndGet();
 					if (request.uri().equals("/begun")) {
@@ -137,6 +144,37 @@
 		}
 	}
 
+	private void idleTimeoutMs(long timeoutMs) {
+		this.limits = new RequestLimits(RequestLimits.DEFAULT.maxHeaderBytes(), RequestLimits.DEFAULT.maxBodyBytes(),
+				RequestLimits.DEFAULT.headerTimeoutMs(), timeoutMs);
+	}
+
+	@Test
+	void aShortIdleTimeoutDoesNotCutAnAnswerThatIsReadSlowly() throws Exception {
+		idleTimeoutMs(IDLE_TIMEOUT_MS);
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			Thread.sleep(3 * IDLE_TIMEOUT_MS);
+			assertThat(socket.getInputStream().readNBytes(LARGE_BYTES)).hasSize(LARGE_BYTES);
+		}
+	}
+
+	@Test
+	void anAnswerThatIsNotReadAtAllIsCut() throws Exception {
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			// The first check of the timeout still sees progress.
+			Thread.sleep(3 * IDLE_TIMEOUT_MS);
+			assertThat(busyConnections()).isOne();
+			this.clockOffsetMs.addAndGet(RequestLimits.DEFAULT.idleTimeoutMs());
+			Thread.sleep(2 * IDLE_TIMEOUT_MS);
+			assertThat(busyConnections()).isZero();
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
