Don't close connections while a request is being sent on them

Callers that send a body slowly lost their request: a connection counted as idle from the end of its last answer until the next request was whole, so that the idle timeout, or the drain when it closes unused connections, ended it in the middle of a body.

Now each part of a request ends the idle time, and a connection on which a request is being sent is busy until reading stops. The rest of a body over the limit, which is dropped, doesn't count.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -57,6 +57,9 @@
 	// Complete answers of which some bytes are not written to the socket yet.
 	private int unwrittenAnswers;
 
+	// Whether a part of a request was read that is not whole yet.
+	private boolean receiving;
+
 	private boolean closing;
 
 	private boolean readingStopped;
@@ -77,6 +80,15 @@
 		this.server.opened(this);
 	}
 
+	/**
+	 * Handles a part of a request.
+	 * @param last whether the request is whole now
+	 */
+	void partRead(boolean last) {
+		this.receiving = !last;
+		this.idleSinceMs = this.server.nowMs();
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		FullHttpRequest request = (FullHttpRequest) message;
@@ -183,7 +195,7 @@
 			this.idleSinceMs = nowMs;
 		}
 		this.lastUnwrittenBytes = bytes;
-		long timeoutMs = (isBusy()) ? Math.max(idleTimeoutMs, MIN_UNREAD_ANSWER_MS) : idleTimeoutMs;
+		long timeoutMs = (this.unwrittenAnswers > 0) ? Math.max(idleTimeoutMs, MIN_UNREAD_ANSWER_MS) : idleTimeoutMs;
 		if (nowMs - this.idleSinceMs > timeoutMs) {
 			this.context.close();
 		}
@@ -194,12 +206,20 @@
 		return (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
 	}
 
+	/**
+	 * Returns whether a request is being read or answered.
+	 * @return {@code true} if its caller would lose a request by a close
+	 */
 	boolean isBusy() {
-		return this.current != null || this.unwrittenAnswers > 0;
+		return this.receiving || hasRequests() || this.unwrittenAnswers > 0;
 	}
 
+	/**
+	 * Reads nothing more. What was read of a request that is not whole is dropped.
+	 */
 	void stopReading() {
 		this.readingStopped = true;
+		this.receiving = false;
 		updateReading();
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/caller/RequestAggregator.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/RequestAggregator.java
@@ -1,5 +1,7 @@
 package org.fulmargap.entry.caller;
 
+import java.util.List;
+
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
@@ -8,9 +10,11 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
@@ -23,6 +27,9 @@
 
 	private final CallerConnection connection;
 
+	// Whether what arrives is the rest of a body over the limit.
+	private boolean dropping;
+
 	/**
 	 * Creates an aggregator.
 	 * @param maxBodyBytes the highest size of a body in bytes
@@ -33,6 +40,15 @@
 		this.connection = connection;
 	}
 
+	@Override
+	protected void decode(ChannelHandlerContext context, HttpObject part, List<Object> whole) throws Exception {
+		this.dropping &= !(part instanceof HttpRequest);
+		if (!this.dropping) {
+			this.connection.partRead(part instanceof LastHttpContent);
+		}
+		super.decode(context, part, whole);
+	}
+
 	// A caller that gets no interim answer sends the body after a while. Expectations
 	// other than the standard one may be ignored.
 	@Override
@@ -48,6 +64,8 @@
 		FullHttpRequest refused = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(),
 				Unpooled.EMPTY_BUFFER, head.headers(), DefaultHttpHeadersFactory.trailersFactory().newHeaders());
 		refused.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("the body is over the limit")));
+		this.dropping = true;
+		this.connection.partRead(true);
 		context.fireChannelRead(refused);
 	}
 
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -175,6 +175,54 @@
 		}
 	}
 
+	// Sends the head and a part of the body of a request on a kept connection.
+	private static void sendPart(Socket socket) throws IOException {
+		send(socket);
+		readAnswer(socket);
+		socket.getOutputStream().write(REQUEST, 0, REQUEST.length - 1);
+	}
+
+	@Test
+	void theIdleTimeoutDoesNotCutARequestThatIsBeingSent() throws Exception {
+		idleTimeoutMs(IDLE_TIMEOUT_MS);
+		try (Socket socket = connect()) {
+			send(socket);
+			readAnswer(socket);
+			String chunked = new String(REQUEST, StandardCharsets.US_ASCII).replace("Content-Length: 2",
+					"Transfer-Encoding: chunked");
+			socket.getOutputStream().write(chunked.replace("{}", "").getBytes(StandardCharsets.US_ASCII));
+			for (int i = 0; i < 8; i++) {
+				Thread.sleep(SILENCE_MS);
+				socket.getOutputStream().write("1\r\nx\r\n".getBytes(StandardCharsets.US_ASCII));
+			}
+			socket.getOutputStream().write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			readAnswer(socket);
+		}
+	}
+
+	@Test
+	void aRequestThatIsBeingSentWhenUnusedConnectionsAreClosedIsAnswered() throws Exception {
+		try (Socket socket = connect()) {
+			sendPart(socket);
+			Thread.sleep(SILENCE_MS);
+			this.loop.submit(this.server::closeUnused).sync();
+			assertThat(busyConnections()).isOne();
+			socket.getOutputStream().write(REQUEST, REQUEST.length - 1, 1);
+			readAnswer(socket);
+		}
+	}
+
+	@Test
+	void aRequestThatIsNeverWholeDoesNotOutlastTheEndOfReading() throws Exception {
+		try (Socket socket = connect()) {
+			sendPart(socket);
+			Thread.sleep(SILENCE_MS);
+			this.loop.submit(this.server::stopReading).sync();
+			assertThat(socket.getInputStream().read()).isNegative();
+			assertThat(busyConnections()).isZero();
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
