Answer pipelined requests that were read before a drain closes their connection

Callers that send several requests at once got one answer and a closed connection when the VM drained: the first answer said Connection: close and the requests behind it, which had been read whole, were dropped.

Found by reading; the test got one answer of three before. Now the last answer of those that are waiting closes the connection.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -354,7 +354,9 @@
 		}
 
 		private void setConnection(HttpResponse response) {
-			if (CallerConnection.this.server.isDraining()) {
+			// After an answer that closes the connection, requests that were read before
+			// would get none.
+			if (CallerConnection.this.server.isDraining() && CallerConnection.this.pipelined.isEmpty()) {
 				this.keepAlive = false;
 			}
 			if (!this.keepAlive) {
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -73,6 +73,11 @@
 						exchange.answer(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
 						return null;
 					}
+					if (request.uri().equals("/slow")) {
+						this.loop.schedule(() -> exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER),
+								SILENCE_MS / 2, TimeUnit.MILLISECONDS);
+						return null;
+					}
 					exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
 					return null;
 				});
@@ -223,6 +228,18 @@
 		}
 	}
 
+	@Test
+	void pipelinedRequestsThatWereReadAreAnsweredInADrain() throws Exception {
+		try (Socket socket = connect()) {
+			this.loop.submit(this.server::drain).sync();
+			String slow = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n";
+			socket.getOutputStream().write(slow.repeat(3).getBytes(StandardCharsets.US_ASCII));
+			String received = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(received.split("HTTP/1.1 204", -1)).hasSize(4);
+			assertThat(received.split("connection: close", -1)).hasSize(2);
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
