--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import org.fulmargap.catalog.RequestLimits;
 
 /**
  * The connection of one caller. Passes its requests to the handler one at a time, in
@@ -37,6 +39,13 @@
 	 */
 	private static final int MAX_PIPELINED = 16;
 
+	/**
+	 * The shortest time without progress after which an answer that its caller does not
+	 * read is cut, in milliseconds. It is the usual idle timeout: one that an operator
+	 * shortens is meant for connections without a request.
+	 */
+	private static final long MIN_UNREAD_ANSWER_MS = RequestLimits.DEFAULT.idleTimeoutMs();
+
 	private final CallerServer server;
 
 	private final Deque<Exchange> pipelined = new ArrayDeque<>();
@@ -56,12 +65,18 @@
 	// Complete answers of which some bytes are not written to the socket yet.
 	private int unwrittenAnswers;
 
+	// Whether a part of a request was read that is not whole yet.
+	private boolean partial;
+
 	private boolean closing;
 
 	private boolean readingStopped;
 
 	private long idleSinceMs;
 
+	// At the last check of the idle timeout.
+	private long lastUnwrittenBytes;
+
 	CallerConnection(CallerServer server) {
 		this.server = server;
 		this.idleSinceMs = server.nowMs();
@@ -81,6 +96,15 @@
 		this.receiving = new OpenRequest(headers, this.server.nowMs());
 	}
 
+	/**
+	 * Handles a part of a request.
+	 * @param last whether the request is whole now
+	 */
+	void partRead(boolean last) {
+		this.partial = !last;
+		this.idleSinceMs = this.server.nowMs();
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		FullHttpRequest request = (FullHttpRequest) message;
@@ -132,6 +156,10 @@
 			exchange.refuse(HttpResponseStatus.BAD_REQUEST);
 			return;
 		}
+		AbsoluteTarget.of(request.uri()).ifPresent((target) -> {
+			request.setUri(target.path());
+			request.headers().set(HttpHeaderNames.HOST, target.host());
+		});
 		exchange.listener = this.server.handler().handle(request, exchange);
 	}
 
@@ -219,18 +247,43 @@
 		this.context.close();
 	}
 
+	/**
+	 * Closes the connection if nothing has happened on it for the idle timeout. A caller
+	 * that has not taken its whole answer has more time.
+	 * @param nowMs the current time in milliseconds
+	 * @param idleTimeoutMs the idle timeout in milliseconds
+	 */
 	void closeIfIdle(long nowMs, long idleTimeoutMs) {
-		if (this.current == null && nowMs - this.idleSinceMs > idleTimeoutMs) {
+		long bytes = unwrittenBytes();
+		if (this.current != null || bytes != this.lastUnwrittenBytes) {
+			this.idleSinceMs = nowMs;
+		}
+		this.lastUnwrittenBytes = bytes;
+		long timeoutMs = (this.unwrittenAnswers > 0) ? Math.max(idleTimeoutMs, MIN_UNREAD_ANSWER_MS) : idleTimeoutMs;
+		if (nowMs - this.idleSinceMs > timeoutMs) {
 			close(CloseReason.IDLE);
 		}
 	}
 
+	private long unwrittenBytes() {
+		ChannelOutboundBuffer buffer = this.context.channel().unsafe().outboundBuffer();
+		return (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
+	}
+
+	/**
+	 * Returns whether a request is being read or answered.
+	 * @return {@code true} if its caller would lose a request by a close
+	 */
 	boolean isBusy() {
-		return this.current != null || this.unwrittenAnswers > 0;
+		return this.partial || hasRequests() || this.unwrittenAnswers > 0;
 	}
 
+	/**
+	 * Reads nothing more. What was read of a request that is not whole is dropped.
+	 */
 	void stopReading() {
 		this.readingStopped = true;
+		this.partial = false;
 		updateReading();
 	}
 
@@ -367,7 +420,9 @@
 		}
 
 		private void setConnection(HttpResponse response) {
-			if (CallerConnection.this.server.isDraining()) {
+			// After an answer that closes the connection, requests that were read before
+			// would get none.
+			if (CallerConnection.this.server.isDraining() && CallerConnection.this.pipelined.isEmpty()) {
 				this.keepAlive = false;
 			}
 			if (!this.keepAlive) {
@@ -389,6 +444,7 @@
 
 		private void written(boolean whole) {
 			CallerConnection.this.unwrittenAnswers--;
+			CallerConnection.this.idleSinceMs = CallerConnection.this.server.nowMs();
 			if (!whole) {
 				CallerConnection.this.cut = this.open;
 			}
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -35,6 +36,8 @@
 
 	private static final int SILENCE_MS = 300;
 
+	private static final long IDLE_TIMEOUT_MS = 1_000;
+
 	/** More than the buffers of both sockets hold. */
 	private static final int LARGE_BYTES = 16 << 20;
 
@@ -44,6 +47,10 @@
 
 	private final AtomicInteger handled = new AtomicInteger();
 
+	private final AtomicLong clockOffsetMs = new AtomicLong();
+
+	private volatile RequestLimits limits = RequestLimits.DEFAULT;
+
 	private CallerServer server;
 
 	private int port;
@@ -53,8 +60,8 @@
 		try (ServerSocket free = new ServerSocket(0)) {
 			this.port = free.getLocalPort();
 		}
-		this.server = new CallerServer(this.loop, System::currentTimeMillis, () -> RequestLimits.DEFAULT,
-				(request, exchange) -> {
+		this.server = new CallerServer(this.loop, () -> System.currentTimeMillis() + this.clockOffsetMs.get(),
+				() -> this.limits, (request, exchange) -> {
 					request.release();
 					this.handled.incrementAndGet();
 					if (request.uri().equals("/begun")) {
@@ -68,6 +75,11 @@
 						exchange.answer(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
 						return null;
 					}
+					if (request.uri().equals("/slow")) {
+						this.loop.schedule(() -> exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER),
+								SILENCE_MS / 2, TimeUnit.MILLISECONDS);
+						return null;
+					}
 					exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
 					return null;
 				});
@@ -171,6 +183,97 @@
 		}
 	}
 
+	private void idleTimeoutMs(long timeoutMs) {
+		this.limits = new RequestLimits(RequestLimits.DEFAULT.maxHeaderBytes(), RequestLimits.DEFAULT.maxBodyBytes(),
+				RequestLimits.DEFAULT.headerTimeoutMs(), timeoutMs);
+	}
+
+	@Test
+	void aShortIdleTimeoutDoesNotCutAnAnswerThatIsReadSlowly() throws Exception {
+		idleTimeoutMs(IDLE_TIMEOUT_MS);
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			Thread.sleep(3 * IDLE_TIMEOUT_MS);
+			assertThat(socket.getInputStream().readNBytes(LARGE_BYTES)).hasSize(LARGE_BYTES);
+		}
+	}
+
+	@Test
+	void anAnswerThatIsNotReadAtAllIsCut() throws Exception {
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			// The first check of the timeout still sees progress.
+			Thread.sleep(3 * IDLE_TIMEOUT_MS);
+			assertThat(busyConnections()).isOne();
+			this.clockOffsetMs.addAndGet(RequestLimits.DEFAULT.idleTimeoutMs());
+			Thread.sleep(2 * IDLE_TIMEOUT_MS);
+			assertThat(busyConnections()).isZero();
+		}
+	}
+
+	// Sends the head and a part of the body of a request on a kept connection.
+	private static void sendPart(Socket socket) throws IOException {
+		send(socket);
+		readAnswer(socket);
+		socket.getOutputStream().write(REQUEST, 0, REQUEST.length - 1);
+	}
+
+	@Test
+	void theIdleTimeoutDoesNotCutARequestThatIsBeingSent() throws Exception {
+		idleTimeoutMs(IDLE_TIMEOUT_MS);
+		try (Socket socket = connect()) {
+			send(socket);
+			readAnswer(socket);
+			String chunked = new String(REQUEST, StandardCharsets.US_ASCII).replace("Content-Length: 2",
+					"Transfer-Encoding: chunked");
+			socket.getOutputStream().write(chunked.replace("{}", "").getBytes(StandardCharsets.US_ASCII));
+			for (int i = 0; i < 8; i++) {
+				Thread.sleep(SILENCE_MS);
+				socket.getOutputStream().write("1\r\nx\r\n".getBytes(StandardCharsets.US_ASCII));
+			}
+			socket.getOutputStream().write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			readAnswer(socket);
+		}
+	}
+
+	@Test
+	void aRequestThatIsBeingSentWhenUnusedConnectionsAreClosedIsAnswered() throws Exception {
+		try (Socket socket = connect()) {
+			sendPart(socket);
+			Thread.sleep(SILENCE_MS);
+			this.loop.submit(this.server::closeUnused).sync();
+			assertThat(busyConnections()).isOne();
+			socket.getOutputStream().write(REQUEST, REQUEST.length - 1, 1);
+			readAnswer(socket);
+		}
+	}
+
+	@Test
+	void aRequestThatIsNeverWholeDoesNotOutlastTheEndOfReading() throws Exception {
+		try (Socket socket = connect()) {
+			sendPart(socket);
+			Thread.sleep(SILENCE_MS);
+			this.loop.submit(this.server::stopReading).sync();
+			assertThat(socket.getInputStream().read()).isNegative();
+			assertThat(busyConnections()).isZero();
+		}
+	}
+
+	@Test
+	void pipelinedRequestsThatWereReadAreAnsweredInADrain() throws Exception {
+		try (Socket socket = connect()) {
+			this.loop.submit(this.server::drain).sync();
+			String slow = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n";
+			socket.getOutputStream().write(slow.repeat(3).getBytes(StandardCharsets.US_ASCII));
+			String received = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(received.split("HTTP/1.1 204", -1)).hasSize(4);
+			assertThat(received.split("connection: close", -1)).hasSize(2);
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
