Keep all VMs together within the limits that endpoints name

Endpoints that named Server-Limit got requests as if they did not: 92 in 4 s from four VMs at a limit of 1 a second, where 11 are allowed (LimitedEndpointTests before this change).

Cause: no module read the header, and nothing divided a rate that one endpoint takes from the whole fleet.

The newest answer of a process counts, by the order in which answers are read; an answer to a call from before the naming does not end the limit. Load reports carry what is known, with its age, and for 3 s its end. Each VM has a share: a token bucket that starts empty, at 0.9 of the limit divided by the VMs with a share. In a window of 4 s the fleet sends at most what the buckets hold and 3.6 times the limit, so the number of VMs with a share is bounded, too: 2 and 2 more for each request a second, by the hash of endpoint and VM among the VMs that count in shared limits. A VM that is cut off counts for 20 s, so its share is not given away. The coordinator of a stage service makes all of its calls and uses the whole rate. Requests that no share is left for are refused at once with the time of the next token, after which higher priorities come first.

--- a/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
@@ -319,6 +319,14 @@
 		return this.capacity.callOverheadMs() + items * this.capacity.itemMs();
 	}
 
+	/**
+	 * Returns the expected time of a call with as many work items as possible.
+	 * @return the time in milliseconds
+	 */
+	public double fullCallMs() {
+		return expectedMs(this.capacity.batch());
+	}
+
 	/**
 	 * Records the end of a call, whether it succeeded or failed.
 	 * @param call the call
--- a/core/src/main/java/org/fulmargap/fleet/FleetView.java
+++ b/core/src/main/java/org/fulmargap/fleet/FleetView.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.fulmargap.placement.LimitShares;
+
 /**
  * The entry VMs as this one knows them: listed in the store, confirmed alive by their own
  * messages or by those of other VMs, reachable from here. Confined to one thread.
@@ -194,11 +196,32 @@
 	public int count(long nowMs) {
 		int count = 1;
 		for (Vm vm : this.others.values()) {
-			count += (!vm.confirmed || nowMs - vm.confirmedAtMs < COUNTED_MS) ? 1 : 0;
+			count += (vm.isCounted(nowMs)) ? 1 : 0;
 		}
 		return count;
 	}
 
+	/**
+	 * Returns the share of this VM in the rate that an endpoint takes from all entry VMs
+	 * together. If the rate is too low for all VMs that count in shared limits, those
+	 * with the highest hash of endpoint and name have the shares.
+	 * @param endpoint the name of the endpoint
+	 * @param limitPerSecond the rate in requests per second
+	 * @param nowMs the current time in milliseconds
+	 * @return the share in requests per second; 0 if other VMs have all shares
+	 */
+	public double limitShare(String endpoint, double limitPerSecond, long nowMs) {
+		int holders = Math.min(count(nowMs), LimitShares.maxHolders(limitPerSecond));
+		int ownRank = Rendezvous.rank(endpoint, this.own.name());
+		int before = 0;
+		for (Map.Entry<String, Vm> vm : this.others.entrySet()) {
+			int order = Integer.compare(Rendezvous.rank(endpoint, vm.getKey()), ownRank);
+			boolean isBefore = order > 0 || (order == 0 && vm.getKey().compareTo(this.own.name()) < 0);
+			before += (isBefore && vm.getValue().isCounted(nowMs)) ? 1 : 0;
+		}
+		return (before < holders) ? LimitShares.usablePerSecond(limitPerSecond) / holders : 0;
+	}
+
 	/**
 	 * Returns the VMs that relay state, given who is alive and reachable.
 	 * @param nowMs the current time in milliseconds
@@ -287,6 +310,10 @@
 			return nowMs < this.aliveUntilMs;
 		}
 
+		private boolean isCounted(long nowMs) {
+			return !this.confirmed || nowMs - this.confirmedAtMs < COUNTED_MS;
+		}
+
 	}
 
 }
--- a/core/src/main/java/org/fulmargap/fleet/LoadReport.java
+++ b/core/src/main/java/org/fulmargap/fleet/LoadReport.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import org.fulmargap.placement.EndpointProcess;
+import org.fulmargap.placement.NamedLimit;
 
 /**
  * The load that one or several entry VMs put on endpoints.
@@ -15,11 +16,14 @@
  * of usual speed, by the VM that coordinates the service
  * @param leaving the processes of endpoints that said that they are leaving, as long as
  * their records don't say it
+ * @param limits what processes of endpoints said about the rates that they take from all
+ * entry VMs together
  */
 public record LoadReport(Map<String, EndpointLoad> loads, Map<String, int[]> admittedItems,
-		Map<String, Map<String, Double>> availableEndpoints, Set<EndpointProcess> leaving) {
+		Map<String, Map<String, Double>> availableEndpoints, Set<EndpointProcess> leaving,
+		Map<EndpointProcess, NamedLimit> limits) {
 
 	/** No load. */
-	public static final LoadReport NONE = new LoadReport(Map.of(), Map.of(), Map.of(), Set.of());
+	public static final LoadReport NONE = new LoadReport(Map.of(), Map.of(), Map.of(), Set.of(), Map.of());
 
 }
--- a/core/src/main/java/org/fulmargap/fleet/LoadReports.java
+++ b/core/src/main/java/org/fulmargap/fleet/LoadReports.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 
 import org.fulmargap.placement.EndpointProcess;
+import org.fulmargap.placement.NamedLimit;
 
 /**
  * The newest load report of each VM from which this one receives heartbeats, and their
@@ -60,6 +61,7 @@
 		Map<String, int[]> admitted = new HashMap<>();
 		Map<String, Map<String, Double>> available = new HashMap<>(own.availableEndpoints());
 		Set<EndpointProcess> leaving = new HashSet<>(own.leaving());
+		Map<EndpointProcess, NamedLimit> limits = new HashMap<>(own.limits());
 		own.admittedItems().forEach((service, items) -> admitted.put(service, items.clone()));
 		for (String vm : vms) {
 			Received received = this.reports.get(vm);
@@ -71,8 +73,9 @@
 			report.admittedItems().forEach((service, items) -> admitted.merge(service, items, LoadReports::add));
 			available.putAll(report.availableEndpoints());
 			leaving.addAll(report.leaving());
+			report.limits().forEach((process, limit) -> limits.merge(process, limit, NamedLimit::newest));
 		}
-		return new LoadReport(loads, admitted, available, leaving);
+		return new LoadReport(loads, admitted, available, leaving, limits);
 	}
 
 	private static int[] add(int[] sum, int[] items) {
--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The state of an endpoint as seen by this entry VM: its record in the store, the
@@ -31,6 +32,8 @@
 
 	private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter();
 
+	private final TokenBucket tokens = new TokenBucket();
+
 	private EndpointRecord record;
 
 	private EndpointNotice notice;
@@ -74,6 +77,7 @@
 		if (record.coldForMs() > 0) {
 			this.coldUntilMs = nowMs + record.coldForMs();
 		}
+		clearTokens();
 	}
 
 	void removeAt(long removeAtMs) {
@@ -90,6 +94,27 @@
 
 	void notice(EndpointNotice newNotice) {
 		this.notice = newNotice;
+		clearTokens();
+	}
+
+	private void clearTokens() {
+		if (limitPerSecond().isEmpty()) {
+			this.tokens.clear();
+		}
+	}
+
+	/**
+	 * Returns the rate of requests that the process of the endpoint takes from all entry
+	 * VMs together, as it named it.
+	 * @return the rate in requests per second, or empty if it names none
+	 */
+	public OptionalDouble limitPerSecond() {
+		return (this.notice.isLimited(this.record)) ? OptionalDouble.of(this.notice.limit().perSecond())
+				: OptionalDouble.empty();
+	}
+
+	TokenBucket tokens() {
+		return this.tokens;
 	}
 
 	/**
--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -28,6 +28,12 @@
 	 */
 	private static final int MAX_NOTICES = 16_384;
 
+	/** How long the end of a limit is reported to other VMs, in milliseconds. */
+	private static final long LIMIT_END_REPORTED_MS = 3_000;
+
+	/** The number of limits that are reported to other VMs. */
+	private static final int MAX_REPORTED_LIMITS = 1_024;
+
 	private final Map<String, Endpoint> byId = new HashMap<>();
 
 	// A deleted endpoint may be listed again by an older record of its process.
@@ -194,6 +200,51 @@
 		return (shortestMs != Long.MAX_VALUE) ? shortestMs : 0;
 	}
 
+	/**
+	 * Records what a process of an endpoint said about the rate that it takes from all
+	 * entry VMs together. A newer observation that is known stays in force.
+	 * @param process the process
+	 * @param limit the observation
+	 */
+	public void recordLimit(EndpointProcess process, NamedLimit limit) {
+		add(process.endpoint(), EndpointNotice.limited(process.startedAtMs(), limit));
+	}
+
+	/**
+	 * Records that an answer of a process named no rate. It ends a limit unless the call
+	 * was sent before the limit was named last, because answers may overtake each other.
+	 * @param process the process
+	 * @param sentAtMs when the call was sent, in milliseconds
+	 * @param nowMs the current time in milliseconds
+	 */
+	public void recordNoLimit(EndpointProcess process, long sentAtMs, long nowMs) {
+		EndpointNotice notice = find(process.endpoint()).map(Endpoint::notice).orElse(EndpointNotice.NONE);
+		boolean ends = notice.startedAtMs() == process.startedAtMs() && notice.limit().isInForce()
+				&& notice.limit().observedAtMs() < sentAtMs;
+		if (ends) {
+			recordLimit(process, new NamedLimit(NamedLimit.UNLIMITED, nowMs));
+		}
+	}
+
+	/**
+	 * Returns what processes of listed endpoints said about the rates that they take from
+	 * all entry VMs together: the limits in force, and those that ended lately.
+	 * @param nowMs the current time in milliseconds
+	 * @return the newest observation of each process
+	 */
+	public Map<EndpointProcess, NamedLimit> limits(long nowMs) {
+		Map<EndpointProcess, NamedLimit> limits = new HashMap<>();
+		for (Endpoint endpoint : this.byId.values()) {
+			EndpointNotice notice = endpoint.notice();
+			NamedLimit limit = notice.limit();
+			boolean reported = limit.isInForce() || nowMs - LIMIT_END_REPORTED_MS < limit.observedAtMs();
+			if (reported && notice.appliesTo(endpoint.record()) && limits.size() < MAX_REPORTED_LIMITS) {
+				limits.put(new EndpointProcess(endpoint.record().id(), notice.startedAtMs()), limit);
+			}
+		}
+		return limits;
+	}
+
 	private boolean add(String id, EndpointNotice notice) {
 		Endpoint known = this.byId.get(id);
 		EndpointNotice earlier = (known != null) ? known.notice() : this.notices.getOrDefault(id, EndpointNotice.NONE);
--- a/core/src/main/java/org/fulmargap/placement/EndpointNotice.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointNotice.java
@@ -7,18 +7,23 @@
  * @param startedAtMs when the process started, in milliseconds since the epoch
  * @param leaving whether it said that it is leaving
  * @param restUntilMs the time until which it wants no work of this VM, in milliseconds
+ * @param limit what it said last about the rate that it takes from all VMs
  */
-record EndpointNotice(long startedAtMs, boolean leaving, long restUntilMs) {
+record EndpointNotice(long startedAtMs, boolean leaving, long restUntilMs, NamedLimit limit) {
 
 	/** Nothing was announced. */
-	static final EndpointNotice NONE = new EndpointNotice(Long.MIN_VALUE, false, Long.MIN_VALUE);
+	static final EndpointNotice NONE = new EndpointNotice(Long.MIN_VALUE, false, Long.MIN_VALUE, NamedLimit.NONE);
 
 	static EndpointNotice leaving(long startedAtMs) {
-		return new EndpointNotice(startedAtMs, true, Long.MIN_VALUE);
+		return new EndpointNotice(startedAtMs, true, Long.MIN_VALUE, NamedLimit.NONE);
 	}
 
 	static EndpointNotice resting(long startedAtMs, long restUntilMs) {
-		return new EndpointNotice(startedAtMs, false, restUntilMs);
+		return new EndpointNotice(startedAtMs, false, restUntilMs, NamedLimit.NONE);
+	}
+
+	static EndpointNotice limited(long startedAtMs, NamedLimit limit) {
+		return new EndpointNotice(startedAtMs, false, Long.MIN_VALUE, limit);
 	}
 
 	/**
@@ -31,7 +36,7 @@
 			return (this.startedAtMs > other.startedAtMs) ? this : other;
 		}
 		return new EndpointNotice(this.startedAtMs, this.leaving || other.leaving,
-				Math.max(this.restUntilMs, other.restUntilMs));
+				Math.max(this.restUntilMs, other.restUntilMs), this.limit.newest(other.limit));
 	}
 
 	/**
@@ -41,7 +46,8 @@
 	 */
 	EndpointNotice afterSuspension(long suspendedMs) {
 		boolean rested = this.restUntilMs != Long.MIN_VALUE;
-		return (rested) ? new EndpointNotice(this.startedAtMs, this.leaving, this.restUntilMs - suspendedMs) : this;
+		return (rested) ? new EndpointNotice(this.startedAtMs, this.leaving, this.restUntilMs - suspendedMs, this.limit)
+				: this;
 	}
 
 	boolean isLeaving(EndpointRecord record) {
@@ -52,7 +58,11 @@
 		return nowMs < this.restUntilMs && appliesTo(record);
 	}
 
-	private boolean appliesTo(EndpointRecord record) {
+	boolean isLimited(EndpointRecord record) {
+		return this.limit.isInForce() && appliesTo(record);
+	}
+
+	boolean appliesTo(EndpointRecord record) {
 		return record.startedAtMs() <= this.startedAtMs;
 	}
 
--- a/core/src/test/java/org/fulmargap/fleet/LoadReportsTests.java
+++ b/core/src/test/java/org/fulmargap/fleet/LoadReportsTests.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.fulmargap.placement.EndpointProcess;
+import org.fulmargap.placement.NamedLimit;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -19,7 +20,8 @@
 	private static LoadReport report(String endpoint, int inFlight) {
 		return new LoadReport(Map.of(endpoint, new EndpointLoad(inFlight, 10L * inFlight)),
 				Map.of("stage", new int[] { inFlight, 0 }), Map.of("vm-" + inFlight, Map.of("stage", 2.0)),
-				Set.of(new EndpointProcess(endpoint, inFlight)));
+				Set.of(new EndpointProcess(endpoint, inFlight)),
+				Map.of(new EndpointProcess(endpoint, 1), new NamedLimit(inFlight, inFlight)));
 	}
 
 	@Test
@@ -32,6 +34,7 @@
 		assertThat(sum.admittedItems().get("stage")).containsExactly(13, 0);
 		assertThat(sum.availableEndpoints()).containsOnlyKeys("vm-1", "vm-4", "vm-8");
 		assertThat(sum.leaving()).extracting(EndpointProcess::startedAtMs).containsExactlyInAnyOrder(1L, 4L, 8L);
+		assertThat(sum.limits()).isEqualTo(Map.of(new EndpointProcess("e", 1), new NamedLimit(8, 8)));
 	}
 
 	@Test
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -30,6 +30,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.PeerLoad;
 import org.fulmargap.placement.Placement;
 import org.fulmargap.placement.SharedRetryBudget;
@@ -88,7 +89,7 @@
 	private final EntryMetrics metrics = new EntryMetrics();
 
 	private final SetAsideEndpoints setAside = new SetAsideEndpoints(this.loop, this.clockMs, this.view.directory(),
-			this.metrics);
+			this::limitShare, this.metrics);
 
 	private final CrashQuarantine quarantine = new CrashQuarantine(MAX_FINGERPRINTS, CRASHES_TO_QUARANTINE);
 
@@ -135,7 +136,7 @@
 				new Placement(settings.failureDomain()), retries, this.quarantine,
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
-				new CallerTimes(), openRequests, this.setAside, this.metrics);
+				new CallerTimes(), openRequests, this.setAside, new EndpointLimits(this::limitShare), this.metrics);
 		RequestRouter router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, router);
 		this.store = new StoreClient(settings.storeAddress());
@@ -145,6 +146,10 @@
 		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers, this.quarantineSync);
 	}
 
+	private double limitShare(String endpoint, double limitPerSecond, long nowMs) {
+		return this.peers.limitShare(endpoint, limitPerSecond, nowMs);
+	}
+
 	private static FleetMember ownMember(NodeSettings settings) {
 		double capacity = Math.min(settings.processorCores(), settings.linkMbps() * CORES_PER_MBPS);
 		return new FleetMember(settings.vm(), settings.ip() + ':' + settings.firstPeerPort(), settings.failureDomain(),
@@ -258,6 +263,7 @@
 		long nowMs = this.clockMs.getAsLong();
 		this.admittedWork.recordReport(peer, report.admittedItems(), nowMs);
 		this.setAside.reportedLeaving(report.leaving());
+		this.setAside.reportedLimits(report.limits());
 		report.availableEndpoints().forEach((vm, available) -> this.endpointReports.recordReport(vm, available, nowMs));
 		for (Endpoint endpoint : this.view.directory().all()) {
 			EndpointLoad load = report.loads().get(endpoint.record().id());
@@ -301,8 +307,9 @@
 
 	@Override
 	public LoadReport ownReport() {
+		long nowMs = this.clockMs.getAsLong();
 		Map<String, Double> available = this.dispatcher.availableEndpoints();
-		this.endpointReports.recordReport(this.settings.vm(), available, this.clockMs.getAsLong());
+		this.endpointReports.recordReport(this.settings.vm(), available, nowMs);
 		Map<String, EndpointLoad> loads = new HashMap<>();
 		for (Endpoint endpoint : this.view.directory().all()) {
 			if (endpoint.ownInFlight() > 0) {
@@ -311,7 +318,7 @@
 			}
 		}
 		return new LoadReport(loads, this.admittedWork.own(), Map.of(this.settings.vm(), available),
-				this.view.directory().leaving(this.clockMs.getAsLong()));
+				this.view.directory().leaving(nowMs), this.view.directory().limits(nowMs));
 	}
 
 	@Override
--- a/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
+++ b/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
@@ -13,6 +13,8 @@
 import org.fulmargap.placement.EndpointDirectory;
 import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.EndpointRecord;
+import org.fulmargap.placement.LimitShares;
+import org.fulmargap.placement.NamedLimit;
 import org.fulmargap.placement.Unavailability;
 import org.fulmargap.platform.EndpointAnswer;
 
@@ -36,6 +38,8 @@
 
 	private final SuspendedTime suspendedTime;
 
+	private final LimitedEndpoints limited;
+
 	private final Map<Endpoint, Unavailability> logged = new HashMap<>();
 
 	/**
@@ -43,12 +47,15 @@
 	 * @param loop the event loop
 	 * @param clockMs the current time in milliseconds
 	 * @param directory the known endpoints
-	 * @param metrics receives the numbers of endpoints that are set aside
+	 * @param shares the shares of this VM in the limits of endpoints
+	 * @param metrics receives the numbers of endpoints that are set aside or limited
 	 */
-	public SetAsideEndpoints(EventLoop loop, LongSupplier clockMs, EndpointDirectory directory, EntryMetrics metrics) {
+	public SetAsideEndpoints(EventLoop loop, LongSupplier clockMs, EndpointDirectory directory, LimitShares shares,
+			EntryMetrics metrics) {
 		this.clockMs = clockMs;
 		this.directory = directory;
 		this.metrics = metrics;
+		this.limited = new LimitedEndpoints(clockMs, directory, shares, metrics);
 		this.suspendedTime = new SuspendedTime(SuspendedTime::uptimeMs, clockMs.getAsLong());
 		loop.scheduleWithFixedDelay(this::checkAgain, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
@@ -60,6 +67,7 @@
 	 * address
 	 */
 	public void headRead(EndpointRecord called, EndpointAnswer answer) {
+		sender(called, answer).ifPresent((process) -> this.limited.headRead(process, answer));
 		if (!answer.leaving() && answer.restMs() <= 0) {
 			return;
 		}
@@ -101,6 +109,24 @@
 			.map((endpoint) -> new EndpointProcess(endpoint.record().id(), endpoint.record().startedAtMs()));
 	}
 
+	/**
+	 * Records what an answer that is known to belong to its call does not say any more.
+	 * @param called the record of the endpoint when it was called
+	 * @param answer the answer
+	 * @param sentAtMs when the call was sent, in milliseconds
+	 */
+	public void accepted(EndpointRecord called, EndpointAnswer answer, long sentAtMs) {
+		sender(called, answer).ifPresent((process) -> this.limited.accepted(process, answer, sentAtMs));
+	}
+
+	/**
+	 * Records what a peer knows of the limits of endpoints.
+	 * @param limits the newest observation of each process
+	 */
+	public void reportedLimits(Map<EndpointProcess, NamedLimit> limits) {
+		this.limited.reported(limits);
+	}
+
 	/**
 	 * Records the endpoints of which a peer learned that they are leaving.
 	 * @param leaving their processes
@@ -120,6 +146,7 @@
 			countSuspension();
 		}
 		check("record");
+		this.limited.checkAgain();
 	}
 
 	private void check(String source) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -16,6 +16,7 @@
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.placement.EndpointProcess;
+import org.fulmargap.placement.NamedLimit;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.PromptPart;
 import org.fulmargap.platform.KeyedRecord;
@@ -56,7 +57,7 @@
 			out.packString(sender.failureDomain()).packDouble(sender.capacity()).packLong(hello.startedAtMs());
 		}
 		else if (message instanceof PeerMessage.Heartbeat heartbeat) {
-			writeHeartbeat(out, heartbeat);
+			writeHeartbeat(out, heartbeat, nowMs);
 		}
 		else if (message instanceof PeerMessage.PromptSent sent) {
 			out.packInt(Type.PROMPT_SENT.ordinal()).packString(sent.endpoint());
@@ -73,7 +74,8 @@
 		}
 	}
 
-	private static void writeHeartbeat(MessageBufferPacker out, PeerMessage.Heartbeat heartbeat) throws IOException {
+	private static void writeHeartbeat(MessageBufferPacker out, PeerMessage.Heartbeat heartbeat, long nowMs)
+			throws IOException {
 		out.packInt(Type.HEARTBEAT.ordinal()).packInt(heartbeat.relation().ordinal());
 		out.packBoolean(heartbeat.draining()).packBoolean(heartbeat.receiving()).packBoolean(heartbeat.storeReached());
 		LoadReport report = heartbeat.report();
@@ -92,6 +94,11 @@
 		for (EndpointProcess process : report.leaving()) {
 			out.packString(process.endpoint()).packLong(process.startedAtMs());
 		}
+		out.packMapHeader(report.limits().size());
+		for (Map.Entry<EndpointProcess, NamedLimit> limit : report.limits().entrySet()) {
+			out.packString(limit.getKey().endpoint()).packLong(limit.getKey().startedAtMs());
+			out.packDouble(limit.getValue().perSecond()).packLong(limit.getValue().observedAtMs() - nowMs);
+		}
 		out.packArrayHeader(heartbeat.nextOffsets().size());
 		for (long offset : heartbeat.nextOffsets()) {
 			out.packLong(offset);
@@ -330,7 +337,7 @@
 		return new PeerMessage.Hello(FleetMember.checked(sender), in.unpackLong());
 	}
 
-	private static PeerMessage.Heartbeat readHeartbeat(MessageUnpacker in) throws IOException {
+	private static PeerMessage.Heartbeat readHeartbeat(MessageUnpacker in, long nowMs) throws IOException {
 		PeerRelation relation = readRelation(in);
 		boolean draining = in.unpackBoolean();
 		boolean receiving = in.unpackBoolean();
@@ -345,7 +352,16 @@
 			available.put(in.unpackString(), readAvailable(in));
 		}
 		return new PeerMessage.Heartbeat(relation, draining, receiving, storeReached,
-				new LoadReport(loads, admitted, available, readProcesses(in)), readOffsets(in));
+				new LoadReport(loads, admitted, available, readProcesses(in), readLimits(in, nowMs)), readOffsets(in));
+	}
+
+	private static Map<EndpointProcess, NamedLimit> readLimits(MessageUnpacker in, long nowMs) throws IOException {
+		Map<EndpointProcess, NamedLimit> limits = new HashMap<>();
+		for (int i = readMapSize(in); i > 0; i--) {
+			EndpointProcess process = new EndpointProcess(in.unpackString(), in.unpackLong());
+			limits.put(process, new NamedLimit(in.unpackDouble(), nowMs + Math.min(0, in.unpackLong())));
+		}
+		return limits;
 	}
 
 	private static Set<EndpointProcess> readProcesses(MessageUnpacker in) throws IOException {
@@ -460,7 +476,7 @@
 		HEARTBEAT {
 			@Override
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
-				return readHeartbeat(in);
+				return readHeartbeat(in, nowMs);
 			}
 		},
 
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -150,6 +150,18 @@
 		return this.fleet.count(this.clockMs.getAsLong());
 	}
 
+	/**
+	 * Returns the share of this VM in the rate that an endpoint takes from all entry VMs
+	 * together.
+	 * @param endpoint the name of the endpoint
+	 * @param limitPerSecond the rate in requests per second
+	 * @param nowMs the current time in milliseconds
+	 * @return the share in requests per second; 0 if other VMs have all shares
+	 */
+	public double limitShare(String endpoint, double limitPerSecond, long nowMs) {
+		return this.fleet.limitShare(endpoint, limitPerSecond, nowMs);
+	}
+
 	/**
 	 * Returns the coordinator of a service, as seen by this VM.
 	 * @param service the name of the service
--- a/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -39,6 +39,12 @@
 	 */
 	ENDPOINTS_RESTING(503, 0, RetryAfterSpread.AFTER),
 
+	/**
+	 * The shares of this VM in the limits that the endpoints named are used up. The
+	 * caller may retry when the next request may be sent.
+	 */
+	ENDPOINTS_LIMITED(503, 0, RetryAfterSpread.AFTER),
+
 	/**
 	 * The stage services are so loaded that the response is expected to be late.
 	 * Admission computes the time after which the caller may retry instead of the one
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -30,6 +30,7 @@
 import org.fulmargap.placement.Choice;
 import org.fulmargap.placement.Endpoint;
 import org.fulmargap.placement.EndpointDirectory;
+import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.placement.Placement;
 import org.fulmargap.placement.Prompt;
@@ -167,7 +168,7 @@
 			.schedule(this::deadlinePassed, this.deadlineAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
 		this.services.openRequests().add(this);
 		this.services.retryBudget().firstRequest(this.service.name(), this.arrivedAtMs);
-		if (isSetAside(this.arrivedAtMs)) {
+		if (isSetAside(this.arrivedAtMs) || limitWaitMs(this.arrivedAtMs) > 0) {
 			refuseWithoutEndpoint();
 			return;
 		}
@@ -189,6 +190,12 @@
 				|| this.stageRun.services().anyMatch((stage) -> directory.isSetAside(stage, nowMs));
 	}
 
+	// The time until this VM may send to one of the endpoints, if all have limits.
+	private long limitWaitMs(long nowMs) {
+		return this.services.limits()
+			.waitMs(this.services.view().directory().available(this.service.name(), nowMs), priority(), nowMs);
+	}
+
 	// Whether the stages and then a number of runs, one after the other, can be done
 	// before this VM stops.
 	private boolean isTimeFor(double stagesMs, int runs, long nowMs) {
@@ -251,13 +258,20 @@
 	@Override
 	public void stageFailed(String stageService) {
 		EventLog.request("stage_failed", this.request.attemptId()).with("service", stageService).write();
-		long restMs = this.services.view().directory().restMs(stageService, this.services.nowMs());
+		long nowMs = this.services.nowMs();
+		EndpointDirectory directory = this.services.view().directory();
+		long restMs = directory.restMs(stageService, nowMs);
+		// Only the coordinator of the service knows when the next call can be made.
+		long intervalMs = EndpointLimits.intervalMs(directory.available(stageService, nowMs));
 		if (this.services.openRequests().isStopping()) {
 			refuse(Refusal.STOPPING);
 		}
 		else if (restMs > 0) {
 			refuse(Refusal.ENDPOINTS_RESTING, restMs);
 		}
+		else if (intervalMs > 0) {
+			refuse(Refusal.ENDPOINTS_LIMITED, intervalMs);
+		}
 		else {
 			refuse(Refusal.STAGE_FAILED);
 		}
@@ -277,9 +291,10 @@
 			return;
 		}
 		Placement.Demand demand = new Placement.Demand(this.request.prompt(), this.stageRun.finalInputs());
+		List<Endpoint> available = this.services.view().directory().available(this.service.name(), nowMs);
 		Optional<Choice> choice = this.services.placement()
-			.choose(this.services.view().directory().available(this.service.name(), nowMs), this.triedEndpoints,
-					this.service, demand, this.services.peers().vmCount(), nowMs);
+			.choose(this.services.limits().sendable(available, priority(), nowMs), this.triedEndpoints, this.service,
+					demand, this.services.peers().vmCount(), nowMs);
 		if (choice.isEmpty()) {
 			waitForEndpoint(nowMs);
 			return;
@@ -300,19 +315,27 @@
 	// An available endpoint that was not chosen, for example because the rate of requests
 	// to cold endpoints is limited, may accept the request a little later.
 	private void waitForEndpoint(long nowMs) {
-		boolean untriedAvailable = this.services.view()
+		List<Endpoint> untried = this.services.view()
 			.directory()
 			.available(this.service.name(), nowMs)
 			.stream()
-			.anyMatch((endpoint) -> !this.triedEndpoints.contains(endpoint.record().id()));
+			.filter((endpoint) -> !this.triedEndpoints.contains(endpoint.record().id()))
+			.toList();
 		long waitedMs = nowMs - this.arrivedAtMs;
-		if (untriedAvailable && waitedMs + NO_ENDPOINT_PAUSE_MS < this.route.objectiveMs() / 2) {
+		boolean worthWaiting = !untried.isEmpty()
+				&& (hasProgress() || this.services.limits().waitMs(untried, priority(), nowMs) == 0);
+		if (worthWaiting && waitedMs + NO_ENDPOINT_PAUSE_MS < this.route.objectiveMs() / 2) {
 			this.services.loop().schedule(this::dispatch, NO_ENDPOINT_PAUSE_MS, TimeUnit.MILLISECONDS);
 			return;
 		}
 		refuseWithoutEndpoint();
 	}
 
+	// Whether stages or runs were made, which a refusal would make useless.
+	private boolean hasProgress() {
+		return !this.route.stages().isEmpty() || this.runs > 0;
+	}
+
 	private void deadlinePassed() {
 		refuse((mayHaveRun()) ? Refusal.TIMED_OUT : Refusal.TOO_LATE);
 	}
@@ -326,6 +349,17 @@
 		if (restMs > 0) {
 			refuse(Refusal.ENDPOINTS_RESTING, restMs);
 		}
+		else {
+			refuseByLimits(this.services.nowMs());
+		}
+	}
+
+	private void refuseByLimits(long nowMs) {
+		long waitMs = limitWaitMs(nowMs);
+		if (waitMs > 0) {
+			this.services.limits().refused(this.service.name(), priority(), waitMs, nowMs);
+			refuse(Refusal.ENDPOINTS_LIMITED, waitMs);
+		}
 		else {
 			refuse(Refusal.NO_ENDPOINT);
 		}
@@ -499,6 +533,7 @@
 			Prompt prompt = flow.request.prompt();
 			long cacheTokens = (flow.service.engine() != null) ? flow.service.engine().cacheTokens() : 0;
 			this.unreadTokens = this.endpoint.started(prompt, cacheTokens, nowMs);
+			flow.services.limits().sent(this.endpoint, flow.priority());
 			flow.calls++;
 			EventLog.request("dispatched", flow.request.attemptId())
 				.with("route", flow.route.name())
@@ -599,6 +634,7 @@
 		@Override
 		public void answered(EndpointAnswer newAnswer, HttpResponse newHead) {
 			this.answer = newAnswer;
+			RequestFlow.this.services.setAside().accepted(this.calledRecord, newAnswer, this.sentAtMs);
 			if (newAnswer.coldForMs() > 0) {
 				this.endpoint.markCold(newAnswer.coldForMs(), RequestFlow.this.services.nowMs());
 			}
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -13,6 +13,7 @@
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
 import org.fulmargap.entry.stage.StageClient;
+import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.placement.Placement;
 import org.fulmargap.placement.SharedRetryBudget;
@@ -38,13 +39,14 @@
  * @param callerTimes the longest time that callers of each route allow
  * @param openRequests the requests that are not answered yet
  * @param setAside the endpoints that announced that they want no new work
+ * @param limits the shares of this VM in the limits that endpoints named
  * @param metrics counters and latencies
  */
 public record RequestServices(EventLoop loop, LongSupplier clockMs, StoreView view, Placement placement,
 		SharedRetryBudget retryBudget, CrashQuarantine quarantine, PromptPartWatch promptParts, EndpointPool pool,
 		StageClient stages, AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers,
 		ServiceTimes serviceTimes, RunTimes runTimes, CallerTimes callerTimes, OpenRequests openRequests,
-		SetAsideEndpoints setAside, EntryMetrics metrics) {
+		SetAsideEndpoints setAside, EndpointLimits limits, EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and probes the endpoint to find out
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -31,7 +31,9 @@
 import org.fulmargap.entry.endpoint.EndpointCall;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.EndpointRecord;
+import org.fulmargap.placement.LimitShares;
 import org.fulmargap.placement.SharedRetryBudget;
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.MalformedRecordException;
@@ -79,6 +81,13 @@
 
 	private static final long BYTES_PER_KB = 1_000;
 
+	private static final double MS_PER_SECOND = 1_000;
+
+	/**
+	 * The priority of all calls: the scheduler has put their work items in order.
+	 */
+	private static final int CALL_PRIORITY = 0;
+
 	/**
 	 * How many results and answers of a service are remembered to detect copies: more
 	 * answers than all open connections to it can have carried.
@@ -113,6 +122,9 @@
 
 	private final EntryMetrics metrics;
 
+	// Only the coordinator of a service calls its endpoints.
+	private final EndpointLimits limits = new EndpointLimits(LimitShares.WHOLE);
+
 	private final Map<String, ServiceQueue> queues = new HashMap<>();
 
 	private final Map<String, List<String>> releasedByAddress = new HashMap<>();
@@ -241,30 +253,23 @@
 		Map<String, Double> available = new HashMap<>();
 		this.queues.forEach((service, queue) -> {
 			if (!queue.pendingItems.isEmpty()) {
-				available.put(service, totalSpeed(this.view.directory().available(service, nowMs), nowMs));
+				available.put(service, queue.totalSpeed(this.view.directory().available(service, nowMs), nowMs));
 			}
 		});
 		return available;
 	}
 
-	private static double totalSpeed(List<Endpoint> endpoints, long nowMs) {
-		return endpoints.stream()
-			.filter((endpoint) -> !endpoint.isSuspended(nowMs))
-			.mapToDouble((endpoint) -> 1 / Math.max(1, endpoint.slowdownFactor()))
-			.sum();
-	}
-
 	private void sendFreeCalls() {
 		long nowMs = this.clockMs.getAsLong();
 		Map<String, List<String>> freed = Map.copyOf(this.releasedByAddress);
 		this.releasedByAddress.clear();
 		freed.forEach((address, handles) -> {
-			boolean setAside = this.view.directory()
+			boolean unwanted = this.view.directory()
 				.findByAddress(address)
-				.filter((endpoint) -> endpoint.isSetAside(nowMs))
+				.filter((endpoint) -> endpoint.isSetAside(nowMs) || !this.limits.trySpare(endpoint, nowMs))
 				.isPresent();
-			// It wants no calls now, and its results expire.
-			if (setAside) {
+			// It wants no calls now, or has none to spare, and its results expire.
+			if (unwanted) {
 				logFreeFailed(address, handles, CallFailure.WITHDRAWN);
 			}
 			else if (AddressFormat.isHostAddress(address)) {
@@ -322,6 +327,15 @@
 			this.scheduler = scheduler;
 		}
 
+		private double totalSpeed(List<Endpoint> endpoints, long nowMs) {
+			double callSeconds = this.scheduler.fullCallMs() / MS_PER_SECOND;
+			return endpoints.stream()
+				.filter((endpoint) -> !endpoint.isSuspended(nowMs))
+				.mapToDouble((endpoint) -> Math.min(1 / Math.max(1, endpoint.slowdownFactor()),
+						StageCallDispatcher.this.limits.perSecond(endpoint, nowMs) * callSeconds))
+				.sum();
+		}
+
 		private void scheduleDispatch() {
 			// Dispatch is deferred to a later event loop task, so that work items which
 			// arrive together can share a call.
@@ -342,7 +356,8 @@
 				return;
 			}
 			List<Endpoint> available = StageCallDispatcher.this.view.directory().available(this.service, nowMs);
-			for (WorkItem expired : this.scheduler.expire(available.size(), nowMs)) {
+			long limitWaitMs = StageCallDispatcher.this.limits.waitMs(available, CALL_PRIORITY, nowMs);
+			for (WorkItem expired : this.scheduler.expire(available.size(), nowMs + limitWaitMs)) {
 				StageCallDispatcher.this.metrics.count("pieces_expired");
 				EventLog.request("piece_expired", expired.attemptId())
 					.with("service", this.service)
@@ -353,14 +368,19 @@
 					.write();
 				finish(expired, WorkItemOutcome.failed(expired.itemId()));
 			}
-			Optional<StageCall> next = this.scheduler.next(available, nowMs);
+			Optional<StageCall> next = next(available, nowMs);
 			while (next.isPresent()) {
 				send(next.get(), nowMs);
-				next = this.scheduler.next(available, nowMs);
+				next = next(available, nowMs);
 			}
 			release(this.scheduler.evict(nowMs));
 		}
 
+		private Optional<StageCall> next(List<Endpoint> available, long nowMs) {
+			return this.scheduler.next(StageCallDispatcher.this.limits.sendable(available, CALL_PRIORITY, nowMs),
+					nowMs);
+		}
+
 		// All endpoints are leaving or rest: waiting could take until the deadline.
 		private void refuseAll() {
 			List<WorkItem> refused = this.scheduler.removeAll();
@@ -370,6 +390,7 @@
 
 		private void send(StageCall call, long nowMs) {
 			call.items().forEach((item) -> this.pendingItems.get(item).calls++);
+			StageCallDispatcher.this.limits.sent(call.endpoint(), CALL_PRIORITY);
 			StageCallDispatcher.this.metrics.count("stage_calls");
 			EventLog.call("stage_call")
 				.with("service", this.service)
@@ -553,6 +574,7 @@
 				retryAll("copy", true, nowMs);
 				return false;
 			}
+			StageCallDispatcher.this.setAside.accepted(this.calledRecord, this.answer, this.startedAtMs);
 			this.call.endpoint().succeeded(nowMs - this.startedAtMs, this.call.expectedMs(), nowMs);
 			StageCallDispatcher.this.metrics.time("stage_call", nowMs - this.startedAtMs);
 			for (int i = 0; i < results.size(); i++) {
--- a/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
@@ -143,4 +143,120 @@
 
 	}
 
+	@Nested
+	class StageCalls {
+
+		@Test
+		void callsAndReleasesForAllVmsDoNotExceedTheLimitThatAnEndpointNames() throws Exception {
+			EndpointStandIn stage = endpoints("stage", 1).get(0);
+			endpoints("pool", 1);
+			stage.limit("1");
+			startVms(2);
+			long endMs = nowMs() + LOAD_MS;
+			for (int i = 0; nowMs() < endMs; i++) {
+				LimitedEndpointTests.this.answers.add(LimitedEndpointTests.this.installation
+					.sendAsync(LimitedEndpointTests.this.installation.pipeline(i % 2)));
+				Thread.sleep(4 * PAUSE_MS);
+			}
+			LimitedEndpointTests.this.answers.forEach(CompletableFuture::join);
+			assertThat((double) mostInWindow(stage)).isLessThanOrEqualTo(allowed(1));
+			assertThat(stage.arrivals()).isGreaterThan((int) (LOAD_MS / 2_000));
+			assertThat(LimitedEndpointTests.this.answers)
+				.anySatisfy((answer) -> assertThat(answer.join().statusCode()).isEqualTo(200));
+		}
+
+	}
+
+	@Nested
+	class OneRequest {
+
+		private static final String ALMOST_NONE = "0.1";
+
+		/** Longer than records and heartbeats take to arrive, in ms. */
+		private static final long SETTLE_MS = 1_200;
+
+		/** Half of the time of a request, which would wait for most of it, in ms. */
+		private static final long AT_ONCE_MS = 2_500;
+
+		private EndpointStandIn endpoint;
+
+		private void hearAtFirstVm(int vms, String limit) throws Exception {
+			this.endpoint = endpoints("core", 1).get(0);
+			this.endpoint.limit(limit);
+			startVms(vms);
+			assertThat(push(0).statusCode()).isEqualTo(200);
+			Thread.sleep(SETTLE_MS);
+		}
+
+		private HttpResponse<String> push(int vm) throws Exception {
+			return LimitedEndpointTests.this.installation
+				.send(LimitedEndpointTests.this.installation.attempt(vm, "/push/x"));
+		}
+
+		private boolean isServed(int vm) {
+			try {
+				return push(vm).statusCode() == 200;
+			}
+			catch (Exception ex) {
+				return false;
+			}
+		}
+
+		@Test
+		void isRefusedAtOnceWithTheTimeOfTheNextRequestWhenNoShareIsLeft() throws Exception {
+			hearAtFirstVm(1, ALMOST_NONE);
+			for (int i = 0; i < 5; i++) {
+				long sentAtMs = nowMs();
+				HttpResponse<String> refused = push(0);
+				assertThat(nowMs() - sentAtMs).isLessThan(AT_ONCE_MS);
+				assertThat(refused.statusCode()).isEqualTo(503);
+				assertThat(refused.body()).contains("ENDPOINTS_LIMITED");
+				assertThat(Double.parseDouble(refused.headers().firstValue("Retry-After").orElseThrow())).isBetween(4.0,
+						15.0);
+			}
+			assertThat(this.endpoint.arrivals()).isEqualTo(1);
+			assertThat(LimitedEndpointTests.this.installation.metrics(0)).contains("fulmargap_endpoints_limited 1");
+		}
+
+		@Test
+		void isNotSentByAVmThatLearnedOfTheLimitFromAnother() throws Exception {
+			hearAtFirstVm(2, ALMOST_NONE);
+			assertThat(push(1).statusCode()).isEqualTo(503);
+			assertThat(this.endpoint.arrivals()).isEqualTo(1);
+		}
+
+		@Test
+		void isServedByAllVmsOnceAnAnswerNamesNoLimitAnyMore() throws Exception {
+			hearAtFirstVm(2, "1");
+			this.endpoint.limit(null);
+			Installation.await(() -> isServed(0));
+			Thread.sleep(SETTLE_MS);
+			for (int i = 0; i < 20; i++) {
+				assertThat(push(i % 2).statusCode()).isEqualTo(200);
+			}
+		}
+
+		@Test
+		void isServedByANewProcessOfTheEndpoint() throws Exception {
+			hearAtFirstVm(1, ALMOST_NONE);
+			this.endpoint.limit(null);
+			LimitedEndpointTests.this.installation.store()
+				.put(CallerWire.ENDPOINT_TOPIC, "core-1",
+						this.endpoint.record("core", "a", "ready", EndpointStandIn.STARTED_AT_MS + 60_000));
+			Thread.sleep(SETTLE_MS);
+			for (int i = 0; i < 5; i++) {
+				assertThat(push(0).statusCode()).isEqualTo(200);
+			}
+		}
+
+		@Test
+		void isServedIfTheLimitCanNotBeRead() throws Exception {
+			hearAtFirstVm(1, "-1");
+			for (int i = 0; i < 5; i++) {
+				assertThat(push(0).statusCode()).isEqualTo(200);
+			}
+		}
+
+	}
+
 }
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -12,6 +12,7 @@
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.placement.EndpointProcess;
+import org.fulmargap.placement.NamedLimit;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.placement.PromptPart;
 import org.fulmargap.platform.KeyedRecord;
@@ -63,10 +64,16 @@
 	void heartbeatsAreDecodedWithAllFields() throws IOException {
 		LoadReport report = new LoadReport(Map.of("e", new EndpointLoad(2, 900)),
 				Map.of("stage", new int[] { 1, 0, 2, 0 }), Map.of("vm-1", Map.of("stage", 2.5)),
-				Set.of(new EndpointProcess("e", 1_700_000_000_000L), new EndpointProcess("f", 0)));
+				Set.of(new EndpointProcess("e", 1_700_000_000_000L), new EndpointProcess("f", 0)),
+				Map.of(new EndpointProcess("e", 5), new NamedLimit(0.5, 900), new EndpointProcess("g", 6),
+						new NamedLimit(NamedLimit.UNLIMITED, 700)));
 		PeerMessage.Heartbeat sent = new PeerMessage.Heartbeat(PeerRelation.MEMBER, true, false, true, report,
 				List.of(4L, -1L));
-		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(PeerCodec.encode(sent, 0), 0);
+		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(PeerCodec.encode(sent, 1_000),
+				51_000);
+		assertThat(received.report().limits())
+			.isEqualTo(Map.of(new EndpointProcess("e", 5), new NamedLimit(0.5, 50_900), new EndpointProcess("g", 6),
+					new NamedLimit(NamedLimit.UNLIMITED, 50_700)));
 		assertThat(received.report().loads()).isEqualTo(report.loads());
 		assertThat(received.report().availableEndpoints()).isEqualTo(report.availableEndpoints());
 		assertThat(received.report().leaving()).isEqualTo(report.leaving());
--- a/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -16,6 +16,7 @@
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
 import org.fulmargap.fleet.FleetMember;
+import org.fulmargap.placement.LimitShares;
 import org.fulmargap.placement.SharedRetryBudget;
 import org.fulmargap.platform.EndpointRecordDecoder;
 import org.fulmargap.platform.KeyedRecord;
@@ -71,7 +72,9 @@
 		EntryMetrics metrics = new EntryMetrics();
 		StageCallDispatcher dispatcher = new StageCallDispatcher(this.loop, System::currentTimeMillis, view,
 				new EndpointPool(this.loop, System::currentTimeMillis), new SharedRetryBudget(0.2, 54, 10_000), () -> 1,
-				new SetAsideEndpoints(this.loop, System::currentTimeMillis, view.directory(), metrics), metrics);
+				new SetAsideEndpoints(this.loop, System::currentTimeMillis, view.directory(), LimitShares.WHOLE,
+						metrics),
+				metrics);
 		FleetMember own = new FleetMember("vm-0", "127.0.0.1:1", "a", 1);
 		this.client = new StageClient(this.loop, dispatcher,
 				new PeerNetwork(own, 1, this.loop, System::currentTimeMillis, metrics));
