--- a/core/src/main/java/org/fulmargap/fleet/FleetView.java
+++ b/core/src/main/java/org/fulmargap/fleet/FleetView.java
@@ -211,7 +211,13 @@
 	 * @return the share in requests per second; 0 if other VMs have all shares
 	 */
 	public double limitShare(String endpoint, double limitPerSecond, long nowMs) {
-		int holders = Math.min(count(nowMs), LimitShares.maxHolders(limitPerSecond));
+		int count = count(nowMs);
+		int holders = Math.min(count, LimitShares.maxHolders(limitPerSecond));
+		return (holders == count || isHolder(endpoint, holders, nowMs))
+				? LimitShares.usablePerSecond(limitPerSecond) / holders : 0;
+	}
+
+	private boolean isHolder(String endpoint, int holders, long nowMs) {
 		int ownRank = Rendezvous.rank(endpoint, this.own.name());
 		int before = 0;
 		for (Map.Entry<String, Vm> vm : this.others.entrySet()) {
@@ -219,7 +225,7 @@
 			boolean isBefore = order > 0 || (order == 0 && vm.getKey().compareTo(this.own.name()) < 0);
 			before += (isBefore && vm.getValue().isCounted(nowMs)) ? 1 : 0;
 		}
-		return (before < holders) ? LimitShares.usablePerSecond(limitPerSecond) / holders : 0;
+		return before < holders;
 	}
 
 	/**
--- a/core/src/test/java/org/fulmargap/placement/FleetLimitProperties.java
+++ b/core/src/test/java/org/fulmargap/placement/FleetLimitProperties.java
@@ -19,7 +19,8 @@
 /**
  * Checks with several VMs and random orders of answers, reports, restarts, freezes and
  * cuts that an endpoint gets no more requests than the users' rule allows for the limit
- * that it names, and that its limit is used when there is demand.
+ * that it names, also when it names it again after it ended, and that its limit is used
+ * when there is demand.
  */
 class FleetLimitProperties {
 
@@ -32,6 +33,15 @@
 
 	private static final long WINDOW_MS = 4_000;
 
+	/** When the endpoint names its limit first. */
+	private static final long NAMED_MS = 3_000;
+
+	/** When it names its limit no longer. */
+	private static final long ENDED_MS = 30_000;
+
+	/** When it names its limit again. */
+	private static final long NAMED_AGAIN_MS = 38_000;
+
 	private static final long TOLD_MS = 500;
 
 	private static final long CONTACT_MS = 3_000;
@@ -51,9 +61,11 @@
 		Model model = new Model(new Random(seed), false);
 		model.run();
 		model.check();
-		long fromMs = model.namedFromMs + 10_000;
-		long used = model.arrivals.stream().filter((arrival) -> arrival.atMs() >= fromMs).count();
-		double expected = LimitShares.usablePerSecond(model.limit) * (DAY_MS - fromMs) / 1_000;
+		long fromMs = NAMED_MS + 8_000;
+		long used = model.arrivals.stream()
+			.filter((arrival) -> arrival.atMs() >= fromMs && arrival.atMs() < ENDED_MS)
+			.count();
+		double expected = LimitShares.usablePerSecond(model.limit) * (ENDED_MS - fromMs) / 1_000;
 		assertThat(used).as("limit %s", model.limit).isGreaterThanOrEqualTo((long) Math.floor(expected * 0.55) - 1);
 	}
 
@@ -84,8 +96,6 @@
 
 		private final double limit;
 
-		private final long namedFromMs = 3_000;
-
 		private final double demandPerSecond;
 
 		private long nowMs;
@@ -134,12 +144,16 @@
 			later(1 + this.random.nextInt(10), () -> {
 				this.arrivals.add(new Arrival(this.nowMs, vm.index));
 				// A slow answer was begun before the endpoint was in need.
-				double named = (this.nowMs >= this.namedFromMs) ? this.limit : NamedLimit.UNLIMITED;
+				double named = (isNamed()) ? this.limit : NamedLimit.UNLIMITED;
 				int slowest = (this.random.nextInt(10) == 0) ? 2_000 : 150;
 				later(1 + this.random.nextInt(slowest), () -> answer(vm, incarnation, sentAtMs, named));
 			});
 		}
 
+		private boolean isNamed() {
+			return (this.nowMs >= NAMED_MS && this.nowMs < ENDED_MS) || this.nowMs >= NAMED_AGAIN_MS;
+		}
+
 		private void answer(ModelVm vm, int incarnation, long sentAtMs, double named) {
 			if (vm.incarnation != incarnation) {
 				return;
@@ -160,15 +174,24 @@
 
 		// The users' rule, at the end of each window with a request of a VM that counts.
 		private void check() {
-			double allowed = 1.5 * this.limit * WINDOW_MS / 1_000 + 5;
 			long firstMs = this.toldAtMs.values().stream().mapToLong(Long::longValue).min().orElse(DAY_MS);
-			List<Long> counted = this.arrivals.stream().filter(this::isCounted).map(Arrival::atMs).toList();
+			check(firstMs, firstMs + CONTACT_MS, ENDED_MS);
+			check(NAMED_AGAIN_MS + TOLD_MS, NAMED_AGAIN_MS + CONTACT_MS, DAY_MS);
+		}
+
+		private void check(long fromMs, long boundFromMs, long untilMs) {
+			double allowed = 1.5 * this.limit * WINDOW_MS / 1_000 + 5;
+			List<Long> counted = this.arrivals.stream()
+				.filter((arrival) -> arrival.atMs() >= fromMs && arrival.atMs() < untilMs)
+				.filter(this::isCounted)
+				.map(Arrival::atMs)
+				.toList();
 			int begin = 0;
 			for (int end = 0; end < counted.size(); end++) {
 				while (counted.get(begin) <= counted.get(end) - WINDOW_MS) {
 					begin++;
 				}
-				if (counted.get(end) >= firstMs + CONTACT_MS) {
+				if (counted.get(end) >= boundFromMs) {
 					assertThat((double) (end - begin + 1))
 						.as("limit %s, %s VMs, window to %s", this.limit, this.vms.size(), counted.get(end))
 						.isLessThanOrEqualTo(allowed);
