--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -24,6 +24,15 @@
  */
 final class Installation implements AutoCloseable {
 
+	/** How long after a disturbance a VM counts as in touch again, in milliseconds. */
+	static final long CONTACT_MS = 3_000;
+
+	/** The time after which a new configuration is in force, in milliseconds. */
+	static final long CONFIG_APPLY_MS = 2_000;
+
+	/** The time after which a draining endpoint gets nothing, in milliseconds. */
+	static final long DRAIN_MS = 2_000;
+
 	private static final long TIMEOUT_MS = 10_000;
 
 	private static final long PORT_TIMEOUT_MS = 1_000;
@@ -90,7 +99,7 @@
 	private NodeSettings newSettings(String name, StoreStandIn ownStore) throws IOException {
 		String ip = "127.0.0.1:";
 		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
-				ownStore.address(), 2_000, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1, 1_000);
+				ownStore.address(), DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1, 1_000);
 	}
 
 	/**
