Derive the wait of store reads from the bounds of the platform

Up to 600 ms between two reads and, after a timeout, a second pooled connection that had stopped as well came on top.

Change: LongPollWait lets a read wait so long that, counted from the store's last answer, its timeout and 400 ms for a read on a new connection fit into the bound: max(contact-ms, config-apply-ms or drain-ms less the interval between reads). That is 1,700 ms for a bound of 3 s, and 3,000 ms as before where contact-ms is 5 s. A read after a pause or a failure waits less, or not at all. A listing or a read without a wait on a dead connection costs 900 ms, less than a long poll. The topics of members and refused prompt parts keep 10 s and 30 s: no bound depends on them, VMs tell each other as well.

The test now uses the route that isn't idempotent, which has no such timeout, and still asks for 200 each time.

Other ways that were weighed: - Back to a wait of 2,000 ms: 2,900 ms plus the pause before the read exceeds 3 s for endpoint records. - TCP keep-alive probes cost no call, but show only a silence in which the kernel gets no acknowledgements, not a proxy or a store process that holds the connection. - A second read on another connection costs as many calls as a shorter wait. Staggered reads whose first timeout cancels the others would cost none, but miss the loss of a single answer, after which one connection alone returns nothing more. - Peers' offsets come too late: all VMs that read the store are struck at once, and a VM whose own reads didn't fail asks a peer only after 900 ms.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -142,7 +142,8 @@
 		this.drain = new Drain(settings, this.loop, this.clockMs, this.callers, this.peers, router, openRequests,
 				this.dispatcher, this.store::calls);
 		this.quarantineSync = new QuarantineSync(this.store, this.loop, this.clockMs, this.promptParts, this.peers);
-		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers, this.quarantineSync);
+		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers, this.quarantineSync,
+				settings);
 	}
 
 	private static FleetMember ownMember(NodeSettings settings) {
--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -20,7 +20,7 @@
 
 	private final StoreTopic topic;
 
-	private final long waitMs;
+	private final LongPollWait wait;
 
 	private final long minIntervalMs;
 
@@ -34,6 +34,8 @@
 
 	private long nextOffset = -1;
 
+	private long answeredAtMs;
+
 	private long retryDelayMs = FIRST_RETRY_DELAY_MS;
 
 	// The records from the known offset on are deleted; the topic is listed again.
@@ -47,7 +49,7 @@
 	 * Creates a tail that starts with the newest record of each key.
 	 * @param store the store
 	 * @param topic the topic
-	 * @param waitMs how long the store holds a read open for new records, in milliseconds
+	 * @param wait how long the store holds a read open for new records
 	 * @param minIntervalMs the shortest time between the starts of two reads, in
 	 * milliseconds; one read then returns several changes, because each call is charged
 	 * @param clockMs the current time in milliseconds
@@ -56,16 +58,17 @@
 	 * begins and when it ends
 	 * @param need whether and from where on the topic is to be read
 	 */
-	StoreTail(StoreClient store, StoreTopic topic, long waitMs, long minIntervalMs, LongSupplier clockMs,
+	StoreTail(StoreClient store, StoreTopic topic, LongPollWait wait, long minIntervalMs, LongSupplier clockMs,
 			Consumer<StorePage> pages, Runnable outageListener, Need need) {
 		this.store = store;
 		this.topic = topic;
-		this.waitMs = waitMs;
+		this.wait = wait;
 		this.minIntervalMs = minIntervalMs;
 		this.clockMs = clockMs;
 		this.pages = pages;
 		this.outageListener = outageListener;
 		this.need = need;
+		this.answeredAtMs = clockMs.getAsLong();
 	}
 
 	/**
@@ -112,8 +115,9 @@
 
 	private long readPage() {
 		try {
-			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic)
-					: this.store.read(this.topic, this.nextOffset, this.waitMs);
+			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic) : this.store.read(this.topic,
+					this.nextOffset, this.wait.waitMs(this.answeredAtMs, this.clockMs.getAsLong()));
+			this.answeredAtMs = this.clockMs.getAsLong();
 			this.expired = false;
 			this.nextOffset = page.nextOffset();
 			this.retryDelayMs = FIRST_RETRY_DELAY_MS;
@@ -144,6 +148,9 @@
 	}
 
 	private long failed(StoreException ex) {
+		if (ex.type() != StoreException.Type.NO_ANSWER) {
+			this.answeredAtMs = this.clockMs.getAsLong();
+		}
 		if (ex.type() == StoreException.Type.EXPIRED) {
 			EventLog.state("store_gap").with("topic", this.topic).with("offset", this.nextOffset).write();
 			this.expired = true;
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -20,6 +20,7 @@
 import org.fulmargap.platform.EndpointRecordDecoder;
 import org.fulmargap.platform.KeyedRecord;
 import org.fulmargap.platform.MalformedRecordException;
+import org.fulmargap.platform.NodeSettings;
 import org.fulmargap.platform.OperatorRecord;
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.platform.StoreException;
@@ -33,20 +34,19 @@
 final class StoreWatch implements AutoCloseable {
 
 	/**
-	 * How long the store holds a read open, in milliseconds. If a connection silently
-	 * stops delivering, this VM notices at the end of the read.
+	 * The longest time for which the store holds a read open, in milliseconds.
 	 */
-	private static final long WAIT_MS = 3_000;
+	private static final long MAX_WAIT_MS = 3_000;
 
 	/**
-	 * How long the store holds a read of the members open, in milliseconds. New VMs also
-	 * make themselves known to the hubs.
+	 * How long the store holds a read of the members open, in milliseconds. No bound of
+	 * the platform depends on it: new VMs also make themselves known to the hubs.
 	 */
 	private static final long MEMBERS_WAIT_MS = 10_000;
 
 	/**
 	 * How long the store holds a read of the refused prompt parts open, in milliseconds.
-	 * VMs also tell each other.
+	 * No bound of the platform depends on it: VMs also tell each other.
 	 */
 	private static final long QUARANTINE_WAIT_MS = 30_000;
 
@@ -117,7 +117,7 @@
 	private long storeOutageAtMs = Long.MIN_VALUE / 2;
 
 	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers,
-			QuarantineSync quarantine) {
+			QuarantineSync quarantine, NodeSettings settings) {
 		this.store = store;
 		this.loop = loop;
 		this.clockMs = clockMs;
@@ -130,11 +130,15 @@
 			this.nextOffsets.put(topic, new AtomicLong(-1));
 		}
 		Runnable outageListener = () -> this.storeOutageAtMs = this.clockMs.getAsLong();
-		addTail(StoreTopic.OPERATOR, WAIT_MS, OPERATOR_INTERVAL_MS, outageListener);
-		addTail(StoreTopic.ENDPOINTS, WAIT_MS, ENDPOINTS_INTERVAL_MS, outageListener);
-		addTail(StoreTopic.MEMBERS, MEMBERS_WAIT_MS, MEMBERS_INTERVAL_MS, () -> {
+		addTail(StoreTopic.OPERATOR,
+				LongPollWait.within(settings.contactMs(), settings.configApplyMs(), OPERATOR_INTERVAL_MS, MAX_WAIT_MS),
+				OPERATOR_INTERVAL_MS, outageListener);
+		addTail(StoreTopic.ENDPOINTS,
+				LongPollWait.within(settings.contactMs(), settings.drainMs(), ENDPOINTS_INTERVAL_MS, MAX_WAIT_MS),
+				ENDPOINTS_INTERVAL_MS, outageListener);
+		addTail(StoreTopic.MEMBERS, LongPollWait.unbounded(MEMBERS_WAIT_MS), MEMBERS_INTERVAL_MS, () -> {
 		});
-		addTail(StoreTopic.QUARANTINE, QUARANTINE_WAIT_MS, MEMBERS_INTERVAL_MS, () -> {
+		addTail(StoreTopic.QUARANTINE, LongPollWait.unbounded(QUARANTINE_WAIT_MS), MEMBERS_INTERVAL_MS, () -> {
 		});
 	}
 
@@ -145,9 +149,9 @@
 		run("register", () -> register(own));
 	}
 
-	private void addTail(StoreTopic topic, long waitMs, long minIntervalMs, Runnable outageListener) {
+	private void addTail(StoreTopic topic, LongPollWait wait, long minIntervalMs, Runnable outageListener) {
 		this.tails.put(topic,
-				new StoreTail(this.store, topic, waitMs, minIntervalMs, this.clockMs,
+				new StoreTail(this.store, topic, wait, minIntervalMs, this.clockMs,
 						(page) -> this.loop.execute(() -> apply(topic, page)), () -> this.loop.execute(outageListener),
 						new TailNeed(topic)));
 	}
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -99,7 +99,8 @@
 	private NodeSettings newSettings(String name, StoreStandIn ownStore) throws IOException {
 		String ip = "127.0.0.1:";
 		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
-				ownStore.address(), DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1, 1_000);
+				ownStore.address(), CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio,
+				this.retrySlack, 10_000, 1, 1_000);
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/SilentStoreTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/SilentStoreTests.java
@@ -139,15 +139,17 @@
 		return nowMs();
 	}
 
+	// Requests that are not idempotent have no response timeout, so that a slow machine
+	// makes none of them fail.
 	private void writeVersion() {
 		this.version++;
 		this.installation.store()
 			.put(CallerWire.OPERATOR_TOPIC, "config",
-					CallerWire.CONFIG.formatted(this.version).replace("/read/", newestPath()));
+					CallerWire.CONFIG.formatted(this.version).replace("/push/", newestPath()));
 	}
 
 	private String newestPath() {
-		return "/read" + this.version + '/';
+		return "/push" + this.version + '/';
 	}
 
 	private boolean reaches(int vm, EndpointStandIn endpoint) {
