--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -22,7 +22,7 @@
 
 	private final StoreTopic topic;
 
-	private final long waitMs;
+	private final LongPollWait wait;
 
 	private final long minIntervalMs;
 
@@ -36,6 +36,8 @@
 
 	private long nextOffset = -1;
 
+	private long answeredAtMs;
+
 	private long retryDelayMs = FIRST_RETRY_DELAY_MS;
 
 	// The records from the known offset on are deleted; the topic is listed again.
@@ -54,7 +56,7 @@
 	 * Creates a tail that starts with the newest record of each key.
 	 * @param store the store
 	 * @param topic the topic
-	 * @param waitMs how long the store holds a read open for new records, in milliseconds
+	 * @param wait how long the store holds a read open for new records
 	 * @param minIntervalMs the shortest time between the starts of two reads, in
 	 * milliseconds; one read then returns several changes, because each call is charged
 	 * @param clockMs the current time in milliseconds
@@ -63,16 +65,17 @@
 	 * begins and when it ends
 	 * @param need whether and from where on the topic is to be read
 	 */
-	StoreTail(StoreClient store, StoreTopic topic, long waitMs, long minIntervalMs, LongSupplier clockMs,
+	StoreTail(StoreClient store, StoreTopic topic, LongPollWait wait, long minIntervalMs, LongSupplier clockMs,
 			BiConsumer<StorePage, PageOrigin> pages, Runnable outageListener, Need need) {
 		this.store = store;
 		this.topic = topic;
-		this.waitMs = waitMs;
+		this.wait = wait;
 		this.minIntervalMs = minIntervalMs;
 		this.clockMs = clockMs;
 		this.pages = pages;
 		this.outageListener = outageListener;
 		this.need = need;
+		this.answeredAtMs = clockMs.getAsLong();
 	}
 
 	/**
@@ -120,7 +123,7 @@
 	private long readPage(long startedAtMs) {
 		try {
 			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic)
-					: this.store.read(this.topic, this.nextOffset, this.waitMs);
+					: this.store.read(this.topic, this.nextOffset, this.wait.waitMs(this.answeredAtMs, startedAtMs));
 			long nowMs = this.clockMs.getAsLong();
 			succeeded(page, nowMs);
 			if (page.isComplete() || !page.records().isEmpty()) {
@@ -137,6 +140,7 @@
 	}
 
 	private void succeeded(StorePage page, long nowMs) {
+		this.answeredAtMs = nowMs;
 		this.expired = false;
 		this.nextOffset = page.nextOffset();
 		this.retryDelayMs = FIRST_RETRY_DELAY_MS;
@@ -177,6 +181,9 @@
 	}
 
 	private long failed(StoreException ex, long openMs) {
+		if (ex.type() != StoreException.Type.NO_ANSWER) {
+			this.answeredAtMs = this.clockMs.getAsLong();
+		}
 		if (ex.type() == StoreException.Type.EXPIRED) {
 			EventLog.state("store_gap").with("topic", this.topic).with("offset", this.nextOffset).write();
 			this.expired = true;
