Don't keep removed endpoints because one read of the store timed out

Callers saw: after all connections to the store stopped delivering, requests went to an endpoint whose record had been removed, later than contact-ms after the silence (DRAIN).

Cause: each timeout of a read counted as an outage of the store, in which records of live endpoints may expire.

Change: an outage is a refused call or a second failure in a row. A silence of connections shows as one timeout, because the next call opens a new connection; an outage without answers still counts 0.9 s later.

--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -45,6 +45,9 @@
 
 	private volatile boolean failing;
 
+	// The store was away. One read that times out may only mean a silent connection.
+	private boolean outage;
+
 	/**
 	 * Creates a tail that starts with the newest record of each key.
 	 * @param store the store
@@ -122,9 +125,10 @@
 			this.nextOffset = page.nextOffset();
 			this.retryDelayMs = FIRST_RETRY_DELAY_MS;
 			if (!this.reached || this.failing) {
-				boolean recovered = this.failing;
+				boolean recovered = this.outage;
 				this.reached = true;
 				this.failing = false;
+				this.outage = false;
 				EventLog.state("store_reached").with("topic", this.topic).with("offset", this.nextOffset).write();
 				if (recovered) {
 					this.outageListener.run();
@@ -157,6 +161,11 @@
 			this.nextOffset = -1;
 			return 0;
 		}
+		boolean away = this.failing || ex.type() != StoreException.Type.NO_ANSWER;
+		if (away && !this.outage) {
+			this.outage = true;
+			this.outageListener.run();
+		}
 		if (!this.failing) {
 			this.failing = true;
 			EventLog.state("store_lost")
@@ -164,7 +173,6 @@
 				.with("type", ex.type())
 				.with("cause", ex.getMessage())
 				.write();
-			this.outageListener.run();
 		}
 		long delayMs = this.retryDelayMs;
 		this.retryDelayMs = Math.min(this.need.maxRetryDelayMs(), this.retryDelayMs * 2);
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -481,6 +481,29 @@
 			Installation.await(() -> added.runs() > 0 || pipelineSucceeds());
 		}
 
+		@Test
+		void anEndpointWhoseRecordExpiredInAnOutageOfTheStoreIsUsedOn() throws Exception {
+			EndpointStandIn core = endpoint("core-1", "core");
+			startVms(1);
+			StoreStandIn store = EntryVmTests.this.installation.store();
+			store.fault(StoreStandIn.Fault.SILENT);
+			// Longer than a read waits and the next one takes to time out.
+			Thread.sleep(5_000);
+			store.put(CallerWire.ENDPOINT_TOPIC, "core-1", "");
+			store.fault(StoreStandIn.Fault.NONE);
+			List<Integer> statuses = new ArrayList<>();
+			long returnedAtMs = System.currentTimeMillis();
+			boolean back = false;
+			while (System.currentTimeMillis() - returnedAtMs < 3_000) {
+				if (!back && System.currentTimeMillis() - returnedAtMs > 1_000) {
+					back = true;
+					store.put(CallerWire.ENDPOINT_TOPIC, "core-1", core.record("core", "a", "ready"));
+				}
+				statuses.add(send("/push/x").statusCode());
+			}
+			assertThat(statuses).containsOnly(200);
+		}
+
 		private boolean pipelineSucceeds() {
 			try {
 				return EntryVmTests.this.installation.send(EntryVmTests.this.installation.pipeline(0))
--- a/entry/src/test/java/org/fulmargap/entry/SilentStoreTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/SilentStoreTests.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Function;
 import java.util.stream.LongStream;
 
 import org.fulmargap.platform.standin.CallerWire;
@@ -102,6 +103,16 @@
 	@ParameterizedTest
 	@MethodSource("seeds")
 	void anEndpointListedAsDrainingInASilenceGetsNothingLate(long seed) throws Exception {
+		leaveInSilences(seed, (leaving) -> leaving.record("core", "a", "draining"));
+	}
+
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void anEndpointRemovedInASilenceGetsNothingLate(long seed) throws Exception {
+		leaveInSilences(seed, (leaving) -> "");
+	}
+
+	private void leaveInSilences(long seed, Function<EndpointStandIn, String> lastRecord) throws Exception {
 		Random random = new Random(seed);
 		for (int i = 0; i < SILENCES; i++) {
 			String id = "core-" + (i + 2);
@@ -112,7 +123,7 @@
 			}
 			long silentAtMs = silence(random, i);
 			Thread.sleep(random.nextLong(Installation.CONTACT_MS - Installation.DRAIN_MS));
-			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, id, leaving.record("core", "a", "draining"));
+			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, id, lastRecord.apply(leaving));
 			long dueAtMs = Math.max(silentAtMs + Installation.CONTACT_MS, nowMs() + Installation.DRAIN_MS);
 			Thread.sleep(dueAtMs - nowMs());
 			while (nowMs() < dueAtMs + CHECKED_MS) {
