Accept request targets in absolute form

Callers that send POST http://host/path were answered 404 NO_ROUTE, because the whole target was taken for the path. HTTP/1.1 has servers accept it (RFC 9112, 3.2.2). Now the host of the target goes before the Host header, selects the route and is passed on as Host; the endpoint gets path and query unchanged in origin form. Targets without a host, or with user information, still have no route.

AbsoluteTargetTests failed before (404 for each of its three forms).

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -129,6 +129,10 @@
 			exchange.refuse(HttpResponseStatus.BAD_REQUEST);
 			return;
 		}
+		AbsoluteTarget.of(request.uri()).ifPresent((target) -> {
+			request.setUri(target.path());
+			request.headers().set(HttpHeaderNames.HOST, target.host());
+		});
 		exchange.listener = this.server.handler().handle(request, exchange);
 	}
 
