Add a soak of planned work in three failure domains to look for lost requests

LostSoakTests runs three VM processes in three failure domains with callers on kept connections, until the processes are gone. Requests come in parts, chunks, with Expect, pipelined, with Connection: close, on connections idle for four fifths of the idle time, and with large answers that are read late.

--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -40,10 +40,18 @@
 
 	private static final int MAX_PRINTED_LINES = 20;
 
+	/**
+	 * The classes of the program; the system property {@code entry.program} names the
+	 * archive of another landing instead.
+	 */
+	private static final String PROGRAM = System.getProperty("entry.program", System.getProperty("java.class.path"));
+
 	private final String ip;
 
 	private final Process process;
 
+	private final Path settings;
+
 	private final Path log;
 
 	/**
@@ -54,15 +62,24 @@
 	 * @throws IOException if the process can't be started
 	 */
 	EntryProcess(int number, Path directory, String storeAddress) throws IOException {
+		this(number, "a", directory, storeAddress);
+	}
+
+	/**
+	 * Starts a process in a given failure domain.
+	 */
+	EntryProcess(int number, String failureDomain, Path directory, String storeAddress) throws IOException {
 		this.ip = ip(number);
-		Path settings = Files.writeString(directory.resolve("vm-" + number + ".toml"),
-				SettingsText.of("vm-" + number, this.ip, CALLER_PORT, READINESS_PORT, PEER_PORT, storeAddress));
+		this.settings = directory.resolve("vm-" + number + ".toml");
+		Files.writeString(this.settings,
+				SettingsText.of("vm-" + number, this.ip, CALLER_PORT, READINESS_PORT, PEER_PORT, storeAddress)
+					.replace("zone = \"a\"", "zone = \"" + failureDomain + '"'));
 		String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
 		List<String> command = new ArrayList<>(List.of(java));
 		command.addAll(deployedOptions());
-		command.addAll(List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
+		command.addAll(List.of("-cp", PROGRAM, EntryMain.class.getName()));
 		ProcessBuilder builder = new ProcessBuilder(command);
-		builder.environment().put(NodeSettingsFile.PATH_VARIABLE, settings.toString());
+		builder.environment().put(NodeSettingsFile.PATH_VARIABLE, this.settings.toString());
 		this.log = directory.resolve("vm-" + number + ".log");
 		this.process = builder.redirectErrorStream(true).redirectOutput(this.log.toFile()).start();
 	}
@@ -103,6 +120,9 @@
 	 * @param signal the name of the signal, for example {@code STOP}
 	 */
 	void signal(String signal) throws IOException, InterruptedException {
+		if (!isAlive()) {
+			return;
+		}
 		new ProcessBuilder("kill", '-' + signal, Long.toString(this.process.pid())).inheritIO().start().waitFor();
 	}
 
@@ -122,6 +142,22 @@
 		}
 	}
 
+	/**
+	 * Replaces text in the settings file, without a signal.
+	 */
+	void changeSettings(String pattern, String replacement) throws IOException {
+		Files.writeString(this.settings, Files.readString(this.settings).replaceAll(pattern, replacement));
+	}
+
+	/**
+	 * Returns the lines of the log with a given text.
+	 */
+	List<String> logLines(String text) throws IOException {
+		try (Stream<String> lines = Files.lines(this.log)) {
+			return lines.filter((line) -> line.contains(text)).toList();
+		}
+	}
+
 	boolean isAlive() {
 		return this.process.isAlive();
 	}
--- a/entry/src/test/java/org/fulmargap/entry/KeptConnection.java
+++ b/entry/src/test/java/org/fulmargap/entry/KeptConnection.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
@@ -19,6 +20,8 @@
 
 	private static final int CONNECT_TIMEOUT_MS = 1_000;
 
+	private static final int FIRST_FINAL_STATUS = 200;
+
 	private final Socket socket = new Socket();
 
 	private final InputStream in;
@@ -29,7 +32,21 @@
 
 	private final StringBuilder body = new StringBuilder();
 
+	private boolean sentWhole;
+
+	private long sentAtMs;
+
 	KeptConnection(String address) throws IOException {
+		this(address, 0);
+	}
+
+	/**
+	 * Connects with a given receive buffer, or with the usual one if it is 0.
+	 */
+	KeptConnection(String address, int receiveBufferBytes) throws IOException {
+		if (receiveBufferBytes > 0) {
+			this.socket.setReceiveBufferSize(receiveBufferBytes);
+		}
 		int colon = address.indexOf(':');
 		this.socket.connect(
 				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
@@ -81,6 +98,56 @@
 		}
 	}
 
+	/**
+	 * Sends a request in parts and reads its answer; interim answers are skipped.
+	 * @param parts the parts of the request; none if it was sent with the one before it
+	 * @param pauseMs the time between two parts, in milliseconds
+	 * @param readPauseMs the time before the answer is read, in milliseconds
+	 * @param silenceMs how long to wait for each byte, in milliseconds
+	 * @return what was received; its time begins after the last part
+	 */
+	ReceivedAnswer exchange(List<String> parts, long pauseMs, long readPauseMs, int silenceMs)
+			throws InterruptedException {
+		this.status = 0;
+		this.headers = Map.of();
+		this.body.setLength(0);
+		this.sentWhole &= parts.isEmpty();
+		try {
+			this.socket.setSoTimeout(silenceMs);
+			for (int i = 0; i < parts.size(); i++) {
+				Thread.sleep((i > 0) ? pauseMs : 0);
+				this.socket.getOutputStream().write(parts.get(i).getBytes(StandardCharsets.ISO_8859_1));
+			}
+			if (!parts.isEmpty()) {
+				this.sentAtMs = System.currentTimeMillis();
+				this.sentWhole = true;
+			}
+			Thread.sleep(readPauseMs);
+			do {
+				readHead();
+			}
+			while (this.status < FIRST_FINAL_STATUS);
+			readBody(CallerMethod.POST);
+			return received(ReceivedAnswer.End.COMPLETE, this.sentAtMs, "");
+		}
+		catch (SocketTimeoutException ex) {
+			return received(ReceivedAnswer.End.SILENT, this.sentAtMs, ex.getMessage());
+		}
+		catch (IOException ex) {
+			return received(ReceivedAnswer.End.CLOSED, this.sentAtMs, ex.getMessage());
+		}
+		catch (IllegalArgumentException ex) {
+			return received(ReceivedAnswer.End.MALFORMED, this.sentAtMs, ex.getMessage());
+		}
+	}
+
+	/**
+	 * Returns whether the last request that was sent in parts was sent to its end.
+	 */
+	boolean hasSentWhole() {
+		return this.sentWhole;
+	}
+
 	private ReceivedAnswer received(ReceivedAnswer.End end, long sentAtMs, String detail) {
 		return new ReceivedAnswer(this.status, this.headers, this.body.toString(), end,
 				System.currentTimeMillis() - sentAtMs, detail);
