--- a/entry/src/main/java/org/fulmargap/entry/caller/AbsoluteTarget.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/AbsoluteTarget.java
@@ -20,6 +20,9 @@
 	 * @return the parts, or empty if the target names no host
 	 */
 	static Optional<AbsoluteTarget> of(String target) {
+		if (target.startsWith("/")) {
+			return Optional.empty();
+		}
 		Matcher form = FORM.matcher(target);
 		if (!form.matches()) {
 			return Optional.empty();
