List a topic of the store anew after a page that can't be read

Callers could see: a VM whose known offset contradicts what the store states repeats the same read without end, and its configuration and endpoints stay as they are. Cause: only a read whose records are deleted led to a listing. Change: a malformed page leads to one as well, after the usual delay. Result: StoreTailTests.aTopicIsListedAnewAfterAPageOfOtherOffsets failed before (no listing within 5 s) and passes; 43 tests of the store, of foreign records and of entry VMs pass.

--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -40,7 +40,7 @@
 
 	private long retryDelayMs = FIRST_RETRY_DELAY_MS;
 
-	// The records from the known offset on are deleted; the topic is listed again.
+	// The records from the known offset on can't be read; the topic is listed again.
 	private boolean expired;
 
 	private long previousReadAtMs = NEVER_MS;
@@ -190,10 +190,13 @@
 		}
 		if (ex.type() == StoreException.Type.EXPIRED) {
 			EventLog.state("store_gap").with("topic", this.topic).with("offset", this.nextOffset).write();
-			this.expired = true;
-			this.nextOffset = -1;
+			listAnew();
 			return 0;
 		}
+		if (ex.type() == StoreException.Type.MALFORMED) {
+			// The read may fail again and again if the known offset is wrong.
+			listAnew();
+		}
 		boolean away = this.failing || ex.type() != StoreException.Type.NO_ANSWER;
 		if (away && !this.outage) {
 			this.outage = true;
@@ -213,6 +216,11 @@
 		return delayMs;
 	}
 
+	private void listAnew() {
+		this.expired = true;
+		this.nextOffset = -1;
+	}
+
 	/**
 	 * What a VM needs to read by itself. Called on the tail's thread.
 	 */
