Decode only the newest version of a page of the operator's topic

Cause: StoreWatch decoded and applied each superseded configuration of a page on the event loop; pages of endpoint records keep the newest of each key.

That this has made a VM late was not shown.

Change: OperatorPage decodes from the newest record on, and an older one of a key only if the newer ones can't be read or have no effect, so the version in force after a page is the same as before.

--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -21,6 +21,7 @@
 import org.fulmargap.platform.KeyedRecord;
 import org.fulmargap.platform.MalformedRecordException;
 import org.fulmargap.platform.NodeSettings;
+import org.fulmargap.platform.OperatorPage;
 import org.fulmargap.platform.OperatorRecord;
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.platform.StoreException;
@@ -294,18 +295,15 @@
 	}
 
 	private void applyOperatorPage(StorePage page) {
-		for (KeyedRecord record : page.records()) {
-			try {
-				apply(OperatorRecord.decode(record), record.offset());
-			}
-			catch (MalformedRecordException ex) {
-				EventLog.state("operator_record_refused")
-					.with("key", record.key())
-					.with("offset", record.offset())
-					.with("cause", ex.getMessage())
-					.write();
-			}
+		OperatorPage newest = OperatorPage.decode(page);
+		for (OperatorPage.Refused refused : newest.refused()) {
+			EventLog.state("operator_record_refused")
+				.with("key", refused.record().key())
+				.with("offset", refused.record().offset())
+				.with("cause", refused.cause().getMessage())
+				.write();
 		}
+		newest.records().forEach((record) -> apply(record.content(), record.offset()));
 	}
 
 	private void apply(OperatorRecord record, long offset) {
