Read the next page of the store at once if a page ends before the topic

Callers could see: after a silence or an outage in which the operator wrote many large versions, the newest one came a pause (200 ms, endpoint records 600 ms) later for each page of 1 MB before it, on top of the time until the silence was noticed.

Cause: a read that returns is followed by the next after a minimum interval, so that one call returns several changes; a page that is full returned none less for that.

Change: a page states whether the topic ended after it, and the next read then starts at once. The number of calls for a backlog stays the same.

A VM that was late by this was not shown.

--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -144,7 +144,7 @@
 			if (page.isComplete() || !page.records().isEmpty()) {
 				this.pages.accept(page);
 			}
-			return this.minIntervalMs;
+			return (page.hasNext()) ? 0 : this.minIntervalMs;
 		}
 		catch (StoreException ex) {
 			return failed(ex);
