List a topic again after a page that contradicts the known offset

Callers could see: a VM whose known offset is after the end of a topic, because it once took a page of another read, waits for records that never come: its configuration or endpoint records stay behind until the topic's end passes that offset.

Cause: only expired records made a tail list the topic again. Since the head of a page is checked, the read fails each time, and was repeated without end.

Change: after a malformed page the tail lists the topic, which gives the newest records whatever the known offset is. While the VM's offset stays too high, each read is followed by a listing: more calls, but no record is missed.

Evidence: StoreTailTests.aTopicThatEndsBeforeTheKnownOffsetIsListedAgain failed before (no record within 10 s) and passes now.

--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -38,7 +38,8 @@
 
 	private long retryDelayMs = FIRST_RETRY_DELAY_MS;
 
-	// The records from the known offset on are deleted; the topic is listed again.
+	// The records from the known offset on are deleted, or it is not one of the topic's
+	// offsets; the topic is listed again.
 	private boolean expired;
 
 	private volatile boolean reached;
@@ -161,6 +162,11 @@
 			this.nextOffset = -1;
 			return 0;
 		}
+		if (ex.type() == StoreException.Type.MALFORMED) {
+			// The known offset may be wrong.
+			this.expired = true;
+			this.nextOffset = -1;
+		}
 		boolean away = this.failing || ex.type() != StoreException.Type.NO_ANSWER;
 		if (away && !this.outage) {
 			this.outage = true;
--- a/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
 
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.platform.StorePage;
@@ -22,7 +23,7 @@
 
 	private static final int VERSION_BYTES = 300_000;
 
-	private static StoreTail.Need always() {
+	private static StoreTail.Need from(long offset) {
 		return new StoreTail.Need() {
 
 			@Override
@@ -32,7 +33,7 @@
 
 			@Override
 			public long nextOffset() {
-				return 0;
+				return offset;
 			}
 
 			@Override
@@ -43,26 +44,47 @@
 		};
 	}
 
-	@Test
-	void pagesOfABacklogAreReadWithoutAPause() throws Exception {
-		List<StorePage> pages = new CopyOnWriteArrayList<>();
-		try (StoreStandIn store = new StoreStandIn(); StoreClient client = new StoreClient(store.address())) {
-			for (int i = 0; i < VERSIONS; i++) {
-				store.put("keyed.op", "config", "x".repeat(VERSION_BYTES));
-			}
+	private final List<StorePage> pages = new CopyOnWriteArrayList<>();
+
+	private void readUntil(StoreStandIn store, long from, BooleanSupplier done) throws InterruptedException {
+		try (StoreClient client = new StoreClient(store.address())) {
 			Thread thread = new Thread(new StoreTail(client, StoreTopic.OPERATOR, LongPollWait.unbounded(1_000),
-					INTERVAL_MS, () -> System.nanoTime() / 1_000_000, pages::add, () -> {
-					}, always()));
+					INTERVAL_MS, () -> System.nanoTime() / 1_000_000, this.pages::add, () -> {
+					}, from(from)));
 			thread.start();
 			try {
-				Installation.await(() -> !pages.isEmpty() && pages.get(pages.size() - 1).nextOffset() == VERSIONS);
-				assertThat(pages).hasSizeGreaterThan(2);
+				Installation.await(done);
 			}
 			finally {
 				thread.interrupt();
 				thread.join();
 			}
-			assertThat(store.calls()).isEqualTo(pages.size());
+		}
+	}
+
+	private boolean isRead(long nextOffset) {
+		return !this.pages.isEmpty() && this.pages.get(this.pages.size() - 1).nextOffset() == nextOffset;
+	}
+
+	@Test
+	void pagesOfABacklogAreReadWithoutAPause() throws Exception {
+		try (StoreStandIn store = new StoreStandIn()) {
+			for (int i = 0; i < VERSIONS; i++) {
+				store.put("keyed.op", "config", "x".repeat(VERSION_BYTES));
+			}
+			readUntil(store, 0, () -> isRead(VERSIONS));
+			assertThat(this.pages).hasSizeGreaterThan(2);
+			assertThat(store.calls()).isEqualTo(this.pages.size());
+		}
+	}
+
+	@Test
+	void aTopicThatEndsBeforeTheKnownOffsetIsListedAgain() throws Exception {
+		try (StoreStandIn store = new StoreStandIn()) {
+			store.put("keyed.op", "config", "newest");
+			readUntil(store, 5, () -> isRead(1));
+			assertThat(this.pages.get(0).isComplete()).isTrue();
+			assertThat(this.pages.get(0).records()).hasSize(1);
 		}
 	}
 
