--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -132,7 +132,7 @@
 			if (page.isComplete() || !page.records().isEmpty()) {
 				this.pages.accept(page, originOf(page, startedAtMs, nowMs));
 			}
-			return this.minIntervalMs;
+			return (page.hasNext()) ? 0 : this.minIntervalMs;
 		}
 		catch (StoreException ex) {
 			return failed(ex, this.clockMs.getAsLong() - startedAtMs);
--- a/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
@@ -1,80 +1,101 @@
 package org.fulmargap.entry;
 
-import java.nio.ByteBuffer;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
 
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
-import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.StoreStandIn;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against VMs that stay behind the store because they repeat a read in vain.
+ * Tests of {@link StoreTail} with a stand-in of the store.
  */
 class StoreTailTests {
 
-	private static final long WAIT_MS = 100;
+	private static final long INTERVAL_MS = 60_000;
 
-	private static final long INTERVAL_MS = 10;
+	private static final int VERSIONS = 12;
 
-	private static final long PAGE_TIMEOUT_MS = 5_000;
+	private static final int VERSION_BYTES = 300_000;
 
-	private final BlockingQueue<StorePage> pages = new LinkedBlockingQueue<>();
+	private static StoreTail.Need from(long offset) {
+		return new StoreTail.Need() {
 
-	@Test
-	void aTopicIsListedAnewAfterAPageOfOtherOffsets() throws Exception {
-		try (StoreStandIn store = new StoreStandIn(); StoreClient client = new StoreClient(store.address())) {
-			store.put(CallerWire.ENDPOINT_TOPIC, "i-1", "value");
-			Thread tail = new Thread(tail(client));
-			tail.start();
-			assertThat(nextPage().isComplete()).isTrue();
-			store.answerNextRead(ByteBuffer.allocate(2 * Long.BYTES).putLong(0).putLong(0).array());
-			store.put(CallerWire.ENDPOINT_TOPIC, "i-2", "value");
-			StorePage page = nextPage();
-			while (!page.isComplete()) {
-				page = nextPage();
+			@Override
+			public boolean isNeeded() {
+				return true;
 			}
-			assertThat(page.nextOffset()).isEqualTo(2);
-			tail.interrupt();
-			tail.join();
-		}
-	}
 
-	private StorePage nextPage() throws InterruptedException {
-		StorePage page = this.pages.poll(PAGE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-		assertThat(page).isNotNull();
-		return page;
-	}
+			@Override
+			public long nextOffset() {
+				return offset;
+			}
 
-	private StoreTail tail(StoreClient client) {
-		return new StoreTail(client, StoreTopic.ENDPOINTS, LongPollWait.unbounded(WAIT_MS), INTERVAL_MS,
-				System::currentTimeMillis, (page, origin) -> this.pages.add(page), () -> {
-				}, new AlwaysNeeded());
+			@Override
+			public long maxRetryDelayMs() {
+				return INTERVAL_MS;
+			}
+
+		};
 	}
 
-	private static final class AlwaysNeeded implements StoreTail.Need {
+	private final List<StorePage> pages = new CopyOnWriteArrayList<>();
 
-		@Override
-		public boolean isNeeded() {
-			return true;
+	private void readUntil(StoreStandIn store, long from, BooleanSupplier done) throws InterruptedException {
+		try (StoreClient client = new StoreClient(store.address())) {
+			Thread thread = new Thread(new StoreTail(client, StoreTopic.OPERATOR, LongPollWait.unbounded(1_000),
+					INTERVAL_MS, () -> System.nanoTime() / 1_000_000, (page, origin) -> this.pages.add(page), () -> {
+					}, from(from)));
+			thread.start();
+			try {
+				Installation.await(done);
+			}
+			finally {
+				thread.interrupt();
+				thread.join();
+			}
 		}
+	}
 
-		@Override
-		public long nextOffset() {
-			return -1;
+	private boolean isRead(long nextOffset) {
+		return !this.pages.isEmpty() && this.pages.get(this.pages.size() - 1).nextOffset() == nextOffset;
+	}
+
+	@Test
+	void pagesOfABacklogAreReadWithoutAPause() throws Exception {
+		try (StoreStandIn store = new StoreStandIn()) {
+			for (int i = 0; i < VERSIONS; i++) {
+				store.put("keyed.op", "config", "x".repeat(VERSION_BYTES));
+			}
+			readUntil(store, 0, () -> isRead(VERSIONS));
+			assertThat(this.pages).hasSizeGreaterThan(2);
+			assertThat(store.calls()).isEqualTo(this.pages.size());
 		}
+	}
 
-		@Override
-		public long maxRetryDelayMs() {
-			return WAIT_MS;
+	@Test
+	void aTopicIsListedAgainAfterAPageOfOtherOffsets() throws Exception {
+		try (StoreStandIn store = new StoreStandIn()) {
+			store.put("keyed.op", "config", "newest");
+			store.answerNextRead(new byte[2 * Long.BYTES]);
+			readUntil(store, 1, () -> isRead(1));
+			assertThat(this.pages.get(0).isComplete()).isTrue();
 		}
+	}
 
+	@Test
+	void aTopicThatEndsBeforeTheKnownOffsetIsListedAgain() throws Exception {
+		try (StoreStandIn store = new StoreStandIn()) {
+			store.put("keyed.op", "config", "newest");
+			readUntil(store, 5, () -> isRead(1));
+			assertThat(this.pages.get(0).isComplete()).isTrue();
+			assertThat(this.pages.get(0).records()).hasSize(1);
+		}
 	}
 
 }
