Test that retries and resumed streams keep within limits, too

Three endpoints that name a limit of 1 request a second and answer 500, or break each stream, get no more than the users' rule allows from four VMs.

--- a/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
@@ -1,12 +1,14 @@
 package org.fulmargap.entry;
 
 import java.io.IOException;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntFunction;
 
 import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.EndpointStandIn;
@@ -69,17 +71,22 @@
 		return endpoints;
 	}
 
-	// Sends plain requests to all VMs in turn.
 	private void load(long durationMs) throws InterruptedException {
+		load(durationMs, (vm) -> this.installation.attempt(vm, "/push/x"));
+	}
+
+	// Sends requests to all VMs in turn.
+	private void load(long durationMs, IntFunction<HttpRequest.Builder> requestTo) throws InterruptedException {
 		long endMs = nowMs() + durationMs;
 		for (int i = 0; nowMs() < endMs; i++) {
 			int vm = i % VMS;
-			var request = this.installation.attempt(vm, "/push/x");
+			var request = requestTo.apply(vm);
 			this.vmByAttempt.put(request.build().headers().firstValue(CallerWire.ATTEMPT_ID).orElseThrow(), vm);
 			this.answers.add(this.installation.sendAsync(request));
 			Thread.sleep(PAUSE_MS);
 		}
-		this.answers.forEach(CompletableFuture::join);
+		// Some streams break.
+		this.answers.forEach((answer) -> answer.exceptionally((ex) -> null).join());
 	}
 
 	private static long nowMs() {
@@ -130,6 +137,20 @@
 			}
 		}
 
+		@Test
+		void retriesDoNotExceedTheLimitsThatEndpointsName() throws Exception {
+			List<EndpointStandIn> endpoints = endpoints("core", 3);
+			for (EndpointStandIn endpoint : endpoints) {
+				endpoint.limit("1");
+				endpoint.fault(EndpointStandIn.Fault.ERROR);
+			}
+			startVms(VMS);
+			load(LOAD_MS, (vm) -> LimitedEndpointTests.this.installation.attempt(vm, "/read/x"));
+			for (EndpointStandIn endpoint : endpoints) {
+				assertThat((double) mostInWindow(endpoint)).isLessThanOrEqualTo(allowed(1));
+			}
+		}
+
 		@Test
 		void oneLimitedEndpointOfSeveralDoesNotGetMoreThanItsLimit() throws Exception {
 			List<EndpointStandIn> endpoints = endpoints("core", 3);
@@ -143,6 +164,26 @@
 
 	}
 
+	@Nested
+	class Streams {
+
+		@Test
+		void streamsThatBreakAndAreResumedDoNotExceedTheLimitsThatEnginesName() throws Exception {
+			List<EndpointStandIn> engines = endpoints("pool", 3);
+			endpoints("stage", 1);
+			for (EndpointStandIn engine : engines) {
+				engine.limit("1");
+				engine.fault(EndpointStandIn.Fault.BREAK_STREAM);
+			}
+			startVms(VMS);
+			load(LOAD_MS, LimitedEndpointTests.this.installation::pipeline);
+			for (EndpointStandIn engine : engines) {
+				assertThat((double) mostInWindow(engine)).isLessThanOrEqualTo(allowed(1));
+			}
+		}
+
+	}
+
 	@Nested
 	class StageCalls {
 
