Check by the arrivals that retries and resumed streams need a share

The tests that replace them let all first calls fail at an endpoint without a limit; not one retry or resumed stream may reach the limited one.

--- a/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
@@ -1,14 +1,12 @@
 package org.fulmargap.entry;
 
 import java.io.IOException;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.IntFunction;
 
 import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.EndpointStandIn;
@@ -32,6 +30,9 @@
 
 	private static final long WINDOW_MS = 4_000;
 
+	/** A limit at which no test gets a second share in its time. */
+	private static final String ALMOST_NONE = "0.1";
+
 	/** The time that a VM has for a limit that it was told, in ms. */
 	private static final long TOLD_MS = 500;
 
@@ -71,22 +72,17 @@
 		return endpoints;
 	}
 
+	// Sends plain requests to all VMs in turn.
 	private void load(long durationMs) throws InterruptedException {
-		load(durationMs, (vm) -> this.installation.attempt(vm, "/push/x"));
-	}
-
-	// Sends requests to all VMs in turn.
-	private void load(long durationMs, IntFunction<HttpRequest.Builder> requestTo) throws InterruptedException {
 		long endMs = nowMs() + durationMs;
 		for (int i = 0; nowMs() < endMs; i++) {
 			int vm = i % VMS;
-			var request = requestTo.apply(vm);
+			var request = this.installation.attempt(vm, "/push/x");
 			this.vmByAttempt.put(request.build().headers().firstValue(CallerWire.ATTEMPT_ID).orElseThrow(), vm);
 			this.answers.add(this.installation.sendAsync(request));
 			Thread.sleep(PAUSE_MS);
 		}
-		// Some streams break.
-		this.answers.forEach((answer) -> answer.exceptionally((ex) -> null).join());
+		this.answers.forEach(CompletableFuture::join);
 	}
 
 	private static long nowMs() {
@@ -138,17 +134,21 @@
 		}
 
 		@Test
-		void retriesDoNotExceedTheLimitsThatEndpointsName() throws Exception {
-			List<EndpointStandIn> endpoints = endpoints("core", 3);
-			for (EndpointStandIn endpoint : endpoints) {
-				endpoint.limit("1");
-				endpoint.fault(EndpointStandIn.Fault.ERROR);
+		void aRetryIsNotSentToAnEndpointWithoutAShareLeft() throws Exception {
+			List<EndpointStandIn> endpoints = endpoints("core", 2);
+			EndpointStandIn limited = endpoints.get(1);
+			limited.limit(ALMOST_NONE);
+			startVms(1);
+			while (limited.arrivals() == 0) {
+				LimitedEndpointTests.this.installation
+					.send(LimitedEndpointTests.this.installation.attempt(0, "/push/x"));
 			}
-			startVms(VMS);
-			load(LOAD_MS, (vm) -> LimitedEndpointTests.this.installation.attempt(vm, "/read/x"));
-			for (EndpointStandIn endpoint : endpoints) {
-				assertThat((double) mostInWindow(endpoint)).isLessThanOrEqualTo(allowed(1));
+			endpoints.get(0).fault(EndpointStandIn.Fault.ERROR);
+			for (int i = 0; i < 5; i++) {
+				LimitedEndpointTests.this.installation
+					.send(LimitedEndpointTests.this.installation.attempt(0, "/read/x"));
 			}
+			assertThat(limited.arrivals()).isEqualTo(1);
 		}
 
 		@Test
@@ -168,17 +168,34 @@
 	class Streams {
 
 		@Test
-		void streamsThatBreakAndAreResumedDoNotExceedTheLimitsThatEnginesName() throws Exception {
-			List<EndpointStandIn> engines = endpoints("pool", 3);
+		void aStreamThatBreaksIsNotResumedAtAnEngineWithoutAShareLeft() throws Exception {
+			List<EndpointStandIn> engines = endpoints("pool", 2);
 			endpoints("stage", 1);
-			for (EndpointStandIn engine : engines) {
-				engine.limit("1");
-				engine.fault(EndpointStandIn.Fault.BREAK_STREAM);
+			EndpointStandIn limited = engines.get(1);
+			limited.limit(ALMOST_NONE);
+			startVms(1);
+			for (int i = 0; i < 50 && limited.arrivals() == 0; i++) {
+				LimitedEndpointTests.this.answers.add(LimitedEndpointTests.this.installation
+					.sendAsync(LimitedEndpointTests.this.installation.pipeline(0)));
+				Thread.sleep(PAUSE_MS);
 			}
-			startVms(VMS);
-			load(LOAD_MS, LimitedEndpointTests.this.installation::pipeline);
-			for (EndpointStandIn engine : engines) {
-				assertThat((double) mostInWindow(engine)).isLessThanOrEqualTo(allowed(1));
+			LimitedEndpointTests.this.answers.forEach(CompletableFuture::join);
+			int arrivals = limited.arrivals();
+			assertThat(arrivals).isPositive();
+			engines.get(0).fault(EndpointStandIn.Fault.BREAK_STREAM);
+			for (int i = 0; i < 5; i++) {
+				sendQuietly();
+			}
+			assertThat(engines.get(0).brokenWrites()).isPositive();
+			assertThat(limited.arrivals()).isEqualTo(arrivals);
+		}
+
+		private void sendQuietly() throws InterruptedException {
+			try {
+				LimitedEndpointTests.this.installation.send(LimitedEndpointTests.this.installation.pipeline(0));
+			}
+			catch (IOException ex) {
+				// The stream breaks and can't be resumed.
 			}
 		}
 
@@ -211,8 +228,6 @@
 	@Nested
 	class OneRequest {
 
-		private static final String ALMOST_NONE = "0.1";
-
 		/** Longer than records and heartbeats take to arrive, in ms. */
 		private static final long SETTLE_MS = 1_200;
 
