--- a/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
@@ -154,4 +154,36 @@
 
 	}
 
+	@Nested
+	class LimitShareTests {
+
+		private static final int VMS = 7;
+
+		private double sum(double limitPerSecond, long nowMs) {
+			double sum = 0;
+			for (int own = 0; own < VMS; own++) {
+				FleetView view = new FleetView(member("vm-" + own, 1));
+				for (int other = 0; other < VMS; other++) {
+					view.put(member("vm-" + other, 1), 0);
+					view.confirm("vm-" + other, false, 0);
+				}
+				sum += view.limitShare("e", limitPerSecond, nowMs);
+			}
+			return sum;
+		}
+
+		@Test
+		void theSharesOfAllVmsAddUpToNoMoreThanTheLimit() {
+			for (double limitPerSecond : new double[] { 0.5, 1, 2.4, 10, 1_000 }) {
+				assertThat(sum(limitPerSecond, 0)).isBetween(limitPerSecond * 0.89, limitPerSecond * 0.91);
+			}
+		}
+
+		@Test
+		void aVmThatIsCutOffUsesNoMoreThanItsShareWhileTheOthersCountIt() {
+			assertThat(sum(1, FleetView.COUNTED_MS - 1)).isLessThan(1);
+		}
+
+	}
+
 }
