--- a/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
@@ -155,7 +155,7 @@
 	}
 
 	@Nested
-	class LimitShareTests {
+	class Shares {
 
 		private static final int VMS = 7;
 
--- a/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
@@ -139,7 +139,8 @@
 			EndpointStandIn limited = endpoints.get(1);
 			limited.limit(ALMOST_NONE);
 			startVms(1);
-			while (limited.arrivals() == 0) {
+			for (int i = 0; limited.arrivals() == 0; i++) {
+				assertThat(i).as("requests without one at the endpoint").isLessThan(200);
 				LimitedEndpointTests.this.installation
 					.send(LimitedEndpointTests.this.installation.attempt(0, "/push/x"));
 			}
