--- a/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LimitedEndpointTests.java
@@ -30,6 +30,9 @@
 
 	private static final long WINDOW_MS = 4_000;
 
+	/** A limit at which no test gets a second share in its time. */
+	private static final String ALMOST_NONE = "0.1";
+
 	/** The time that a VM has for a limit that it was told, in ms. */
 	private static final long TOLD_MS = 500;
 
@@ -130,6 +133,25 @@
 			}
 		}
 
+		@Test
+		void aRetryIsNotSentToAnEndpointWithoutAShareLeft() throws Exception {
+			List<EndpointStandIn> endpoints = endpoints("core", 2);
+			EndpointStandIn limited = endpoints.get(1);
+			limited.limit(ALMOST_NONE);
+			startVms(1);
+			for (int i = 0; limited.arrivals() == 0; i++) {
+				assertThat(i).as("requests without one at the endpoint").isLessThan(200);
+				LimitedEndpointTests.this.installation
+					.send(LimitedEndpointTests.this.installation.attempt(0, "/push/x"));
+			}
+			endpoints.get(0).fault(EndpointStandIn.Fault.ERROR);
+			for (int i = 0; i < 5; i++) {
+				LimitedEndpointTests.this.installation
+					.send(LimitedEndpointTests.this.installation.attempt(0, "/read/x"));
+			}
+			assertThat(limited.arrivals()).isEqualTo(1);
+		}
+
 		@Test
 		void oneLimitedEndpointOfSeveralDoesNotGetMoreThanItsLimit() throws Exception {
 			List<EndpointStandIn> endpoints = endpoints("core", 3);
@@ -143,6 +165,43 @@
 
 	}
 
+	@Nested
+	class Streams {
+
+		@Test
+		void aStreamThatBreaksIsNotResumedAtAnEngineWithoutAShareLeft() throws Exception {
+			List<EndpointStandIn> engines = endpoints("pool", 2);
+			endpoints("stage", 1);
+			EndpointStandIn limited = engines.get(1);
+			limited.limit(ALMOST_NONE);
+			startVms(1);
+			for (int i = 0; i < 50 && limited.arrivals() == 0; i++) {
+				LimitedEndpointTests.this.answers.add(LimitedEndpointTests.this.installation
+					.sendAsync(LimitedEndpointTests.this.installation.pipeline(0)));
+				Thread.sleep(PAUSE_MS);
+			}
+			LimitedEndpointTests.this.answers.forEach(CompletableFuture::join);
+			int arrivals = limited.arrivals();
+			assertThat(arrivals).isPositive();
+			engines.get(0).fault(EndpointStandIn.Fault.BREAK_STREAM);
+			for (int i = 0; i < 5; i++) {
+				sendQuietly();
+			}
+			assertThat(engines.get(0).brokenWrites()).isPositive();
+			assertThat(limited.arrivals()).isEqualTo(arrivals);
+		}
+
+		private void sendQuietly() throws InterruptedException {
+			try {
+				LimitedEndpointTests.this.installation.send(LimitedEndpointTests.this.installation.pipeline(0));
+			}
+			catch (IOException ex) {
+				// The stream breaks and can't be resumed.
+			}
+		}
+
+	}
+
 	@Nested
 	class StageCalls {
 
@@ -170,8 +229,6 @@
 	@Nested
 	class OneRequest {
 
-		private static final String ALMOST_NONE = "0.1";
-
 		/** Longer than records and heartbeats take to arrive, in ms. */
 		private static final long SETTLE_MS = 1_200;
 
