Give reads of the store time for a slow answer after a failed one

Callers saw an old configuration for as long as the store answered slowly: a route that a new version added stayed unknown.

Cause: the wait of a read, and with it its timeout, is what the bound leaves since the store's last answer. After a read without an answer nothing is left, so each further one ends after 900 ms, and a store whose answers take longer is never read again. Such reads also follow each other faster, and each is charged.

Now the wait counts from the end of the last read, with or without an answer.

--- a/entry/src/main/java/org/fulmargap/entry/LongPollWait.java
+++ b/entry/src/main/java/org/fulmargap/entry/LongPollWait.java
@@ -6,8 +6,8 @@
  * How long the store may hold a read open, so that this VM notices in time that its
  * connections have stopped delivering without a reset.
  *
- * @param noticeMs the longest time from the last answer of the store to the timeout of
- * the read that follows it, in milliseconds
+ * @param noticeMs the longest time from the end of a read to the timeout of the read that
+ * follows it, in milliseconds
  * @param maxWaitMs the longest wait, in milliseconds; each read is charged
  */
 record LongPollWait(long noticeMs, long maxWaitMs) {
@@ -48,12 +48,12 @@
 
 	/**
 	 * Returns how long a read that starts now may wait.
-	 * @param answeredAtMs when the store last answered, in milliseconds
+	 * @param endedAtMs when the last read ended, in milliseconds
 	 * @param nowMs the current time in milliseconds
-	 * @return the wait in milliseconds; 0 if the last answer is too long ago
+	 * @return the wait in milliseconds; 0 if the last read is too long ago
 	 */
-	long waitMs(long answeredAtMs, long nowMs) {
-		long leftMs = this.noticeMs - StoreClient.ANSWER_TIMEOUT_MS - (nowMs - answeredAtMs);
+	long waitMs(long endedAtMs, long nowMs) {
+		long leftMs = this.noticeMs - StoreClient.ANSWER_TIMEOUT_MS - (nowMs - endedAtMs);
 		return Math.max(0, Math.min(this.maxWaitMs, leftMs));
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -34,7 +34,7 @@
 
 	private long nextOffset = -1;
 
-	private long answeredAtMs;
+	private long endedAtMs;
 
 	private long retryDelayMs = FIRST_RETRY_DELAY_MS;
 
@@ -68,7 +68,7 @@
 		this.pages = pages;
 		this.outageListener = outageListener;
 		this.need = need;
-		this.answeredAtMs = clockMs.getAsLong();
+		this.endedAtMs = clockMs.getAsLong();
 	}
 
 	/**
@@ -116,8 +116,8 @@
 	private long readPage() {
 		try {
 			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic) : this.store.read(this.topic,
-					this.nextOffset, this.wait.waitMs(this.answeredAtMs, this.clockMs.getAsLong()));
-			this.answeredAtMs = this.clockMs.getAsLong();
+					this.nextOffset, this.wait.waitMs(this.endedAtMs, this.clockMs.getAsLong()));
+			this.endedAtMs = this.clockMs.getAsLong();
 			this.expired = false;
 			this.nextOffset = page.nextOffset();
 			this.retryDelayMs = FIRST_RETRY_DELAY_MS;
@@ -148,9 +148,9 @@
 	}
 
 	private long failed(StoreException ex) {
-		if (ex.type() != StoreException.Type.NO_ANSWER) {
-			this.answeredAtMs = this.clockMs.getAsLong();
-		}
+		// The next read uses a new connection. With what is left of the time since the
+		// last answer, reads of a store that answers slowly would never succeed again.
+		this.endedAtMs = this.clockMs.getAsLong();
 		if (ex.type() == StoreException.Type.EXPIRED) {
 			EventLog.state("store_gap").with("topic", this.topic).with("offset", this.nextOffset).write();
 			this.expired = true;
