--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -36,7 +36,7 @@
 
 	private long nextOffset = -1;
 
-	private long answeredAtMs;
+	private long endedAtMs;
 
 	private long retryDelayMs = FIRST_RETRY_DELAY_MS;
 
@@ -78,7 +78,7 @@
 		this.pages = pages;
 		this.outageListener = outageListener;
 		this.need = need;
-		this.answeredAtMs = clockMs.getAsLong();
+		this.endedAtMs = clockMs.getAsLong();
 	}
 
 	/**
@@ -126,7 +126,7 @@
 	private long readPage(long startedAtMs) {
 		try {
 			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic)
-					: this.store.read(this.topic, this.nextOffset, this.wait.waitMs(this.answeredAtMs, startedAtMs));
+					: this.store.read(this.topic, this.nextOffset, this.wait.waitMs(this.endedAtMs, startedAtMs));
 			long nowMs = this.clockMs.getAsLong();
 			succeeded(page, nowMs);
 			if (page.isComplete() || !page.records().isEmpty()) {
@@ -143,7 +143,7 @@
 	}
 
 	private void succeeded(StorePage page, long nowMs) {
-		this.answeredAtMs = nowMs;
+		this.endedAtMs = nowMs;
 		this.expired = false;
 		this.nextOffset = page.nextOffset();
 		this.retryDelayMs = FIRST_RETRY_DELAY_MS;
@@ -185,9 +185,9 @@
 	}
 
 	private long failed(StoreException ex, long openMs) {
-		if (ex.type() != StoreException.Type.NO_ANSWER) {
-			this.answeredAtMs = this.clockMs.getAsLong();
-		}
+		// The next read uses a new connection. With what is left of the time since the
+		// last answer, reads of a store that answers slowly would never succeed again.
+		this.endedAtMs = this.clockMs.getAsLong();
 		if (ex.type() == StoreException.Type.EXPIRED) {
 			EventLog.state("store_gap").with("topic", this.topic).with("offset", this.nextOffset).write();
 			listAnew();
