Show that answers are cut by requests that arrive while a drain reads nothing

Callers that send their next request before they have read an answer got a reset instead of the rest of the answer, at the end of a drain.

Cause: a connection is closed as soon as its answer is in the socket's queue. With unread bytes the system resets the connection and drops that queue. HTTP (RFC 9112, 9.6) has servers end only their sending side first and read on for a while.

Evidence: an answer of 16 MiB, reading stopped, one more request sent: the caller gets a connection reset. Callers that send one request at a time aren't concerned.

--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -41,6 +41,8 @@
 	/** More than the buffers of both sockets hold. */
 	private static final int LARGE_BYTES = 16 << 20;
 
+	private static final int CHUNK_BYTES = 1 << 16;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = (EventLoop) this.group.next();
@@ -274,6 +276,26 @@
 		}
 	}
 
+	// A caller that has sent more than is read, and has not taken its answer yet.
+	@Test
+	void anAnswerIsNotCutByARequestThatIsNotRead() throws Exception {
+		try (Socket socket = connect()) {
+			this.loop.submit(this.server::drain).sync();
+			socket.getOutputStream()
+				.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			this.loop.submit(this.server::stopReading).sync();
+			send(socket);
+			int taken = 1;
+			while (busyConnections() > 0) {
+				taken += socket.getInputStream().readNBytes(CHUNK_BYTES).length;
+				Thread.sleep(1);
+			}
+			int rest = socket.getInputStream().readNBytes(LARGE_BYTES).length;
+			assertThat(taken + rest).isGreaterThan(LARGE_BYTES);
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
