Keep a silent call while no other endpoint could take it over

Callers got a 502 after 120 ms from a repeatable route whose only endpoint was slower than that, with seconds left, and lost the rest of a resumable stream whose endpoint, the only one, paused for over 3.5 s. Cause: a call without an answer was cancelled before anyone asked whether another endpoint or retry budget was there; then the request was refused. Change: a silent call goes on while no other endpoint may get it or no retry is left, and is looked at again after the same time. An endpoint that accepts no connection is given up as before.

--- a/core/src/main/java/org/fulmargap/placement/SharedRetryBudget.java
+++ b/core/src/main/java/org/fulmargap/placement/SharedRetryBudget.java
@@ -60,13 +60,28 @@
 	 * @return {@code true} if the retry may be made
 	 */
 	public boolean tryRetry(String service, int vmCount, long nowMs) {
+		return refilled(service, vmCount, nowMs).take();
+	}
+
+	/**
+	 * Returns whether a retry may be made now.
+	 * @param service the name of the service
+	 * @param vmCount the number of entry VMs that share the slack
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if {@link #tryRetry} would succeed
+	 */
+	public boolean hasRetry(String service, int vmCount, long nowMs) {
+		return refilled(service, vmCount, nowMs).hasToken();
+	}
+
+	private Bucket refilled(String service, int vmCount, long nowMs) {
 		Bucket bucket = bucket(service);
 		bucket.decay(nowMs, this.windowMs * KEPT_WINDOW);
 		// Half of the share is refilled over the window and at most half is saved up, so
 		// that no window exceeds the share.
 		double halfShare = this.slack / Math.max(1, vmCount) / 2;
 		bucket.refill(halfShare, nowMs, this.windowMs);
-		return bucket.take();
+		return bucket;
 	}
 
 	private Bucket bucket(String service) {
@@ -100,8 +115,12 @@
 			this.spare = Math.min(this.spare + added, Math.max(1, halfShare));
 		}
 
+		private boolean hasToken() {
+			return this.earned + this.spare >= 1;
+		}
+
 		private boolean take() {
-			if (this.earned + this.spare < 1) {
+			if (!hasToken()) {
 				return false;
 			}
 			double fromEarned = Math.min(1, this.earned);
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -333,6 +333,20 @@
 		refuseWithoutEndpoint();
 	}
 
+	// Whether another endpoint could take over a call that is given up now.
+	private boolean canBeRepeatedBeside(Endpoint called, long nowMs) {
+		int vmCount = this.services.peers().vmCount();
+		if (!this.services.retryBudget().hasRetry(this.service.name(), vmCount, nowMs)) {
+			return false;
+		}
+		List<Endpoint> available = this.services.view().directory().available(this.service.name(), nowMs);
+		return this.services.limits()
+			.sendable(available, priority(), nowMs)
+			.stream()
+			.anyMatch((endpoint) -> endpoint != called && !this.triedEndpoints.contains(endpoint.record().id())
+					&& !endpoint.isSuspended(nowMs));
+	}
+
 	// Whether stages or runs were made, which a refusal would make useless.
 	private boolean hasProgress() {
 		return !this.route.stages().isEmpty() || this.runs > 0;
@@ -608,11 +622,17 @@
 			}
 		}
 
-		private void responseTimedOut() {
-			if (!this.closed) {
-				this.running.cancel();
-				failed(CallFailure.TIMED_OUT);
+		private void responseTimedOut(boolean reachable) {
+			if (this.closed) {
+				return;
+			}
+			RequestFlow flow = RequestFlow.this;
+			if (reachable && !flow.canBeRepeatedBeside(this.endpoint, flow.services.nowMs())) {
+				this.timer.restart();
+				return;
 			}
+			this.running.cancel();
+			failed(CallFailure.TIMED_OUT);
 		}
 
 		private FullHttpRequest httpRequest(long nowMs) {
--- a/entry/src/main/java/org/fulmargap/entry/request/ResponseTimer.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/ResponseTimer.java
@@ -6,9 +6,9 @@
 import org.fulmargap.catalog.Route;
 
 /**
- * Ends a call to an endpoint that is silent for too long, so that another endpoint can
- * take the request over. Calls whose request can't run again have no timeout of their
- * own. Confined to the event loop.
+ * Notices that an endpoint is silent for too long, so that another endpoint can take its
+ * call over. Calls whose request can't run again have no timeout of their own. Confined
+ * to the event loop.
  */
 final class ResponseTimer implements AutoCloseable {
 
@@ -44,7 +44,7 @@
 
 	private final String address;
 
-	private final Runnable timedOut;
+	private final Listener listener;
 
 	private Future<?> timer;
 
@@ -57,15 +57,15 @@
 	 * @param runs the number of runs of the request before this call
 	 * @param service the service of the endpoint
 	 * @param address the address of the endpoint as {@code IP:port}
-	 * @param timedOut ends the call
+	 * @param listener hears of silence
 	 */
-	ResponseTimer(RequestServices services, Route route, int runs, String service, String address, Runnable timedOut) {
+	ResponseTimer(RequestServices services, Route route, int runs, String service, String address, Listener listener) {
 		this.services = services;
 		this.enabled = route.isRetryable() && runs + 1 < route.maxAttempts();
 		this.streaming = route.kind().isStreaming();
 		this.service = service;
 		this.address = address;
-		this.timedOut = timedOut;
+		this.listener = listener;
 	}
 
 	/**
@@ -80,7 +80,8 @@
 			return;
 		}
 		double expectedMs = this.services.serviceTimes().expectedMs(this.service);
-		schedule(this.timedOut, (long) Math.max(MIN_RESPONSE_TIMEOUT_MS, expectedMs * RESPONSE_TIMEOUT_FACTOR));
+		schedule(() -> this.listener.silent(true),
+				(long) Math.max(MIN_RESPONSE_TIMEOUT_MS, expectedMs * RESPONSE_TIMEOUT_FACTOR));
 	}
 
 	private void schedule(Runnable timeout, long delayMs) {
@@ -92,16 +93,16 @@
 		this.services.pool().probe(this.address, (reachable) -> {
 			boolean stillSilent = !this.closed && this.timer == silence;
 			if (stillSilent && reachable) {
-				schedule(this.timedOut, STREAM_STALLED_MS);
+				schedule(() -> this.listener.silent(true), STREAM_STALLED_MS);
 			}
 			else if (stillSilent) {
-				this.timedOut.run();
+				this.listener.silent(false);
 			}
 		});
 	}
 
 	/**
-	 * Starts the timer anew if it runs, because the endpoint was heard.
+	 * Starts the timer anew if it runs.
 	 */
 	void restart() {
 		if (this.timer != null) {
@@ -126,4 +127,18 @@
 		stop();
 	}
 
+	/**
+	 * Hears that an endpoint is silent for too long.
+	 */
+	@FunctionalInterface
+	interface Listener {
+
+		/**
+		 * Ends the call, or starts the timer anew.
+		 * @param reachable {@code false} if the endpoint accepts no connection
+		 */
+		void silent(boolean reachable);
+
+	}
+
 }
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -27,6 +27,9 @@
 	private static final String ALL_EVENTS = "id: 0\ndata: token0\n\nid: 1\ndata: token1\n\nid: 2\ndata: token2\n\n"
 			+ "id: 3\ndata: token3\n\nid: 4\ndata: token4\n\n";
 
+	/** Longer than the time after which a call is repeated at another endpoint. */
+	private static final int SLOW_WORK_MS = 600;
+
 	private Installation installation;
 
 	@BeforeEach
@@ -69,6 +72,13 @@
 				.doesNotContainKey("authorization");
 		}
 
+		@Test
+		void aCallToTheOnlyEndpointIsNotGivenUpBeforeItsTimeout() throws Exception {
+			endpoint("core-1", "core").workMs(SLOW_WORK_MS);
+			startVms(1);
+			assertThat(send("/read/x").statusCode()).isEqualTo(200);
+		}
+
 		@Test
 		void anIdempotentRequestIsRetriedAtAnotherEndpointWhenItsAnswerIsLost() throws Exception {
 			endpoint("core-1", "core").fault(EndpointStandIn.Fault.LOSE_ANSWER);
