--- a/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
@@ -7,6 +7,7 @@
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
+import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.StoreStandIn;
 import org.junit.jupiter.api.Test;
 
@@ -70,7 +71,7 @@
 	void pagesOfABacklogAreReadWithoutAPause() throws Exception {
 		try (StoreStandIn store = new StoreStandIn()) {
 			for (int i = 0; i < VERSIONS; i++) {
-				store.put("keyed.op", "config", "x".repeat(VERSION_BYTES));
+				store.put(CallerWire.OPERATOR_TOPIC, "config", "x".repeat(VERSION_BYTES));
 			}
 			readUntil(store, 0, () -> isRead(VERSIONS));
 			assertThat(this.pages).hasSizeGreaterThan(2);
@@ -81,7 +82,7 @@
 	@Test
 	void aTopicThatEndsBeforeTheKnownOffsetIsListedAgain() throws Exception {
 		try (StoreStandIn store = new StoreStandIn()) {
-			store.put("keyed.op", "config", "newest");
+			store.put(CallerWire.OPERATOR_TOPIC, "config", "newest");
 			readUntil(store, 5, () -> isRead(1));
 			assertThat(this.pages.get(0).isComplete()).isTrue();
 			assertThat(this.pages.get(0).records()).hasSize(1);
