--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -30,6 +30,11 @@
 
 	private static final int PEER_PORT = 18_740;
 
+	/** The folder of another landing whose program is started instead of this one's. */
+	private static final String LANDING = System.getProperty("entry.landing");
+
+	private static final String PACKAGED_PROGRAM = "target/entry/fulmargap-entry-0.1.0.jar";
+
 	private static final long EXIT_TIMEOUT_S = 20;
 
 	private static final int HTTP_OK = 200;
@@ -54,23 +59,45 @@
 	 * @throws IOException if the process can't be started
 	 */
 	EntryProcess(int number, Path directory, String storeAddress) throws IOException {
+		this(number, "a", directory, storeAddress);
+	}
+
+	/**
+	 * Starts a process in a given failure domain.
+	 * @param number a number from 1 to 200 that no other process has
+	 * @param domain the failure domain
+	 * @param directory the directory for its settings and its log, to which a process
+	 * that starts under the number of an ended one appends
+	 * @param storeAddress the address of the store as {@code IP:port}
+	 * @throws IOException if the process can't be started
+	 */
+	EntryProcess(int number, String domain, Path directory, String storeAddress) throws IOException {
 		this.ip = ip(number);
 		Path settings = Files.writeString(directory.resolve("vm-" + number + ".toml"),
-				SettingsText.of("vm-" + number, this.ip, CALLER_PORT, READINESS_PORT, PEER_PORT, storeAddress));
-		String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-		List<String> command = new ArrayList<>(List.of(java));
-		command.addAll(deployedOptions());
-		command.addAll(List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
-		ProcessBuilder builder = new ProcessBuilder(command);
+				SettingsText.of("vm-" + number, domain, this.ip, CALLER_PORT, READINESS_PORT, PEER_PORT, storeAddress));
+		ProcessBuilder builder = new ProcessBuilder(command());
 		builder.environment().put(NodeSettingsFile.PATH_VARIABLE, settings.toString());
 		this.log = directory.resolve("vm-" + number + ".log");
-		this.process = builder.redirectErrorStream(true).redirectOutput(this.log.toFile()).start();
+		this.process = builder.redirectErrorStream(true)
+			.redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()))
+			.start();
+	}
+
+	// The program under test, or the packaged one of another landing.
+	private static List<String> command() throws IOException {
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		Path landing = (LANDING != null) ? Path.of(LANDING) : Path.of(System.getProperty("repository.root"));
+		command.addAll(deployedOptions(landing));
+		command.addAll((LANDING != null) ? List.of("-jar", landing.resolve(PACKAGED_PROGRAM).toString())
+				: List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
+		return command;
 	}
 
 	// The options of the JVM with which the platform starts a VM, without the archive of
 	// classes, which belongs to the packaged program.
-	private static List<String> deployedOptions() throws IOException {
-		String deploy = Files.readString(Path.of(System.getProperty("repository.root"), "deploy", "system.toml"));
+	private static List<String> deployedOptions(Path landing) throws IOException {
+		String deploy = Files.readString(landing.resolve("deploy").resolve("system.toml"));
 		Matcher run = Pattern.compile("(?m)^run = \"java (.*) -jar .*\"$").matcher(deploy);
 		if (!run.find()) {
 			throw new IOException("deploy/system.toml has no run line");
@@ -90,6 +117,15 @@
 		return "127.7." + ProcessHandle.current().pid() % 250 + '.' + number;
 	}
 
+	/**
+	 * Returns the address on which a process listens for other VMs.
+	 * @param number the number of the process
+	 * @return the address as {@code IP:port}
+	 */
+	static String peerAddress(int number) {
+		return ip(number) + ':' + PEER_PORT;
+	}
+
 	String callerAddress() {
 		return this.ip + ':' + CALLER_PORT;
 	}
