--- a/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
@@ -82,7 +82,7 @@
 	@Test
 	void aTopicIsListedAgainAfterAPageOfOtherOffsets() throws Exception {
 		try (StoreStandIn store = new StoreStandIn()) {
-			store.put("keyed.op", "config", "newest");
+			store.put(CallerWire.OPERATOR_TOPIC, "config", "newest");
 			store.answerNextRead(new byte[2 * Long.BYTES]);
 			readUntil(store, 1, () -> isRead(1));
 			assertThat(this.pages.get(0).isComplete()).isTrue();
