Don't take the log line of a cut body for a request that was read

LostSoakTests takes a request for read whole if the VM's log names it. The line caller_closed, which came in beside it, also names requests of which only a part was read (progress=RECEIVING). LOST speaks of whole requests. Lines with another progress count as before.

--- a/entry/src/test/java/org/fulmargap/entry/LostSoakTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LostSoakTests.java
@@ -268,7 +268,9 @@
 		this.closes.incrementAndGet();
 		boolean passedOn = !vm.logLines("event=dispatched request=" + request.attemptId + ' ').isEmpty();
 		boolean read = passedOn || request.sentBehindAnother
-				|| !vm.logLines("request=" + request.attemptId + ' ').isEmpty();
+				|| vm.logLines("request=" + request.attemptId + ' ')
+					.stream()
+					.anyMatch((line) -> !line.contains("progress=RECEIVING"));
 		boolean accepted = passedOn || (read && connection.hasSentWhole() && answer.afterMs() > SLACK_MS);
 		boolean lateInGrace = passedOn && beganAtMs <= this.stoppedAtMs + EARLY_IN_GRACE_MS
 				&& nowMs >= this.stoppedAtMs + GRACE_MS * 5 / 6;
