Bound the time in which a request may arrive

Change: a request that is not whole 60 s after its head ends with its connection, logged as reason=IDLE progress=RECEIVING.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -46,6 +46,9 @@
 	 */
 	private static final long MIN_UNREAD_ANSWER_MS = RequestLimits.DEFAULT.idleTimeoutMs();
 
+	/** The longest time from the head of a request to its end, in milliseconds. */
+	private static final long MAX_RECEIVE_MS = 60_000;
+
 	private final CallerServer server;
 
 	private final Deque<Exchange> pipelined = new ArrayDeque<>();
@@ -248,8 +251,9 @@
 	}
 
 	/**
-	 * Closes the connection if nothing has happened on it for the idle timeout. A caller
-	 * that has not taken its whole answer has more time.
+	 * Closes the connection if nothing has happened on it for the idle timeout, or if a
+	 * request has been arriving for too long. A caller that has not taken its whole
+	 * answer has more time.
 	 * @param nowMs the current time in milliseconds
 	 * @param idleTimeoutMs the idle timeout in milliseconds
 	 */
@@ -260,11 +264,16 @@
 		}
 		this.lastUnwrittenBytes = bytes;
 		long timeoutMs = (this.unwrittenAnswers > 0) ? Math.max(idleTimeoutMs, MIN_UNREAD_ANSWER_MS) : idleTimeoutMs;
-		if (nowMs - this.idleSinceMs > timeoutMs) {
+		if (nowMs - this.idleSinceMs > timeoutMs || isReceivedTooSlowly(nowMs)) {
 			close(CloseReason.IDLE);
 		}
 	}
 
+	// Without a bound, a byte now and then would hold the connection and its memory.
+	private boolean isReceivedTooSlowly(long nowMs) {
+		return this.partial && this.receiving != null && nowMs - this.receiving.sinceMs() > MAX_RECEIVE_MS;
+	}
+
 	private long unwrittenBytes() {
 		ChannelOutboundBuffer buffer = this.context.channel().unsafe().outboundBuffer();
 		return (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -90,7 +90,7 @@
 					new HttpResponseEncoder(), new RequestAggregator(bounds.maxBodyBytes(), connection), connection);
 	}
 
-	private void closeIdle() {
+	void closeIdle() {
 		long nowMs = this.clockMs.getAsLong();
 		long idleTimeoutMs = this.limits.get().idleTimeoutMs();
 		List.copyOf(this.connections).forEach((connection) -> connection.closeIfIdle(nowMs, idleTimeoutMs));
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -43,6 +43,9 @@
 
 	private static final int CHUNK_BYTES = 1 << 16;
 
+	/** Less than the idle timeout. */
+	private static final int STALL_MS = 10_000;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = (EventLoop) this.group.next();
@@ -241,6 +244,25 @@
 		}
 	}
 
+	@Test
+	void aRequestThatArrivesWithoutEndIsCut() throws Exception {
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			for (int sentMs = 0; sentMs < 60_000; sentMs += STALL_MS) {
+				socket.getOutputStream().write("1\r\nx\r\n".getBytes(StandardCharsets.US_ASCII));
+				Thread.sleep(SILENCE_MS / 3);
+				this.loop.submit(this.server::closeIdle).sync();
+				assertThat(busyConnections()).isOne();
+				this.clockOffsetMs.addAndGet(STALL_MS);
+			}
+			this.loop.submit(this.server::closeIdle).sync();
+			assertThat(socket.getInputStream().read()).isNegative();
+			assertThat(busyConnections()).isZero();
+		}
+	}
+
 	@Test
 	void aRequestThatIsBeingSentWhenUnusedConnectionsAreClosedIsAnswered() throws Exception {
 		try (Socket socket = connect()) {
