--- a/entry/src/test/java/org/fulmargap/entry/PromptPartTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/PromptPartTests.java
@@ -28,8 +28,6 @@
 	/** The number of crashes after which no further request may reach an engine. */
 	private static final int MAX_CRASHES = 5;
 
-	private static final String QUARANTINE_TOPIC = "keyed.fulmargap-quarantine";
-
 	/** More than the time within which crashes count as one, in milliseconds. */
 	private static final long PAUSE_MS = 600;
 
@@ -126,7 +124,7 @@
 		startVms(2);
 		sound(0);
 		crashUntilRefused(2);
-		Installation.await(() -> !this.installation.store().values(QUARANTINE_TOPIC).isEmpty());
+		Installation.await(() -> !this.installation.store().values(CallerWire.QUARANTINE_TOPIC).isEmpty());
 		removeCrashed();
 		this.installation.vm(0).close();
 		this.installation.vm(1).close();
@@ -162,14 +160,15 @@
 		startVms(3);
 		sound(0);
 		crashUntilRefused(3);
-		Installation.await(() -> !this.installation.store().values(QUARANTINE_TOPIC).isEmpty());
-		Map<String, String> written = this.installation.store().values(QUARANTINE_TOPIC);
+		Installation.await(() -> !this.installation.store().values(CallerWire.QUARANTINE_TOPIC).isEmpty());
+		Map<String, String> written = this.installation.store().values(CallerWire.QUARANTINE_TOPIC);
 		long callsBefore = this.installation.store().calls();
-		int topicCallsBefore = this.installation.store().calls(QUARANTINE_TOPIC);
+		int topicCallsBefore = this.installation.store().calls(CallerWire.QUARANTINE_TOPIC);
 		Thread.sleep(3_000);
-		assertThat(this.installation.store().values(QUARANTINE_TOPIC)).isEqualTo(written);
+		assertThat(this.installation.store().values(CallerWire.QUARANTINE_TOPIC)).isEqualTo(written);
 		// Each VM reads on once after the record was written.
-		assertThat(this.installation.store().calls(QUARANTINE_TOPIC) - topicCallsBefore).isLessThanOrEqualTo(3);
+		assertThat(this.installation.store().calls(CallerWire.QUARANTINE_TOPIC) - topicCallsBefore)
+			.isLessThanOrEqualTo(3);
 		// Two reads of each of two topics, which wait 1.7 s, and one of the other two.
 		assertThat(this.installation.store().calls() - callsBefore).isLessThanOrEqualTo(3 * 6);
 	}
