--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -86,7 +86,14 @@
 	 * Starts an entry VM that uses a given store instead of the common one.
 	 */
 	EntryVm vm(String name, StoreStandIn ownStore) throws IOException, InterruptedException {
-		NodeSettings node = newSettings(name, ownStore);
+		return vm(name, ownStore.address());
+	}
+
+	/**
+	 * Starts an entry VM that reaches the store at a given address.
+	 */
+	EntryVm vm(String name, String storeAddress) throws IOException, InterruptedException {
+		NodeSettings node = newSettings(name, storeAddress);
 		int metricsPort = freePort();
 		EntryVm vm = new EntryVm(node, metricsPort);
 		vm.start();
@@ -96,11 +103,11 @@
 		return vm;
 	}
 
-	private NodeSettings newSettings(String name, StoreStandIn ownStore) throws IOException {
+	private NodeSettings newSettings(String name, String storeAddress) throws IOException {
 		String ip = "127.0.0.1:";
-		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
-				ownStore.address(), CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio,
-				this.retrySlack, 10_000, 1, 1_000);
+		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(), storeAddress,
+				CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1,
+				1_000);
 	}
 
 	/**
@@ -114,7 +121,7 @@
 			Thread.sleep(20);
 		}
 		if (!arePortsFree(vm)) {
-			this.settings.set(vm, newSettings(this.settings.get(vm).vm(), this.store));
+			this.settings.set(vm, newSettings(this.settings.get(vm).vm(), this.store.address()));
 			this.metricsPorts.set(vm, freePort());
 		}
 		EntryVm next = new EntryVm(this.settings.get(vm), this.metricsPorts.get(vm));
