Order what is known of the store by its history before the offset

Callers saw 404 on routes that were acknowledged, and requests run by the service of an older version, for as long as the VM lived (CONFIG, DENIED).

Cause: offsets were compared without the history of the store that they belong to. After the store comes back from an older copy, offsets are given out again; the tail read on from an offset after the topic's end, TopicView ignored records at offsets that it had seen, and RecordLag took a peer's older offset for the newer one.

Change: the store's answers name its history; a position is history and offset, in this order, in pages, tails, views, heartbeats and relayed records. A page of an earlier history is refused, one of a later history is applied only as a complete listing. A listing over a restore is read anew. VMs with an older program skip the new fields, and a page or position without a history counts as one of the known history.

--- a/core/src/main/java/org/fulmargap/fleet/RecordLag.java
+++ b/core/src/main/java/org/fulmargap/fleet/RecordLag.java
@@ -12,41 +12,41 @@
 
 	private static final long NONE = Long.MAX_VALUE;
 
-	private long ownOffset = -1;
+	private StorePosition own = StorePosition.UNREAD;
 
-	private long newestOffset = -1;
+	private StorePosition newest = StorePosition.UNREAD;
 
 	private long behindSinceMs = NONE;
 
 	private long requestedAtMs = Long.MIN_VALUE / 2;
 
 	/**
-	 * Records the next offset of this VM.
-	 * @param offset the offset
+	 * Records the position of this VM.
+	 * @param position the position
 	 */
-	public void advanced(long offset) {
-		if (offset > this.ownOffset) {
-			this.ownOffset = offset;
+	public void advanced(StorePosition position) {
+		if (position.compareTo(this.own) > 0) {
+			this.own = position;
 			this.behindSinceMs = NONE;
 		}
 	}
 
 	/**
-	 * Compares the next offset of a peer with that of this VM.
-	 * @param peerOffset the offset of the peer
+	 * Compares the position of a peer with that of this VM.
+	 * @param peerPosition the position of the peer
 	 * @param patienceMs how long this VM may be behind, in milliseconds
 	 * @param nowMs the current time in milliseconds
 	 * @return whether this VM should request the records from this peer now
 	 */
-	public boolean shouldRequest(long peerOffset, long patienceMs, long nowMs) {
-		this.newestOffset = Math.max(this.newestOffset, peerOffset);
-		if (this.ownOffset >= this.newestOffset) {
+	public boolean shouldRequest(StorePosition peerPosition, long patienceMs, long nowMs) {
+		this.newest = this.newest.later(peerPosition);
+		if (this.own.compareTo(this.newest) >= 0) {
 			return false;
 		}
 		if (this.behindSinceMs == NONE) {
 			this.behindSinceMs = nowMs;
 		}
-		boolean due = peerOffset > this.ownOffset && nowMs - this.behindSinceMs >= patienceMs
+		boolean due = peerPosition.compareTo(this.own) > 0 && nowMs - this.behindSinceMs >= patienceMs
 				&& nowMs - this.requestedAtMs >= ANSWER_MS;
 		if (due) {
 			this.requestedAtMs = nowMs;
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -29,6 +29,7 @@
 import org.fulmargap.fleet.EndpointLoad;
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.placement.Endpoint;
 import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.PeerLoad;
@@ -210,7 +211,7 @@
 	public void received(String peer, PeerMessage message) {
 		long nowMs = this.clockMs.getAsLong();
 		if (message instanceof PeerMessage.Heartbeat heartbeat) {
-			this.watch.compareOffsets(peer, heartbeat.nextOffsets(), nowMs);
+			this.watch.comparePositions(peer, heartbeat.positions(), nowMs);
 		}
 		else if (message instanceof PeerMessage.PromptSent sent) {
 			this.view.directory().find(sent.endpoint()).ifPresent((endpoint) -> recordPeerPrompt(endpoint, sent));
@@ -286,8 +287,8 @@
 	}
 
 	@Override
-	public List<Long> nextOffsets() {
-		return this.watch.nextOffsets();
+	public List<StorePosition> positions() {
+		return this.watch.positions();
 	}
 
 	@Override
--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -3,6 +3,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
+import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.platform.StoreException;
 import org.fulmargap.platform.StorePage;
@@ -34,7 +35,7 @@
 
 	private final Need need;
 
-	private long nextOffset = -1;
+	private StorePosition position = StorePosition.UNREAD;
 
 	private long endedAtMs;
 
@@ -95,7 +96,12 @@
 			while (!Thread.currentThread().isInterrupted()) {
 				awaitNeed();
 				if (!this.expired) {
-					this.nextOffset = Math.max(this.nextOffset, this.need.nextOffset());
+					this.position = this.position.later(this.need.position());
+				}
+				if (this.position.isRead() && this.store.newestHistory() > this.position.history()) {
+					// Another topic's answer showed that the store came back from a copy.
+					logGap();
+					listAnew();
 				}
 				long startedAtMs = this.clockMs.getAsLong();
 				long delayMs = readPage(startedAtMs) - (this.clockMs.getAsLong() - startedAtMs);
@@ -125,9 +131,13 @@
 
 	private long readPage(long startedAtMs) {
 		try {
-			StorePage page = (this.nextOffset < 0) ? this.store.newest(this.topic)
-					: this.store.read(this.topic, this.nextOffset, this.wait.waitMs(this.endedAtMs, startedAtMs));
+			StorePage page = (this.position.isRead())
+					? this.store.read(this.topic, this.position.offset(), this.wait.waitMs(this.endedAtMs, startedAtMs))
+					: this.store.newest(this.topic);
 			long nowMs = this.clockMs.getAsLong();
+			if (!page.isComplete() && page.history() != this.position.history()) {
+				return otherHistory(nowMs);
+			}
 			succeeded(page, nowMs);
 			if (page.isComplete() || !page.records().isEmpty()) {
 				this.pages.accept(page, originOf(page, startedAtMs, nowMs));
@@ -142,10 +152,27 @@
 		}
 	}
 
+	// The offset of the read belongs to another history of the store than the page, which
+	// may lack records.
+	private long otherHistory(long nowMs) {
+		this.endedAtMs = nowMs;
+		logGap();
+		listAnew();
+		return 0;
+	}
+
+	private void logGap() {
+		EventLog.state("store_gap")
+			.with("topic", this.topic)
+			.with("offset", this.position.offset())
+			.with("history", this.position.history())
+			.write();
+	}
+
 	private void succeeded(StorePage page, long nowMs) {
 		this.endedAtMs = nowMs;
 		this.expired = false;
-		this.nextOffset = page.nextOffset();
+		this.position = page.position();
 		this.retryDelayMs = FIRST_RETRY_DELAY_MS;
 		if (!isReached()) {
 			reachedAgain(nowMs);
@@ -167,7 +194,7 @@
 		this.outage = false;
 		EventLog.state("store_reached")
 			.with("topic", this.topic)
-			.with("offset", this.nextOffset)
+			.with("offset", this.position.offset())
 			.with("unread_ms", ageMs(this.succeededAtMs, nowMs))
 			.write();
 		if (recovered) {
@@ -189,7 +216,7 @@
 		// last answer, reads of a store that answers slowly would never succeed again.
 		this.endedAtMs = this.clockMs.getAsLong();
 		if (ex.type() == StoreException.Type.EXPIRED) {
-			EventLog.state("store_gap").with("topic", this.topic).with("offset", this.nextOffset).write();
+			logGap();
 			listAnew();
 			return 0;
 		}
@@ -218,7 +245,7 @@
 
 	private void listAnew() {
 		this.expired = true;
-		this.nextOffset = -1;
+		this.position = StorePosition.UNREAD;
 	}
 
 	/**
@@ -233,10 +260,10 @@
 		boolean isNeeded();
 
 		/**
-		 * Returns the offset up to which the records are known.
-		 * @return the offset; -1 if none are
+		 * Returns the position up to which the records are known.
+		 * @return the position
 		 */
-		long nextOffset();
+		StorePosition position();
 
 		/**
 		 * Returns the longest delay before a failed read is repeated.
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
@@ -15,6 +15,7 @@
 import org.fulmargap.entry.peer.PeerNetwork;
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.RecordLag;
+import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.placement.EndpointDirectory;
 import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.platform.EndpointRecordDecoder;
@@ -103,7 +104,7 @@
 
 	private final Map<StoreTopic, RecordLag> lags = new EnumMap<>(StoreTopic.class);
 
-	private final Map<StoreTopic, AtomicLong> nextOffsets = new EnumMap<>(StoreTopic.class);
+	private final Map<StoreTopic, AtomicReference<StorePosition>> positions = new EnumMap<>(StoreTopic.class);
 
 	private final Map<StoreTopic, StoreTail> tails = new EnumMap<>(StoreTopic.class);
 
@@ -137,7 +138,7 @@
 		for (StoreTopic topic : StoreTopic.values()) {
 			this.topics.put(topic, new TopicView());
 			this.lags.put(topic, new RecordLag());
-			this.nextOffsets.put(topic, new AtomicLong(-1));
+			this.positions.put(topic, new AtomicReference<>(StorePosition.UNREAD));
 		}
 		Runnable outageListener = () -> this.storeOutageAtMs = this.clockMs.getAsLong();
 		addTail(StoreTopic.OPERATOR,
@@ -240,14 +241,28 @@
 	}
 
 	private void apply(StoreTopic topic, StorePage page, PageOrigin origin) {
-		long previousOffset = this.topics.get(topic).nextOffset();
-		StorePage fresh = this.topics.get(topic).apply(page);
-		long nextOffset = this.topics.get(topic).nextOffset();
-		this.nextOffsets.get(topic).set(nextOffset);
-		this.lags.get(topic).advanced(nextOffset);
-		if (nextOffset > previousOffset && previousOffset >= 0) {
-			StorePage news = new StorePage(fresh.records(), nextOffset, false);
-			this.peers.sendToMembers(new PeerMessage.Records(topic, previousOffset, news));
+		TopicView known = this.topics.get(topic);
+		if (!known.accepts(page)) {
+			EventLog.state("store_page_refused")
+				.with("topic", topic)
+				.with("history", page.history())
+				.with("known_history", known.position().history())
+				.with("source", origin.source())
+				.write();
+			return;
+		}
+		StorePosition previous = known.position();
+		StorePage fresh = known.apply(page);
+		StorePosition position = known.position();
+		this.positions.get(topic).set(position);
+		this.lags.get(topic).advanced(position);
+		if (previous.isRead() && position.history() > previous.history()) {
+			logRestored(topic, previous, origin);
+			this.peers.sendToMembers(new PeerMessage.Records(topic, 0, known.listing()));
+		}
+		else if (previous.isRead() && position.offset() > previous.offset()) {
+			StorePage news = new StorePage(position.history(), fresh.records(), position.offset(), false);
+			this.peers.sendToMembers(new PeerMessage.Records(topic, previous.offset(), news));
 		}
 		switch (topic) {
 			case OPERATOR -> applyOperatorPage(fresh, origin);
@@ -257,40 +272,55 @@
 		}
 	}
 
+	private void logRestored(StoreTopic topic, StorePosition previous, PageOrigin origin) {
+		StorePosition position = this.topics.get(topic).position();
+		EventLog.state("store_restored")
+			.with("topic", topic)
+			.with("history", position.history())
+			.with("previous_history", previous.history())
+			.with("offset", position.offset())
+			.with("previous_offset", previous.offset())
+			.with("source", origin.source())
+			.write();
+	}
+
 	/**
-	 * Returns the next offset of each topic.
-	 * @return the offsets in the order of the topics; -1 for a topic that was not read
+	 * Returns up to where each topic is known.
+	 * @return the positions in the order of the topics
 	 */
-	List<Long> nextOffsets() {
-		List<Long> offsets = new ArrayList<>();
+	List<StorePosition> positions() {
+		List<StorePosition> known = new ArrayList<>();
 		for (StoreTopic topic : StoreTopic.values()) {
-			offsets.add(this.topics.get(topic).nextOffset());
+			known.add(this.topics.get(topic).position());
 		}
-		return offsets;
+		return known;
 	}
 
 	/**
-	 * Compares the offsets of this VM with those of a peer, and requests records from the
-	 * peer if this VM is behind: the store may refuse its calls, its connection to the
-	 * store may have stopped delivering, or the hub's message was lost.
+	 * Compares the positions of this VM with those of a peer, and requests records from
+	 * the peer if this VM is behind: the store may refuse its calls, its connection to
+	 * the store may have stopped delivering, or the hub's message was lost.
 	 * @param peer the name of the peer
-	 * @param offsets the peer's next offset of each topic, in the order of the topics
+	 * @param peerPositions up to where the peer knows each topic, in the order of the
+	 * topics
 	 * @param nowMs the current time in milliseconds
 	 */
-	void compareOffsets(String peer, List<Long> offsets, long nowMs) {
+	void comparePositions(String peer, List<StorePosition> peerPositions, long nowMs) {
 		long patienceMs = (isStoreReached()) ? BEHIND_MS : 0;
 		for (StoreTopic topic : StoreTopic.values()) {
-			if (topic.ordinal() < offsets.size()
-					&& this.lags.get(topic).shouldRequest(offsets.get(topic.ordinal()), patienceMs, nowMs)) {
-				request(peer, topic);
+			if (topic.ordinal() < peerPositions.size()) {
+				StorePosition own = this.topics.get(topic).position();
+				StorePosition theirs = peerPositions.get(topic.ordinal()).orIn(own.history());
+				if (this.lags.get(topic).shouldRequest(theirs, patienceMs, nowMs)) {
+					request(peer, topic, (theirs.history() > own.history()) ? StorePosition.UNREAD : own);
+				}
 			}
 		}
 	}
 
-	private void request(String peer, StoreTopic topic) {
-		long from = this.topics.get(topic).nextOffset();
-		EventLog.state("records_wanted").with("topic", topic).with("peer", peer).with("offset", from).write();
-		this.peers.send(peer, new PeerMessage.RecordsRequest(topic, from));
+	private void request(String peer, StoreTopic topic, StorePosition from) {
+		EventLog.state("records_wanted").with("topic", topic).with("peer", peer).with("offset", from.offset()).write();
+		this.peers.send(peer, new PeerMessage.RecordsRequest(topic, from.offset()));
 	}
 
 	/**
@@ -300,7 +330,7 @@
 	 */
 	void sendRecords(String peer, PeerMessage.RecordsRequest request) {
 		StorePage page = this.topics.get(request.topic()).since(request.from());
-		if (page.nextOffset() >= 0) {
+		if (page.position().isRead()) {
 			this.peers.send(peer, new PeerMessage.Records(request.topic(), request.from(), page));
 		}
 	}
@@ -312,13 +342,15 @@
 	 * @param nowMs the current time in milliseconds
 	 */
 	void received(String peer, PeerMessage.Records records, long nowMs) {
-		boolean complete = records.page().isComplete();
-		if (!complete && records.from() > this.topics.get(records.topic()).nextOffset()) {
-			request(peer, records.topic());
+		StorePage page = records.page();
+		StorePosition own = this.topics.get(records.topic()).position();
+		StorePosition from = new StorePosition(page.history(), records.from()).orIn(own.history());
+		boolean lacksRecords = !page.isComplete() && from.compareTo(own) > 0;
+		if (lacksRecords) {
+			request(peer, records.topic(), (from.history() > own.history()) ? StorePosition.UNREAD : own);
 			return;
 		}
-		PageOrigin origin = PageOrigin.relayed(peer, records.page().records().size(), nowMs);
-		apply(records.topic(), records.page(), origin);
+		apply(records.topic(), page, PageOrigin.relayed(peer, page.records().size(), nowMs));
 	}
 
 	private void applyOperatorPage(StorePage page, PageOrigin origin) {
@@ -454,12 +486,12 @@
 
 		@Override
 		public boolean isNeeded() {
-			return StoreWatch.this.hub || !StoreWatch.this.relayed || nextOffset() < 0;
+			return StoreWatch.this.hub || !StoreWatch.this.relayed || !position().isRead();
 		}
 
 		@Override
-		public long nextOffset() {
-			return StoreWatch.this.nextOffsets.get(this.topic).get();
+		public StorePosition position() {
+			return StoreWatch.this.positions.get(this.topic).get();
 		}
 
 		@Override
--- a/entry/src/main/java/org/fulmargap/entry/TopicView.java
+++ b/entry/src/main/java/org/fulmargap/entry/TopicView.java
@@ -8,12 +8,15 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.platform.KeyedRecord;
 import org.fulmargap.platform.StorePage;
 
 /**
  * The newest record of each key of a topic, from the store or from peers. A record is
- * ignored if a newer one of its key is known. Confined to the event loop.
+ * ignored if a newer one of its key is known. When the store has come back from an older
+ * copy, a complete listing of its new history replaces the records. Confined to the event
+ * loop.
  */
 final class TopicView {
 
@@ -22,18 +25,42 @@
 
 	private final Map<String, KeyedRecord> newest = new HashMap<>();
 
-	private long nextOffset = -1;
+	private StorePosition position = StorePosition.UNREAD;
 
 	// Removals before this offset are not known.
 	private long removalsFrom = Long.MAX_VALUE;
 
 	/**
-	 * Applies a page.
+	 * Returns whether a page can be applied.
 	 * @param page the page
+	 * @return {@code false} if it is of an earlier history of the store than the known
+	 * one, or of a later one and not a complete listing
+	 */
+	boolean accepts(StorePage page) {
+		long history = historyOf(page);
+		return history == this.position.history() || (history > this.position.history() && page.isComplete());
+	}
+
+	// A page of a VM with an older program names no history.
+	private long historyOf(StorePage page) {
+		return (page.history() == 0) ? this.position.history() : page.history();
+	}
+
+	/**
+	 * Applies a page.
+	 * @param page an accepted page
 	 * @return the records that were not known, with removals of the keys that a complete
 	 * listing lacks
+	 * @throws IllegalArgumentException if the page is not accepted
 	 */
 	StorePage apply(StorePage page) {
+		if (!accepts(page)) {
+			throw new IllegalArgumentException("a page of history " + page.history() + " after " + this.position);
+		}
+		Set<String> earlierKeys = Set.of();
+		if (historyOf(page) > this.position.history()) {
+			earlierKeys = startHistory(page.history());
+		}
 		List<KeyedRecord> fresh = new ArrayList<>();
 		Set<String> listed = new HashSet<>();
 		for (KeyedRecord record : page.records()) {
@@ -44,14 +71,29 @@
 				fresh.add(record);
 			}
 		}
+		earlierKeys.stream()
+			.filter((key) -> !listed.contains(key))
+			.forEach((key) -> fresh.add(new KeyedRecord(key, new byte[0], page.nextOffset() - 1)));
 		if (page.isComplete()) {
 			addRemovals(page, listed, fresh);
 		}
-		if (this.nextOffset < 0) {
+		if (!this.position.isRead()) {
 			this.removalsFrom = (page.isComplete()) ? page.nextOffset() : 0;
 		}
-		this.nextOffset = Math.max(this.nextOffset, page.nextOffset());
-		return new StorePage(fresh, page.nextOffset(), page.isComplete());
+		this.position = this.position.later(new StorePosition(this.position.history(), page.nextOffset()));
+		return new StorePage(this.position.history(), fresh, page.nextOffset(), page.isComplete());
+	}
+
+	private Set<String> startHistory(long history) {
+		Set<String> earlierKeys = new HashSet<>();
+		for (KeyedRecord known : this.newest.values()) {
+			if (!known.isRemoval()) {
+				earlierKeys.add(known.key());
+			}
+		}
+		this.newest.clear();
+		this.position = new StorePosition(history, StorePosition.UNREAD.offset());
+		return earlierKeys;
 	}
 
 	// Adds removals of keys that a complete listing lacks: their removal was missed.
@@ -80,7 +122,7 @@
 	 * Returns the newest record of each key whose offset is not below the given one, in
 	 * the order of the offsets. The page is a complete one without removals if this view
 	 * doesn't know all removals from that offset on.
-	 * @param from the first offset
+	 * @param from the first offset, in the current history
 	 * @return the records
 	 */
 	StorePage since(long from) {
@@ -92,15 +134,23 @@
 			}
 		}
 		records.sort(Comparator.comparingLong(KeyedRecord::offset));
-		return new StorePage(records, this.nextOffset, complete);
+		return new StorePage(this.position.history(), records, this.position.offset(), complete);
+	}
+
+	/**
+	 * Returns the complete listing of the current history.
+	 * @return a page without removals
+	 */
+	StorePage listing() {
+		return since(StorePosition.UNREAD.offset());
 	}
 
 	/**
-	 * Returns the offset from which the topic has not been read.
-	 * @return the offset; -1 before the first page
+	 * Returns up to where the topic was read.
+	 * @return the position
 	 */
-	long nextOffset() {
-		return this.nextOffset;
+	StorePosition position() {
+		return this.position;
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -15,6 +15,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.NamedLimit;
 import org.fulmargap.placement.Prompt;
@@ -99,9 +100,19 @@
 			out.packString(limit.getKey().endpoint()).packLong(limit.getKey().startedAtMs());
 			out.packDouble(limit.getValue().perSecond()).packLong(limit.getValue().observedAtMs() - nowMs);
 		}
-		out.packArrayHeader(heartbeat.nextOffsets().size());
-		for (long offset : heartbeat.nextOffsets()) {
-			out.packLong(offset);
+		writePositions(out, heartbeat.positions());
+	}
+
+	// VMs with an older program read the offsets and skip the histories, so these are the
+	// last fields of a heartbeat, which is the last message of a frame.
+	private static void writePositions(MessageBufferPacker out, List<StorePosition> positions) throws IOException {
+		out.packArrayHeader(positions.size());
+		for (StorePosition position : positions) {
+			out.packLong(position.offset());
+		}
+		out.packArrayHeader(positions.size());
+		for (StorePosition position : positions) {
+			out.packLong(position.history());
 		}
 	}
 
@@ -214,12 +225,22 @@
 		return admitted;
 	}
 
-	private static List<Long> readOffsets(MessageUnpacker in) throws IOException {
-		List<Long> offsets = new ArrayList<>();
+	private static List<StorePosition> readPositions(MessageUnpacker in) throws IOException {
+		List<Long> offsets = readNumbers(in);
+		List<Long> histories = (in.hasNext()) ? readNumbers(in) : List.of();
+		List<StorePosition> positions = new ArrayList<>();
+		for (int i = 0; i < offsets.size(); i++) {
+			positions.add(new StorePosition((i < histories.size()) ? histories.get(i) : 0, offsets.get(i)));
+		}
+		return positions;
+	}
+
+	private static List<Long> readNumbers(MessageUnpacker in) throws IOException {
+		List<Long> numbers = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
-			offsets.add(in.unpackLong());
+			numbers.add(in.unpackLong());
 		}
-		return offsets;
+		return numbers;
 	}
 
 	private static void writeRecords(MessageBufferPacker out, PeerMessage.Records message) throws IOException {
@@ -233,6 +254,8 @@
 			out.packString(record.key()).packLong(record.offset()).packBinaryHeader(record.value().length);
 			out.writePayload(record.value());
 		}
+		// VMs with an older program skip it.
+		out.packLong(page.history());
 	}
 
 	private static PeerMessage.Records readRecords(MessageUnpacker in) throws IOException {
@@ -246,7 +269,8 @@
 			long offset = in.unpackLong();
 			records.add(new KeyedRecord(key, readValue(in), offset));
 		}
-		return new PeerMessage.Records(topic, from, new StorePage(records, nextOffset, complete));
+		long history = (in.hasNext()) ? in.unpackLong() : 0;
+		return new PeerMessage.Records(topic, from, new StorePage(history, records, nextOffset, complete));
 	}
 
 	private static byte[] readValue(MessageUnpacker in) throws IOException {
@@ -352,7 +376,8 @@
 			available.put(in.unpackString(), readAvailable(in));
 		}
 		return new PeerMessage.Heartbeat(relation, draining, receiving, storeReached,
-				new LoadReport(loads, admitted, available, readProcesses(in), readLimits(in, nowMs)), readOffsets(in));
+				new LoadReport(loads, admitted, available, readProcesses(in), readLimits(in, nowMs)),
+				readPositions(in));
 	}
 
 	private static Map<EndpointProcess, NamedLimit> readLimits(MessageUnpacker in, long nowMs) throws IOException {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerListener.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.StorePosition;
 
 /**
  * Handles the messages of other entry VMs and supplies the content of heartbeats. Called
@@ -46,10 +47,10 @@
 	LoadReport ownReport();
 
 	/**
-	 * Returns the next offset of each topic of the store, for heartbeats.
-	 * @return the offsets in the order of the topics; -1 for a topic that was not read
+	 * Returns up to where each topic of the store is known, for heartbeats.
+	 * @return the positions in the order of the topics
 	 */
-	List<Long> nextOffsets();
+	List<StorePosition> positions();
 
 	/**
 	 * Returns whether this VM reads the store itself, without failures.
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.placement.Prompt;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
@@ -48,11 +49,11 @@
 	 * notices
 	 * @param storeReached whether the sender gets the newest records of the store
 	 * @param report the load of the sender and of VMs that it reports for
-	 * @param nextOffsets the next offset of each topic of the store, in the order of the
-	 * topics; -1 for a topic that was not read
+	 * @param positions up to where the sender knows each topic of the store, in the order
+	 * of the topics
 	 */
 	record Heartbeat(PeerRelation relation, boolean draining, boolean receiving, boolean storeReached,
-			LoadReport report, List<Long> nextOffsets) implements PeerMessage {
+			LoadReport report, List<StorePosition> positions) implements PeerMessage {
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -19,6 +19,7 @@
 import org.fulmargap.fleet.Hubs;
 import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.fleet.LoadReports;
+import org.fulmargap.fleet.StorePosition;
 
 /**
  * The messages between entry VMs. Hubs exchange heartbeats with all other hubs, the other
@@ -387,7 +388,7 @@
 
 	private void sendHeartbeats(long nowMs) {
 		List<String> members = this.peers.values().stream().filter(Peer::isMember).map(Peer::name).toList();
-		OwnState own = new OwnState(this.listener.ownReport(), this.listener.nextOffsets(),
+		OwnState own = new OwnState(this.listener.ownReport(), this.listener.positions(),
 				this.listener.isStoreReached());
 		Set<String> targets = heartbeatTargets();
 		for (Peer peer : List.copyOf(this.peers.values())) {
@@ -399,7 +400,7 @@
 			}
 			else if (peer.replaceExchanging(false)) {
 				send(peer, new PeerMessage.Heartbeat(PeerRelation.NONE, this.draining, true, own.storeReached(),
-						LoadReport.NONE, own.nextOffsets()));
+						LoadReport.NONE, own.positions()));
 			}
 		}
 	}
@@ -409,13 +410,13 @@
 		boolean storeReached = own.storeReached()
 				|| this.peers.values().stream().anyMatch((peer) -> reportsTo(peer) && peer.isStoreReached());
 		PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(PeerRelation.MEMBER, this.draining, true,
-				storeReached, this.reports.sum(own.report(), others, nowMs), own.nextOffsets());
+				storeReached, this.reports.sum(own.report(), others, nowMs), own.positions());
 		send(member, heartbeat, this.fleet.confirmed(nowMs), without(this.peers.keySet(), member.name()));
 	}
 
 	private void sendToHub(Peer hub, PeerRelation relation, OwnState own, List<String> members, long nowMs) {
 		PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(relation, this.draining, hub.isAlive(),
-				own.storeReached(), this.reports.sum(own.report(), members, nowMs), own.nextOffsets());
+				own.storeReached(), this.reports.sum(own.report(), members, nowMs), own.positions());
 		send(hub, heartbeat, stateOf(members), members);
 	}
 
@@ -536,7 +537,7 @@
 	/**
 	 * What this VM reports of itself in all heartbeats of one round.
 	 */
-	private record OwnState(LoadReport report, List<Long> nextOffsets, boolean storeReached) {
+	private record OwnState(LoadReport report, List<StorePosition> positions, boolean storeReached) {
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StoreTailTests.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 
+import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
@@ -33,8 +34,8 @@
 			}
 
 			@Override
-			public long nextOffset() {
-				return offset;
+			public StorePosition position() {
+				return new StorePosition(0, offset);
 			}
 
 			@Override
--- a/entry/src/test/java/org/fulmargap/entry/TopicViewTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/TopicViewTests.java
@@ -27,7 +27,7 @@
 	void anOldRecordDoesNotReplaceANewerOne() {
 		this.view.apply(page(false, 6, record("config", 2, 5)));
 		assertThat(this.view.apply(page(false, 4, record("config", 1, 3))).records()).isEmpty();
-		assertThat(this.view.nextOffset()).isEqualTo(6);
+		assertThat(this.view.position().offset()).isEqualTo(6);
 		assertThat(this.view.since(0).records().get(0).value()).containsExactly(2);
 	}
 
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -11,6 +11,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.NamedLimit;
 import org.fulmargap.placement.Prompt;
@@ -68,7 +69,7 @@
 				Map.of(new EndpointProcess("e", 5), new NamedLimit(0.5, 900), new EndpointProcess("g", 6),
 						new NamedLimit(NamedLimit.UNLIMITED, 700)));
 		PeerMessage.Heartbeat sent = new PeerMessage.Heartbeat(PeerRelation.MEMBER, true, false, true, report,
-				List.of(4L, -1L));
+				List.of(new StorePosition(3, 4), StorePosition.UNREAD));
 		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(PeerCodec.encode(sent, 1_000),
 				51_000);
 		assertThat(received.report().limits())
@@ -81,18 +82,18 @@
 		assertThat(received.draining()).isTrue();
 		assertThat(received.receiving()).isFalse();
 		assertThat(received.storeReached()).isTrue();
-		assertThat(received.nextOffsets()).containsExactly(4L, -1L);
+		assertThat(received.positions()).containsExactly(new StorePosition(3, 4), StorePosition.UNREAD);
 		assertThat(received.report().admittedItems().get("stage")).containsExactly(1, 0, 2, 0);
 	}
 
 	@Test
 	void recordsAreDecodedWithTopicAndOffset() throws IOException {
-		StorePage page = new StorePage(List.of(new KeyedRecord("config", new byte[] { 1, 2 }, 6)), 7, true);
+		StorePage page = new StorePage(2, List.of(new KeyedRecord("config", new byte[] { 1, 2 }, 6)), 7, true);
 		PeerMessage.Records received = (PeerMessage.Records) PeerCodec
 			.decode(PeerCodec.encode(new PeerMessage.Records(StoreTopic.OPERATOR, 3, page), 0), 0);
 		assertThat(received.topic()).isEqualTo(StoreTopic.OPERATOR);
 		assertThat(received.from()).isEqualTo(3);
-		assertThat(received.page().nextOffset()).isEqualTo(7);
+		assertThat(received.page().position()).isEqualTo(new StorePosition(2, 7));
 		assertThat(received.page().isComplete()).isTrue();
 		assertThat(received.page().records().get(0).value()).containsExactly(1, 2);
 	}
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerNetworkTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerNetworkTests.java
@@ -16,6 +16,7 @@
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.StorePosition;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -146,7 +147,7 @@
 		}
 
 		@Override
-		public List<Long> nextOffsets() {
+		public List<StorePosition> positions() {
 			return List.of();
 		}
 
