Write this VM's records again when a restored store lacks them

After a restore of the store, VMs that started later did not find those that had registered after the copy was made, and refused prompt parts could reach endpoints again through VMs that started later: what the system had written since the copy stayed gone.

Cause: a write was taken for done for good once it was acknowledged.

Change: the answer to a write names the history that has the record. MemberRegistration writes the address again when a later history becomes known, at VMs that are fed by hubs as well; it runs on a thread of its own, and the members are read once the first write is done, as before. QuarantineSync forgets what the store has when it starts a new history, and ignores the acknowledgement of an earlier one.

Result: theAddressOfAVmThatTheCopyLacksIsWrittenAgain and vmsThatGetTheirRecordsFromHubsFollowTheNewHistory failed before and pass; the case of refused parts passes as before. FleetTests, PromptPartTests and LogTableTests pass. The four cases of endpoints still fail.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -145,7 +145,7 @@
 				this.dispatcher, this.store::calls);
 		this.quarantineSync = new QuarantineSync(this.store, this.loop, this.clockMs, this.promptParts, this.peers);
 		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers, this.quarantineSync,
-				settings);
+				settings, ownMember(settings));
 	}
 
 	private double limitShare(String endpoint, double limitPerSecond, long nowMs) {
@@ -164,7 +164,7 @@
 	 */
 	public void start() throws InterruptedException {
 		this.peers.start(this.settings.ip(), this.settings.firstPeerPort(), this);
-		this.watch.start(ownMember(this.settings));
+		this.watch.start();
 		ReadinessServer readiness = new ReadinessServer(this.loop, this::isReady, this.metrics);
 		String address = this.settings.readinessAddress();
 		readiness.listen(this.settings.ip(), Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
--- a/entry/src/main/java/org/fulmargap/entry/QuarantineSync.java
+++ b/entry/src/main/java/org/fulmargap/entry/QuarantineSync.java
@@ -60,6 +60,9 @@
 
 	private boolean read;
 
+	// The history of the store to which the recorded verdicts belong.
+	private long history;
+
 	private boolean writing;
 
 	private long retryDelayMs = INTERVAL_MS;
@@ -77,6 +80,15 @@
 		this.peers = peers;
 	}
 
+	/**
+	 * Forgets which verdicts the store has, because it came back from an older copy.
+	 * @param newHistory the number of the store's history from now on
+	 */
+	void restored(long newHistory) {
+		this.history = newHistory;
+		this.recorded.clear();
+	}
+
 	/**
 	 * Applies records of the store.
 	 * @param records the records that were not known
@@ -141,22 +153,17 @@
 		this.writing = true;
 		this.nextWriteAtMs = nowMs + INTERVAL_MS;
 		this.writer.execute(() -> {
-			Optional<StoreException> failure = put(change);
-			this.loop.execute(() -> written(change, failure));
+			try {
+				long writtenIn = this.store.put(StoreTopic.QUARANTINE, change.key, change.value);
+				this.loop.execute(() -> written(change, writtenIn, Optional.empty()));
+			}
+			catch (StoreException ex) {
+				this.loop.execute(() -> written(change, this.history, Optional.of(ex)));
+			}
 		});
 	}
 
-	private Optional<StoreException> put(Change change) {
-		try {
-			this.store.put(StoreTopic.QUARANTINE, change.key, change.value);
-			return Optional.empty();
-		}
-		catch (StoreException ex) {
-			return Optional.of(ex);
-		}
-	}
-
-	private void written(Change change, Optional<StoreException> failure) {
+	private void written(Change change, long writtenIn, Optional<StoreException> failure) {
 		long nowMs = this.clockMs.getAsLong();
 		this.writing = false;
 		EventLog.state("quarantine_written")
@@ -170,6 +177,10 @@
 			return;
 		}
 		this.retryDelayMs = INTERVAL_MS;
+		if (writtenIn < this.history) {
+			// The store lost the record when it came back from an older copy.
+			return;
+		}
 		// The record that the store returns later says the same.
 		if (change.value.length == 0) {
 			this.recorded.remove(change.key);
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -25,7 +25,6 @@
 import org.fulmargap.platform.OperatorPage;
 import org.fulmargap.platform.OperatorRecord;
 import org.fulmargap.platform.StoreClient;
-import org.fulmargap.platform.StoreException;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
 
@@ -85,9 +84,6 @@
 	 */
 	private static final long MEMBER_RETRY_DELAY_MS = 3_000;
 
-	/** The delay before the write of this VM's address is retried, in milliseconds. */
-	private static final long REGISTER_RETRY_DELAY_MS = 500;
-
 	private final StoreClient store;
 
 	private final EventLoop loop;
@@ -110,6 +106,8 @@
 
 	private final List<Thread> threads = new ArrayList<>();
 
+	private final MemberRegistration registration;
+
 	private volatile boolean hub = true;
 
 	private volatile boolean relayed;
@@ -127,13 +125,14 @@
 	private long storeOutageAtMs = Long.MIN_VALUE / 2;
 
 	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers,
-			QuarantineSync quarantine, NodeSettings settings) {
+			QuarantineSync quarantine, NodeSettings settings, FleetMember own) {
 		this.store = store;
 		this.loop = loop;
 		this.clockMs = clockMs;
 		this.view = view;
 		this.peers = peers;
 		this.quarantine = quarantine;
+		this.registration = new MemberRegistration(store, own);
 		this.sourceSinceMs = clockMs.getAsLong();
 		for (StoreTopic topic : StoreTopic.values()) {
 			this.topics.put(topic, new TopicView());
@@ -153,11 +152,12 @@
 		});
 	}
 
-	void start(FleetMember own) {
+	void start() {
 		run("tail-operator", this.tails.get(StoreTopic.OPERATOR));
 		run("tail-endpoints", this.tails.get(StoreTopic.ENDPOINTS));
 		run("tail-quarantine", this.tails.get(StoreTopic.QUARANTINE));
-		run("register", () -> register(own));
+		run("register", this.registration);
+		run("tail-members", this::readMembers);
 	}
 
 	private void addTail(StoreTopic topic, LongPollWait wait, long minIntervalMs, Runnable outageListener) {
@@ -214,13 +214,11 @@
 		thread.start();
 	}
 
-	// Writes the address of this VM before it reads those of the others, so that of two
-	// VMs that start together at least one finds the other.
-	private void register(FleetMember own) {
+	// The address of this VM is written before those of the others are read, so that of
+	// two VMs that start together at least one finds the other.
+	private void readMembers() {
 		try {
-			while (!put(own)) {
-				Thread.sleep(REGISTER_RETRY_DELAY_MS);
-			}
+			this.registration.awaitFirst();
 			this.tails.get(StoreTopic.MEMBERS).run();
 		}
 		catch (InterruptedException ex) {
@@ -228,18 +226,6 @@
 		}
 	}
 
-	private boolean put(FleetMember own) {
-		try {
-			this.store.put(StoreTopic.MEMBERS, own.name(), own.toText().getBytes(StandardCharsets.UTF_8));
-			EventLog.state("registered").with("vm", own.name()).with("address", own.address()).write();
-			return true;
-		}
-		catch (StoreException ex) {
-			EventLog.state("register_failed").with("type", ex.type()).with("cause", ex.getMessage()).write();
-			return false;
-		}
-	}
-
 	private void apply(StoreTopic topic, StorePage page, PageOrigin origin) {
 		TopicView known = this.topics.get(topic);
 		if (!known.accepts(page)) {
@@ -256,8 +242,9 @@
 		StorePosition position = known.position();
 		this.positions.get(topic).set(position);
 		this.lags.get(topic).advanced(position);
+		this.registration.historyKnown(position.history());
 		if (previous.isRead() && position.history() > previous.history()) {
-			logRestored(topic, previous, origin);
+			restored(topic, previous, origin);
 			this.peers.sendToMembers(new PeerMessage.Records(topic, 0, known.listing()));
 		}
 		else if (previous.isRead() && position.offset() > previous.offset()) {
@@ -272,7 +259,7 @@
 		}
 	}
 
-	private void logRestored(StoreTopic topic, StorePosition previous, PageOrigin origin) {
+	private void restored(StoreTopic topic, StorePosition previous, PageOrigin origin) {
 		StorePosition position = this.topics.get(topic).position();
 		EventLog.state("store_restored")
 			.with("topic", topic)
@@ -282,6 +269,9 @@
 			.with("previous_offset", previous.offset())
 			.with("source", origin.source())
 			.write();
+		if (topic == StoreTopic.QUARANTINE) {
+			this.quarantine.restored(position.history());
+		}
 	}
 
 	/**
