Keep what is newer than a restored copy until it is written again

After a restore of the store, endpoints that had registered after the copy was made got no work and their evacuations ended, though they are written again a moment later; endpoints that had left or were draining got work again, because the copy still listed them (DRAIN, EVAC, refusals).

Cause: a listing was taken for the present state, also when it is older than what the VM knows.

Change: TopicView keeps the keys that only the earlier history has. Endpoints among them are used on for 2.5 s, evacuations hold for 6 s, members stay. A record of an endpoint is outdated if its process or its number (sequence) is before the last known one, or if that one was removed since; for 6 s after the restore such records are skipped, then they hold, except for a process that drains. By then the store has removed endpoints without heartbeats. The directory remembers the last records of deleted endpoints.

--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -23,10 +23,10 @@
 	public static final long LAPSE_GRACE_MS = 1_000;
 
 	/**
-	 * The number of endpoints whose notices are remembered, those that were deleted
-	 * included. An endpoint that is known keeps its notice beyond that.
+	 * The number of endpoints whose notices or last records are remembered, those that
+	 * were deleted included. An endpoint that is known keeps its notice beyond that.
 	 */
-	private static final int MAX_NOTICES = 16_384;
+	private static final int MAX_REMEMBERED = 16_384;
 
 	/** How long the end of a limit is reported to other VMs, in milliseconds. */
 	private static final long LIMIT_END_REPORTED_MS = 3_000;
@@ -40,7 +40,17 @@
 	private final Map<String, EndpointNotice> notices = new LinkedHashMap<>() {
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<String, EndpointNotice> eldest) {
-			return size() > MAX_NOTICES;
+			return size() > MAX_REMEMBERED;
+		}
+	};
+
+	// The last records of deleted endpoints. A store that came back from an older copy
+	// may
+	// list them again.
+	private final Map<String, EndpointRecord> deleted = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, EndpointRecord> eldest) {
+			return size() > MAX_REMEMBERED;
 		}
 	};
 
@@ -59,6 +69,7 @@
 		if (known == null) {
 			Endpoint added = new Endpoint(record, this.notices.getOrDefault(record.id(), EndpointNotice.NONE), nowMs);
 			this.byId.put(record.id(), added);
+			this.deleted.remove(record.id());
 			list(record.service()).add(added);
 			return Change.ADDED;
 		}
@@ -71,6 +82,24 @@
 		return (record.draining() && !wasDraining) ? Change.DRAINING : Change.UPDATED;
 	}
 
+	/**
+	 * Returns whether an endpoint wrote a record before the last one of it that is known,
+	 * or has been removed since. Of records that follow each other in the store, the
+	 * later one holds without this comparison.
+	 * @param record the record
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if the record is outdated
+	 */
+	public boolean isOutdated(EndpointRecord record, long nowMs) {
+		Endpoint known = this.byId.get(record.id());
+		EndpointRecord last = (known != null) ? known.record() : this.deleted.get(record.id());
+		if (last == null) {
+			return false;
+		}
+		boolean removed = known == null || known.isRemoved(nowMs);
+		return record.isBefore(last) || (removed && !last.isBefore(record));
+	}
+
 	/**
 	 * Marks an endpoint as removed. It stays known until {@link #purge}.
 	 * @param id the name of the endpoint
@@ -97,6 +126,7 @@
 			boolean removable = endpoint.isRemoved(nowMs) && !endpoint.record().draining();
 			if (removable && endpoint.ownInFlight() == 0) {
 				this.byId.remove(endpoint.record().id());
+				this.deleted.put(endpoint.record().id(), endpoint.record());
 				list(endpoint.record().service()).remove(endpoint);
 			}
 		}
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -293,7 +293,7 @@
 
 	@Override
 	public void hubsChosen(long nowMs) {
-		this.watch.updateNeed(nowMs);
+		this.watch.update(nowMs);
 		this.quarantineSync.update(nowMs);
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 
@@ -84,6 +85,19 @@
 	 */
 	private static final long MEMBER_RETRY_DELAY_MS = 3_000;
 
+	/**
+	 * How long endpoints are used on that are missing after the store came back from an
+	 * older copy, in milliseconds: they write their records again with their next
+	 * heartbeat.
+	 */
+	private static final long ENDPOINT_MISSING_MS = 2_500;
+
+	/**
+	 * How long records of the copy don't replace what is known to be newer, in
+	 * milliseconds: until the store has removed endpoints that send no heartbeats.
+	 */
+	private static final long COPY_OUTDATED_MS = 6_000;
+
 	private final StoreClient store;
 
 	private final EventLoop loop;
@@ -102,6 +116,10 @@
 
 	private final Map<StoreTopic, AtomicReference<StorePosition>> positions = new EnumMap<>(StoreTopic.class);
 
+	private final RestoredTopic restoredOperator = new RestoredTopic(COPY_OUTDATED_MS, 0);
+
+	private final RestoredTopic restoredEndpoints = new RestoredTopic(ENDPOINT_MISSING_MS, COPY_OUTDATED_MS);
+
 	private final Map<StoreTopic, StoreTail> tails = new EnumMap<>(StoreTopic.class);
 
 	private final List<Thread> threads = new ArrayList<>();
@@ -168,10 +186,12 @@
 	}
 
 	/**
-	 * Decides whether this VM reads the store by itself. Called with each heartbeat.
+	 * Decides whether this VM reads the store by itself, and drops what it used on after
+	 * the store came back from an older copy. Called with each heartbeat.
 	 * @param nowMs the current time in milliseconds
 	 */
-	void updateNeed(long nowMs) {
+	void update(long nowMs) {
+		dropEarlierHistory(nowMs);
 		this.hub = this.peers.isHub();
 		this.peers.relayingHub().ifPresent((name) -> {
 			this.relayingHub = name;
@@ -259,21 +279,62 @@
 		}
 	}
 
+	// What the system itself wrote is gone for good, so members stay known, and what the
+	// store lacks of the quarantine is written again.
 	private void restored(StoreTopic topic, StorePosition previous, PageOrigin origin) {
-		StorePosition position = this.topics.get(topic).position();
+		TopicView known = this.topics.get(topic);
 		EventLog.state("store_restored")
 			.with("topic", topic)
-			.with("history", position.history())
+			.with("history", known.position().history())
 			.with("previous_history", previous.history())
-			.with("offset", position.offset())
+			.with("offset", known.position().offset())
 			.with("previous_offset", previous.offset())
+			.with("missing", known.unconfirmed().size())
 			.with("source", origin.source())
 			.write();
-		if (topic == StoreTopic.QUARANTINE) {
-			this.quarantine.restored(position.history());
+		long nowMs = this.clockMs.getAsLong();
+		switch (topic) {
+			case OPERATOR -> this.restoredOperator.restored(nowMs);
+			case ENDPOINTS -> this.restoredEndpoints.restored(nowMs);
+			case QUARANTINE -> this.quarantine.restored(known.position().history());
+			case MEMBERS -> {
+			}
 		}
 	}
 
+	// Drops what was kept of the earlier history of the store and was not written again.
+	private void dropEarlierHistory(long nowMs) {
+		if (this.restoredOperator.dropsMissing(nowMs)) {
+			List<KeyedRecord> removals = this.topics.get(StoreTopic.OPERATOR).dropUnconfirmed();
+			applyOperatorPage(pageOf(StoreTopic.OPERATOR, removals),
+					PageOrigin.relayed("none", removals.size(), nowMs));
+		}
+		if (this.restoredEndpoints.dropsMissing(nowMs)) {
+			this.topics.get(StoreTopic.ENDPOINTS)
+				.dropUnconfirmed()
+				.forEach((removal) -> removeEndpoint(removal, 0, nowMs));
+		}
+		Set<String> due = this.restoredEndpoints.dueRecords(nowMs);
+		if (!due.isEmpty()) {
+			this.topics.get(StoreTopic.ENDPOINTS)
+				.listing()
+				.records()
+				.stream()
+				.filter((record) -> due.contains(record.key()) && !isDraining(record.key()))
+				.forEach((record) -> updateEndpoint(record, nowMs));
+		}
+	}
+
+	// An endpoint that drains doesn't become ready again.
+	private boolean isDraining(String endpoint) {
+		return this.view.directory().find(endpoint).filter((known) -> known.record().draining()).isPresent();
+	}
+
+	private StorePage pageOf(StoreTopic topic, List<KeyedRecord> records) {
+		StorePosition position = this.topics.get(topic).position();
+		return new StorePage(position.history(), records, position.offset(), false);
+	}
+
 	/**
 	 * Returns up to where each topic is known.
 	 * @return the positions in the order of the topics
@@ -410,6 +471,10 @@
 	private void updateEndpoint(KeyedRecord record, long nowMs) {
 		try {
 			EndpointRecord endpoint = EndpointRecordDecoder.decode(record.key(), record.value());
+			if (this.restoredEndpoints.mayBeOutdated(nowMs) && this.view.directory().isOutdated(endpoint, nowMs)) {
+				skip(record);
+				return;
+			}
 			EndpointDirectory.Change change = this.view.put(endpoint, nowMs);
 			if (change != EndpointDirectory.Change.UPDATED) {
 				EventLog.state("endpoint_" + change.name().toLowerCase(Locale.ROOT))
@@ -432,6 +497,14 @@
 		}
 	}
 
+	private void skip(KeyedRecord outdated) {
+		this.restoredEndpoints.skipped(outdated.key());
+		EventLog.state("endpoint_record_outdated")
+			.with("endpoint", outdated.key())
+			.with("offset", outdated.offset())
+			.write();
+	}
+
 	private void applyMemberPage(StorePage page) {
 		for (KeyedRecord record : page.records()) {
 			if (record.isRemoval()) {
--- a/entry/src/main/java/org/fulmargap/entry/TopicView.java
+++ b/entry/src/main/java/org/fulmargap/entry/TopicView.java
@@ -15,7 +15,8 @@
 /**
  * The newest record of each key of a topic, from the store or from peers. A record is
  * ignored if a newer one of its key is known. When the store has come back from an older
- * copy, a complete listing of its new history replaces the records. Confined to the event
+ * copy, a complete listing of its new history replaces the records; the keys that it
+ * lacks stay unconfirmed until they are written again or dropped. Confined to the event
  * loop.
  */
 final class TopicView {
@@ -25,6 +26,9 @@
 
 	private final Map<String, KeyedRecord> newest = new HashMap<>();
 
+	// Keys that an earlier history had and the current one lacks.
+	private final Set<String> unconfirmed = new HashSet<>();
+
 	private StorePosition position = StorePosition.UNREAD;
 
 	// Removals before this offset are not known.
@@ -57,9 +61,8 @@
 		if (!accepts(page)) {
 			throw new IllegalArgumentException("a page of history " + page.history() + " after " + this.position);
 		}
-		Set<String> earlierKeys = Set.of();
 		if (historyOf(page) > this.position.history()) {
-			earlierKeys = startHistory(page.history());
+			startHistory(page.history());
 		}
 		List<KeyedRecord> fresh = new ArrayList<>();
 		Set<String> listed = new HashSet<>();
@@ -71,9 +74,7 @@
 				fresh.add(record);
 			}
 		}
-		earlierKeys.stream()
-			.filter((key) -> !listed.contains(key))
-			.forEach((key) -> fresh.add(new KeyedRecord(key, new byte[0], page.nextOffset() - 1)));
+		this.unconfirmed.removeAll(listed);
 		if (page.isComplete()) {
 			addRemovals(page, listed, fresh);
 		}
@@ -84,16 +85,35 @@
 		return new StorePage(this.position.history(), fresh, page.nextOffset(), page.isComplete());
 	}
 
-	private Set<String> startHistory(long history) {
-		Set<String> earlierKeys = new HashSet<>();
+	private void startHistory(long history) {
 		for (KeyedRecord known : this.newest.values()) {
 			if (!known.isRemoval()) {
-				earlierKeys.add(known.key());
+				this.unconfirmed.add(known.key());
 			}
 		}
 		this.newest.clear();
 		this.position = new StorePosition(history, StorePosition.UNREAD.offset());
-		return earlierKeys;
+	}
+
+	/**
+	 * Returns the keys that an earlier history had and the current one lacks.
+	 * @return the keys
+	 */
+	Set<String> unconfirmed() {
+		return Set.copyOf(this.unconfirmed);
+	}
+
+	/**
+	 * Drops the unconfirmed keys.
+	 * @return a removal of each of them
+	 */
+	List<KeyedRecord> dropUnconfirmed() {
+		List<KeyedRecord> removals = new ArrayList<>();
+		for (String key : this.unconfirmed) {
+			removals.add(new KeyedRecord(key, new byte[0], this.position.offset() - 1));
+		}
+		this.unconfirmed.clear();
+		return removals;
 	}
 
 	// Adds removals of keys that a complete listing lacks: their removal was missed.
