Log the start, the signals and the end of a process past the queue

Users saw processes end and had no line that said why: nothing is logged before the VM serves, no line names a signal, the last lines wait in the queue of the log, and a full pipe kept the process from ending at all.

Seen in trials with real processes on (x86-64): with a full pipe as standard error, bad settings left the process alive after 25 s, and a taken peer port (event=fatal) after 10 s, because System.err.println blocks before the exit. Now a thread that exists from the start writes these lines, and an end waits for it half a second at most.

process_started names pid, Java version, settings path, heap and limits; signal names each signal; exit and fatal carry the exit code. The logging library is loaded with the first other line. LogTableTests now checks these lines too.

--- a/entry/src/main/java/org/fulmargap/entry/EntryMain.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryMain.java
@@ -18,8 +18,6 @@
 
 	private static final int EXIT_BAD_SETTINGS = 2;
 
-	private static final int EXIT_FATAL = 3;
-
 	private static final List<String> STOP_SIGNALS = List.of("TERM", "INT");
 
 	private EntryMain() {
@@ -35,28 +33,56 @@
 	public static void main(String[] args) throws InterruptedException {
 		String path = System.getenv(NodeSettingsFile.PATH_VARIABLE);
 		Path file = Path.of((path != null) ? path : "/etc/fulmargap/node.toml");
+		logStart(file);
+		// Memory may have run out, so nothing else is done before the process ends.
+		FatalErrors fatalErrors = new FatalErrors(() -> Runtime.getRuntime().halt(FatalErrors.EXIT_CODE));
+		Thread.setDefaultUncaughtExceptionHandler(fatalErrors);
 		NodeSettings settings;
 		try {
 			settings = NodeSettingsFile.read(file);
 		}
 		catch (NodeSettingsException ex) {
-			System.err.println("fulmargap: bad settings: " + ex.getMessage());
-			System.exit(EXIT_BAD_SETTINGS);
+			exit("bad settings: " + ex.getMessage(), EXIT_BAD_SETTINGS);
 			return;
 		}
-		// Memory may have run out, so nothing else is done before the process ends.
-		FatalErrors fatalErrors = new FatalErrors(() -> Runtime.getRuntime().halt(EXIT_FATAL));
-		Thread.setDefaultUncaughtExceptionHandler(fatalErrors);
 		EntryVm vm = new EntryVm(settings, METRICS_PORT);
 		for (String name : STOP_SIGNALS) {
-			Signal.handle(new Signal(name), (signal) -> new Thread(() -> stop(vm, name, fatalErrors), "stop").start());
+			Signal.handle(new Signal(name), (signal) -> {
+				logSignal(name);
+				new Thread(() -> stop(vm, name, fatalErrors), "stop").start();
+			});
 		}
-		Signal.handle(new Signal("HUP"), (signal) -> reload(file, settings));
+		Signal.handle(new Signal("HUP"), (signal) -> {
+			logSignal("HUP");
+			reload(file, settings);
+		});
 		vm.start();
 		vm.awaitEnd();
 		fatalErrors.end("the event loop has ended");
 	}
 
+	private static void logStart(Path file) {
+		ProcessLimits limits = ProcessLimits.own();
+		EventLog.state("process_started")
+			.with("pid", ProcessHandle.current().pid())
+			.with("java", System.getProperty("java.runtime.version"))
+			.with("settings", file)
+			.with("heap_mb", Runtime.getRuntime().maxMemory() >> 20)
+			.with("max_fds", limits.soft("Max open files"))
+			.with("max_threads", limits.soft("Max processes"))
+			.with("max_address_space", limits.soft("Max address space"))
+			.writeDirect();
+	}
+
+	private static void logSignal(String name) {
+		EventLog.state("signal").with("signal", name).writeDirect();
+	}
+
+	private static void exit(String reason, int code) {
+		EventLog.state("exit").with("reason", reason).with("code", code).writeLast();
+		System.exit(code);
+	}
+
 	// Settings stay in force for the life of a process. A changed file is only checked
 	// and logged; it takes effect at the next start.
 	private static void reload(Path file, NodeSettings inForce) {
@@ -79,7 +105,7 @@
 			if (vm.drain()) {
 				fatalErrors.disarm();
 				vm.close();
-				System.exit(0);
+				exit("drained after " + signal, 0);
 			}
 			EventLog.state("signal_ignored").with("signal", signal).with("reason", "draining").write();
 		}
--- a/entry/src/main/java/org/fulmargap/entry/EventLog.java
+++ b/entry/src/main/java/org/fulmargap/entry/EventLog.java
@@ -1,5 +1,7 @@
 package org.fulmargap.entry;
 
+import java.time.LocalTime;
+import java.time.format.DateTimeFormatter;
 import java.util.regex.Pattern;
 
 import org.slf4j.Logger;
@@ -10,7 +12,7 @@
  */
 public final class EventLog {
 
-	private static final Logger LOGGER = LoggerFactory.getLogger("fulmargap");
+	private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("HH:mm:ss.SSS");
 
 	private EventLog() {
 	}
@@ -107,13 +109,33 @@
 		 */
 		public void write() {
 			if (this.important) {
-				LOGGER.warn(this.text.toString());
+				Output.LOGGER.warn(this.text.toString());
 			}
 			else {
-				LOGGER.info(this.text.toString());
+				Output.LOGGER.info(this.text.toString());
 			}
 		}
 
+		/**
+		 * Writes the line to standard error without blocking. It is there even if the
+		 * process is killed soon after.
+		 */
+		void writeDirect() {
+			DirectLog.STANDARD_ERROR.write(direct());
+		}
+
+		/**
+		 * Writes the line to standard error before the process ends. Waits only for a
+		 * bounded time if standard error can't take it.
+		 */
+		void writeLast() {
+			DirectLog.STANDARD_ERROR.writeAndWait(direct());
+		}
+
+		private String direct() {
+			return "at=" + LocalTime.now().format(TIME) + " level=WARN " + this.text;
+		}
+
 		@Override
 		public String toString() {
 			return this.text.toString();
@@ -121,4 +143,12 @@
 
 	}
 
+	// Loaded with the first line that goes through the logging library, which takes long
+	// to start.
+	private static final class Output {
+
+		private static final Logger LOGGER = LoggerFactory.getLogger("fulmargap");
+
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/FatalErrors.java
+++ b/entry/src/main/java/org/fulmargap/entry/FatalErrors.java
@@ -6,6 +6,9 @@
  */
 final class FatalErrors implements Thread.UncaughtExceptionHandler {
 
+	/** The exit code of a process that can't go on. */
+	static final int EXIT_CODE = 3;
+
 	private final Runnable exit;
 
 	private volatile boolean disarmed;
@@ -40,8 +43,7 @@
 			return;
 		}
 		try {
-			// The log is written by another thread, which may come too late.
-			System.err.println(EventLog.state("fatal").with("reason", reason));
+			EventLog.state("fatal").with("reason", reason).with("code", EXIT_CODE).writeLast();
 		}
 		finally {
 			this.exit.run();
--- a/entry/src/test/java/org/fulmargap/entry/LogTableTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LogTableTests.java
@@ -23,8 +23,8 @@
  */
 class LogTableTests {
 
-	private static final Pattern LINE = Pattern.compile("EventLog\\s*\\.(request|state|call)\\((.*?)\\.write\\(\\)",
-			Pattern.DOTALL);
+	private static final Pattern LINE = Pattern
+		.compile("EventLog\\s*\\.(request|state|call)\\((.*?)\\.write(?:Direct|Last)?\\(\\)", Pattern.DOTALL);
 
 	private static final Pattern EVENT = Pattern.compile("\"([a-z_]+)\"");
 
