--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/ProcessSignals.java
@@ -0,0 +1,70 @@
+package org.fulmargap.entry;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
+
+/**
+ * Receives the platform's signals, and keeps those that arrive before the process can
+ * handle them. Until it is registered, the JVM ends at each of them.
+ */
+final class ProcessSignals implements SignalHandler {
+
+	private final Queue<String> early = new ArrayDeque<>();
+
+	private Receiver receiver;
+
+	private ProcessSignals() {
+	}
+
+	/**
+	 * Registers for the signals of the platform.
+	 * @return the signals from now on
+	 */
+	static ProcessSignals register() {
+		ProcessSignals signals = new ProcessSignals();
+		for (String name : new String[] { "HUP", "TERM", "INT" }) {
+			Signal.handle(new Signal(name), signals);
+		}
+		return signals;
+	}
+
+	/**
+	 * Hands over the signals that have arrived, and each later one on a thread of its
+	 * own.
+	 * @param newReceiver handles the signals
+	 */
+	void forwardTo(Receiver newReceiver) {
+		synchronized (this) {
+			this.receiver = newReceiver;
+		}
+		this.early.forEach(newReceiver::received);
+	}
+
+	@Override
+	public void handle(Signal signal) {
+		synchronized (this) {
+			if (this.receiver == null) {
+				this.early.add(signal.getName());
+				return;
+			}
+		}
+		this.receiver.received(signal.getName());
+	}
+
+	/**
+	 * Handles signals.
+	 */
+	interface Receiver {
+
+		/**
+		 * Handles a signal.
+		 * @param signal its name, for example {@code TERM}
+		 */
+		void received(String signal);
+
+	}
+
+}
--- a/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -51,6 +53,38 @@
 		}
 	}
 
+	/**
+	 * Guards against processes that a signal ends without a line or a drain while they
+	 * start.
+	 */
+	@Nested
+	class SignalsWhileItStarts {
+
+		@Test
+		void aVmServesAfterSignalsThatItsSettingsHaveChanged() throws Exception {
+			try (EntryProcess vm = start()) {
+				awaitLine(vm, "event=process_started");
+				while (vm.isAlive() && !hasLine(vm, "event=started")) {
+					vm.signal("HUP");
+				}
+				assertThat(vm.isAlive()).isTrue();
+				assertThat(vm.logLines("event=signal signal=HUP")).isNotEmpty();
+			}
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "TERM", "INT" })
+		void aVmThatIsStoppedEndsInOrder(String signal) throws Exception {
+			try (EntryProcess vm = start()) {
+				awaitLine(vm, "event=process_started");
+				vm.signal(signal);
+				assertThat(vm.awaitExit()).isZero();
+				assertThat(vm.logLines("event=exit reason=")).hasSize(1);
+			}
+		}
+
+	}
+
 	/**
 	 * Guards against processes that end without a line that says why.
 	 */
