Try a port again that can't be opened when a VM starts

Seen in trials with real processes on (x86-64): a port for callers, readiness, VMs or metrics (9464) that another socket has at the start ends the process at once, event=fatal with BindException, exit code 3, and again at each restart while it is taken (4 of 4 ports).

Cause: start() binds once and lets the error end the process. Meanwhile the VM is not ready, reads the store and can drain; started is logged once it can serve. It serves without its metrics.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -74,6 +74,12 @@
 	/** The longest time in which the event loop ends, in milliseconds. */
 	private static final long CLOSE_TIMEOUT_MS = 1_000;
 
+	/** The longest time between two tries to serve the metrics, in milliseconds. */
+	private static final long METRICS_RETRY_MS = 30_000;
+
+	/** How often a VM whose ports are taken looks whether it serves, in milliseconds. */
+	private static final long LISTENING_POLL_MS = 50;
+
 	private final NodeSettings settings;
 
 	private final int metricsPort;
@@ -115,6 +121,8 @@
 
 	private final Drain drain;
 
+	private ListeningPort readinessPort;
+
 	/**
 	 * Creates an entry VM that does not listen yet.
 	 * @param settings the settings from the platform
@@ -158,7 +166,9 @@
 	}
 
 	/**
-	 * Starts to listen for peers, readiness probes and callers, and to read the store.
+	 * Starts to listen for peers, readiness probes and callers, and to read the store. A
+	 * port that can't be opened yet is tried again; this VM serves without its metrics,
+	 * and is ready when the other ports are open.
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
 	public void start() throws InterruptedException {
@@ -166,10 +176,27 @@
 		this.watch.start(ownMember(this.settings));
 		ReadinessServer readiness = new ReadinessServer(this.loop, this::isReady, this.metrics);
 		String address = this.settings.readinessAddress();
-		readiness.listen(this.settings.ip(), Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
-		readiness.listen(this.settings.ip(), this.metricsPort);
+		this.readinessPort = readiness.listen(this.settings.ip(),
+				Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)), ListeningPort.MAX_RETRY_MS);
+		readiness.listen(this.settings.ip(), this.metricsPort, METRICS_RETRY_MS);
 		this.callers.listen(this.settings.callerAddress());
-		EventLog.state("started").with("vm", this.settings.vm()).with("domain", this.settings.failureDomain()).write();
+		this.loop.execute(this::logStarted);
+	}
+
+	private void logStarted() {
+		if (isListening() && this.readinessPort.isOpen()) {
+			EventLog.state("started")
+				.with("vm", this.settings.vm())
+				.with("domain", this.settings.failureDomain())
+				.write();
+		}
+		else {
+			this.loop.schedule(this::logStarted, LISTENING_POLL_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private boolean isListening() {
+		return this.callers.isListening() && this.peers.isListening();
 	}
 
 	/**
@@ -181,7 +208,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.drain.hasBegun() && this.view.isComplete();
+		return !this.drain.hasBegun() && this.view.isComplete() && isListening();
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/ReadinessServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/ReadinessServer.java
@@ -43,8 +43,16 @@
 		this.metrics = metrics;
 	}
 
-	void listen(String ip, int port) throws InterruptedException {
-		new ServerBootstrap().group(this.loop)
+	/**
+	 * Starts to listen, later if the port can't be opened yet.
+	 * @param ip the IP address to listen on
+	 * @param port the port to listen on
+	 * @param maxRetryMs the longest time between two tries in milliseconds
+	 * @return the port
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	ListeningPort listen(String ip, int port, long maxRetryMs) throws InterruptedException {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childHandler(new ChannelInitializer<Channel>() {
@@ -53,9 +61,10 @@
 					channel.pipeline()
 						.addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), new Handler());
 				}
-			})
-			.bind(new InetSocketAddress(ip, port))
-			.sync();
+			});
+		ListeningPort opened = new ListeningPort(this.loop, bootstrap, new InetSocketAddress(ip, port), maxRetryMs);
+		opened.open();
+		return opened;
 	}
 
 	private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.fulmargap.catalog.RequestLimits;
+import org.fulmargap.entry.ListeningPort;
 
 /**
  * Accepts the connections of callers. Confined to its event loop.
@@ -41,7 +42,7 @@
 
 	private boolean draining;
 
-	private Channel listener;
+	private ListeningPort port;
 
 	/**
 	 * Creates a server that does not listen yet.
@@ -58,7 +59,7 @@
 	}
 
 	/**
-	 * Starts to listen.
+	 * Starts to listen, later if the port can't be opened yet.
 	 * @param address the address as {@code IP:port}
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
@@ -75,13 +76,21 @@
 					addHandlers(channel);
 				}
 			});
-		this.listener = bootstrap
-			.bind(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
-			.sync()
-			.channel();
+		this.port = new ListeningPort(this.loop, bootstrap,
+				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+				ListeningPort.MAX_RETRY_MS);
+		this.port.open();
 		this.loop.scheduleWithFixedDelay(this::closeIdle, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Returns whether callers can connect.
+	 * @return {@code true} if the port is open
+	 */
+	public boolean isListening() {
+		return this.port.isOpen();
+	}
+
 	private void addHandlers(Channel channel) {
 		RequestLimits bounds = this.limits.get();
 		CallerConnection connection = new CallerConnection(this);
@@ -117,7 +126,7 @@
 	 * callers don't wait for the end of the process.
 	 */
 	public void stopReading() {
-		this.listener.close();
+		this.port.close();
 		this.connections.forEach(CallerConnection::stopReading);
 		closeUnused();
 	}
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoop;
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.ListeningPort;
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.Hubs;
@@ -61,6 +62,8 @@
 
 	private PeerListener listener;
 
+	private ListeningPort port;
+
 	private Hubs hubs;
 
 	private String ownHub;
@@ -95,10 +98,18 @@
 	 */
 	public void start(String ip, int port, PeerListener newListener) throws InterruptedException {
 		this.listener = newListener;
-		new PeerServer(this.loop, this.clockMs, new Inbox()).listen(ip, port);
+		this.port = new PeerServer(this.loop, this.clockMs, new Inbox()).listen(ip, port);
 		this.loop.scheduleWithFixedDelay(this::safeTick, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Returns whether other VMs can connect.
+	 * @return {@code true} if the port is open
+	 */
+	public boolean isListening() {
+		return this.port.isOpen();
+	}
+
 	/**
 	 * Adds a VM or updates its address. This VM itself is ignored.
 	 * @param member the VM
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.ListeningPort;
 
 /**
  * Accepts the connections on which other VMs send. Confined to the event loop.
@@ -36,8 +37,15 @@
 		this.listener = listener;
 	}
 
-	void listen(String ip, int port) throws InterruptedException {
-		new ServerBootstrap().group(this.loop)
+	/**
+	 * Starts to listen, later if the port can't be opened yet.
+	 * @param ip the IP address to listen on
+	 * @param port the port to listen on
+	 * @return the port
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	ListeningPort listen(String ip, int port) throws InterruptedException {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -48,9 +56,11 @@
 						.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, PeerNetwork.LENGTH_BYTES, 0,
 								PeerNetwork.LENGTH_BYTES), new Receiver());
 				}
-			})
-			.bind(new InetSocketAddress(ip, port))
-			.sync();
+			});
+		ListeningPort opened = new ListeningPort(this.loop, bootstrap, new InetSocketAddress(ip, port),
+				ListeningPort.MAX_RETRY_MS);
+		opened.open();
+		return opened;
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -24,11 +24,11 @@
  */
 final class EntryProcess implements AutoCloseable {
 
-	private static final int CALLER_PORT = 18_625;
+	static final int CALLER_PORT = 18_625;
 
-	private static final int READINESS_PORT = 18_621;
+	static final int READINESS_PORT = 18_621;
 
-	private static final int PEER_PORT = 18_740;
+	static final int PEER_PORT = 18_740;
 
 	/** The folder of another landing whose program is started instead of this one's. */
 	private static final String LANDING = System.getProperty("entry.landing");
--- a/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
@@ -1,8 +1,11 @@
 package org.fulmargap.entry;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Path;
 
+import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.StoreStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,6 +24,8 @@
 
 	private static final int VM = 1;
 
+	private static final int METRICS_PORT = 9_464;
+
 	@TempDir
 	private Path directory;
 
@@ -85,6 +90,61 @@
 
 	}
 
+	/**
+	 * Guards against processes that end because a port is taken when they start.
+	 */
+	@Nested
+	class TakenPorts {
+
+		@BeforeEach
+		void configure() {
+			ProcessStartTests.this.store.put(CallerWire.OPERATOR_TOPIC, "config", CallerWire.CONFIG.formatted(1));
+		}
+
+		private ServerSocket take(int port) throws IOException {
+			return new ServerSocket(port, 1, InetAddress.getByName(EntryProcess.ip(VM)));
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { EntryProcess.CALLER_PORT, EntryProcess.READINESS_PORT, EntryProcess.PEER_PORT })
+		void aVmThatWaitsForAPortIsNotReadyAndServesOnceItIsFree(int port) throws Exception {
+			ServerSocket taken = take(port);
+			try (EntryProcess vm = start()) {
+				awaitLine(vm, "event=listen_failed");
+				Thread.sleep(500);
+				assertThat(vm.isAlive()).isTrue();
+				assertThat(vm.logLines("event=started")).isEmpty();
+				assertThat(port != EntryProcess.READINESS_PORT && vm.isReady()).isFalse();
+				taken.close();
+				awaitLine(vm, "event=started");
+				Installation.await(vm::isReady);
+			}
+			finally {
+				taken.close();
+			}
+		}
+
+		@Test
+		void aVmServesThoughThePortOfItsMetricsIsTaken() throws Exception {
+			try (ServerSocket taken = take(METRICS_PORT); EntryProcess vm = start()) {
+				awaitLine(vm, "event=started");
+				Installation.await(vm::isReady);
+				assertThat(vm.logLines("event=listen_failed")).isNotEmpty();
+			}
+		}
+
+		@Test
+		void aVmThatWaitsForItsCallerPortDrains() throws Exception {
+			try (ServerSocket taken = take(EntryProcess.CALLER_PORT); EntryProcess vm = start()) {
+				awaitLine(vm, "event=listen_failed");
+				vm.signal("TERM");
+				assertThat(vm.awaitExit()).isZero();
+				assertThat(vm.logLines("event=fatal")).isEmpty();
+			}
+		}
+
+	}
+
 	/**
 	 * Guards against processes that end without a line that says why.
 	 */
