Wait for settings that are missing or incomplete when a VM starts

Seen in trials with real processes on (x86-64): a settings file that is missing, empty or cut ends the process at once with code 2 (3 of 3 trials), though the platform places the file at every start and with each change of the settings.

Cause: the file was read once. It is now read again each 50 ms for 5 s, with the line settings_awaited for each new reason, and the process then ends with code 2 and the reason in its last line. SIGTERM ends it meanwhile with code 0.

Tests: ProcessStartTests.IncompleteSettings; missing and cut after 0, 10 and 200 characters failed before, cut after 300 was not run before; all pass now. Each test has an address of its own: two tests in a row failed with one address, because the process before still had the port.

--- a/entry/src/main/java/org/fulmargap/entry/EntryLauncher.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryLauncher.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry;
 
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 
 import org.fulmargap.platform.NodeSettings;
 import org.fulmargap.platform.NodeSettingsException;
@@ -17,6 +18,11 @@
 
 	private static final int EXIT_BAD_SETTINGS = 2;
 
+	/** How long the process waits for settings that can be read, in milliseconds. */
+	private static final long SETTINGS_WAIT_MS = 5_000;
+
+	private static final long SETTINGS_RETRY_MS = 50;
+
 	// Memory may have run out, so nothing else is done before the process ends.
 	private final FatalErrors fatalErrors = new FatalErrors(() -> Runtime.getRuntime().halt(FatalErrors.EXIT_CODE));
 
@@ -26,6 +32,8 @@
 
 	private boolean settingsChanged;
 
+	private String awaitedFault;
+
 	/** Held while the VM starts to listen, so that a VM that accepts requests drains. */
 	private final Object startLock = new Object();
 
@@ -65,10 +73,47 @@
 		this.fatalErrors.end("the event loop has ended");
 	}
 
+	// The platform may be writing the file, so one that is missing or incomplete is read
+	// again for a while.
+	private NodeSettings awaitSettings() throws NodeSettingsException, InterruptedException {
+		long deadlineMs = nowMs() + SETTINGS_WAIT_MS;
+		while (true) {
+			try {
+				return NodeSettingsFile.read(this.file);
+			}
+			catch (NodeSettingsException ex) {
+				long leftMs = deadlineMs - nowMs();
+				if (leftMs <= 0) {
+					throw ex;
+				}
+				logAwaited(ex, leftMs);
+			}
+			Thread.sleep(SETTINGS_RETRY_MS);
+		}
+	}
+
+	// Only the first of equal faults is logged.
+	private void logAwaited(NodeSettingsException fault, long leftMs) {
+		if (fault.getMessage().equals(this.awaitedFault)) {
+			return;
+		}
+		this.awaitedFault = fault.getMessage();
+		EventLog.state("settings_awaited")
+			.with("file", this.file)
+			.with("key", fault.key())
+			.with("cause", fault.getMessage())
+			.with("left_ms", leftMs)
+			.writeDirect();
+	}
+
+	private static long nowMs() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+	}
+
 	// Reads them again if a signal says meanwhile that they have changed.
-	private void readSettings() throws NodeSettingsException {
+	private void readSettings() throws NodeSettingsException, InterruptedException {
 		while (true) {
-			NodeSettings read = NodeSettingsFile.read(this.file);
+			NodeSettings read = awaitSettings();
 			synchronized (this) {
 				if (!this.settingsChanged) {
 					this.settings = read;
--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -74,9 +74,20 @@
 	 * @throws IOException if the process can't be started
 	 */
 	EntryProcess(int number, String domain, Path directory, String storeAddress) throws IOException {
+		this(number, directory,
+				Files.writeString(directory.resolve("vm-" + number + ".toml"), settings(number, domain, storeAddress)));
+	}
+
+	/**
+	 * Starts a process with a given settings file.
+	 * @param number a number from 1 to 200 that no other process has
+	 * @param directory the directory for its log
+	 * @param settings its settings file, which need not exist
+	 * @throws IOException if the process can't be started
+	 */
+	EntryProcess(int number, Path directory, Path settings) throws IOException {
 		this.ip = ip(number);
-		this.settings = Files.writeString(directory.resolve("vm-" + number + ".toml"),
-				SettingsText.of("vm-" + number, domain, this.ip, CALLER_PORT, READINESS_PORT, PEER_PORT, storeAddress));
+		this.settings = settings;
 		ProcessBuilder builder = new ProcessBuilder(command());
 		builder.environment().put(NodeSettingsFile.PATH_VARIABLE, this.settings.toString());
 		this.log = directory.resolve("vm-" + number + ".log");
@@ -85,6 +96,14 @@
 			.start();
 	}
 
+	/**
+	 * Returns the text of the settings file of a process.
+	 */
+	static String settings(int number, String domain, String storeAddress) {
+		return SettingsText.of("vm-" + number, domain, ip(number), CALLER_PORT, READINESS_PORT, PEER_PORT,
+				storeAddress);
+	}
+
 	// The program under test, or the packaged one of another landing.
 	private static List<String> command() throws IOException {
 		List<String> command = new ArrayList<>();
--- a/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.StoreStandIn;
@@ -22,7 +24,10 @@
  */
 class ProcessStartTests {
 
-	private static final int VM = 1;
+	// A process that ends may still have its ports when the next test starts.
+	private static final AtomicInteger LAST_NUMBER = new AtomicInteger();
+
+	private final int number = LAST_NUMBER.incrementAndGet();
 
 	private static final int METRICS_PORT = 9_464;
 
@@ -42,7 +47,7 @@
 	}
 
 	private EntryProcess start() throws IOException {
-		return new EntryProcess(VM, this.directory, this.store.address());
+		return new EntryProcess(this.number, this.directory, this.store.address());
 	}
 
 	private static void awaitLine(EntryProcess vm, String text) throws InterruptedException {
@@ -102,7 +107,7 @@
 		}
 
 		private ServerSocket take(int port) throws IOException {
-			return new ServerSocket(port, 1, InetAddress.getByName(EntryProcess.ip(VM)));
+			return new ServerSocket(port, 1, InetAddress.getByName(EntryProcess.ip(ProcessStartTests.this.number)));
 		}
 
 		@ParameterizedTest
@@ -145,6 +150,69 @@
 
 	}
 
+	/**
+	 * Guards against processes that end because the platform writes their settings while
+	 * they start.
+	 */
+	@Nested
+	class IncompleteSettings {
+
+		private Path file;
+
+		private String settings;
+
+		@BeforeEach
+		void settings() {
+			this.file = ProcessStartTests.this.directory.resolve("node.toml");
+			this.settings = EntryProcess.settings(ProcessStartTests.this.number, "a",
+					ProcessStartTests.this.store.address());
+		}
+
+		private void assertStartsOnceTheSettingsAreComplete() throws Exception {
+			try (EntryProcess vm = new EntryProcess(ProcessStartTests.this.number, ProcessStartTests.this.directory,
+					this.file)) {
+				awaitLine(vm, "event=process_started");
+				Thread.sleep(1_000);
+				assertThat(vm.isAlive()).isTrue();
+				Files.writeString(this.file, this.settings);
+				awaitLine(vm, "event=started");
+			}
+		}
+
+		@Test
+		void aVmWaitsForAFileThatIsMissing() throws Exception {
+			assertStartsOnceTheSettingsAreComplete();
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 10, 200, 300 })
+		void aVmWaitsForTheRestOfAFile(int writtenCharacters) throws Exception {
+			Files.writeString(this.file, this.settings.substring(0, writtenCharacters));
+			assertStartsOnceTheSettingsAreComplete();
+		}
+
+		@Test
+		void aVmWhoseSettingsStayWrongEndsWithTheReason() throws Exception {
+			Files.writeString(this.file, this.settings.replace("grace-s = 8", "grace-s = \"8\""));
+			try (EntryProcess vm = new EntryProcess(ProcessStartTests.this.number, ProcessStartTests.this.directory,
+					this.file)) {
+				assertThat(vm.awaitExit()).isEqualTo(2);
+				assertThat(vm.logLines("event=exit reason=\"bad settings: bounds.grace-s: ")).hasSize(1);
+			}
+		}
+
+		@Test
+		void aVmThatWaitsForItsSettingsCanBeStopped() throws Exception {
+			try (EntryProcess vm = new EntryProcess(ProcessStartTests.this.number, ProcessStartTests.this.directory,
+					this.file)) {
+				awaitLine(vm, "event=process_started");
+				vm.signal("TERM");
+				assertThat(vm.awaitExit()).isZero();
+			}
+		}
+
+	}
+
 	/**
 	 * Guards against processes that end without a line that says why.
 	 */
