Bound the times of refused prompt parts that the store returns

The times are cut to what a verdict that is made now could have. The record that is kept is cut as well, so that the VM that cares for the topic removes it when it ends.

The clock step itself was not run with real processes.

--- a/entry/src/main/java/org/fulmargap/entry/QuarantineSync.java
+++ b/entry/src/main/java/org/fulmargap/entry/QuarantineSync.java
@@ -191,14 +191,17 @@
 		return times.getBytes(StandardCharsets.UTF_8);
 	}
 
+	// The clock of the writer may have been ahead by any time. A verdict never rests on a
+	// later crash, nor lasts longer, than one that is made now.
 	private static PartVerdict decode(KeyedRecord record, long nowMs) {
 		long epochOffsetMs = System.currentTimeMillis() - nowMs;
 		String[] times = new String(record.value(), StandardCharsets.UTF_8).split(" ");
 		if (times.length != 2) {
 			throw new IllegalArgumentException("two times expected");
 		}
-		return new PartVerdict(Set.of(record.key().split(",")), Long.parseLong(times[0]) - epochOffsetMs,
-				Long.parseLong(times[1]) - epochOffsetMs);
+		long sinceMs = Math.min(nowMs, Long.parseLong(times[0]) - epochOffsetMs);
+		long untilMs = Math.min(nowMs + PromptPartQuarantine.LIFETIME_MS, Long.parseLong(times[1]) - epochOffsetMs);
+		return new PartVerdict(Set.of(record.key().split(",")), sinceMs, untilMs);
 	}
 
 	@Override
