--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -30,11 +30,12 @@
 
 	private static final int PEER_PORT = 18_740;
 
-	/** The folder of another landing whose program is started instead of this one's. */
+	/**
+	 * The folder of another landing, in which its packaged program is started as deployed
+	 * instead of this one's.
+	 */
 	private static final String LANDING = System.getProperty("entry.landing");
 
-	private static final String PACKAGED_PROGRAM = "target/entry/fulmargap-entry-0.1.0.jar";
-
 	private static final long EXIT_TIMEOUT_S = 20;
 
 	private static final int HTTP_OK = 200;
@@ -78,6 +79,9 @@
 		this.settings = Files.writeString(directory.resolve("vm-" + number + ".toml"),
 				SettingsText.of("vm-" + number, domain, this.ip, CALLER_PORT, READINESS_PORT, PEER_PORT, storeAddress));
 		ProcessBuilder builder = new ProcessBuilder(command());
+		if (LANDING != null) {
+			builder.directory(Path.of(LANDING).toFile());
+		}
 		builder.environment().put(NodeSettingsFile.PATH_VARIABLE, this.settings.toString());
 		this.log = directory.resolve("vm-" + number + ".log");
 		this.process = builder.redirectErrorStream(true)
@@ -85,28 +89,30 @@
 			.start();
 	}
 
-	// The program under test, or the packaged one of another landing.
+	// The program under test with the deployed options, without the archive of classes,
+	// which belongs to the packaged program; or the whole command of another landing.
 	private static List<String> command() throws IOException {
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-		Path landing = (LANDING != null) ? Path.of(LANDING) : Path.of(System.getProperty("repository.root"));
-		command.addAll(deployedOptions(landing));
-		command.addAll((LANDING != null) ? List.of("-jar", landing.resolve(PACKAGED_PROGRAM).toString())
-				: List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
+		if (LANDING != null) {
+			command.addAll(deployedArguments(Path.of(LANDING)));
+			return command;
+		}
+		deployedArguments(Path.of(System.getProperty("repository.root"))).stream()
+			.takeWhile((argument) -> !"-jar".equals(argument))
+			.filter((option) -> !option.contains("SharedArchiveFile") && !option.contains("share:"))
+			.forEach(command::add);
+		command.addAll(List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
 		return command;
 	}
 
-	// The options of the JVM with which the platform starts a VM, without the archive of
-	// classes, which belongs to the packaged program.
-	private static List<String> deployedOptions(Path landing) throws IOException {
+	private static List<String> deployedArguments(Path landing) throws IOException {
 		String deploy = Files.readString(landing.resolve("deploy").resolve("system.toml"));
-		Matcher run = Pattern.compile("(?m)^run = \"java (.*) -jar .*\"$").matcher(deploy);
+		Matcher run = Pattern.compile("(?m)^run = \"java (.* -jar .*)\"$").matcher(deploy);
 		if (!run.find()) {
 			throw new IOException("deploy/system.toml has no run line");
 		}
-		return Stream.of(run.group(1).split(" "))
-			.filter((option) -> !option.contains("SharedArchiveFile") && !option.contains("share:"))
-			.toList();
+		return List.of(run.group(1).split(" "));
 	}
 
 	/**
@@ -183,6 +189,14 @@
 		return this.process.isAlive();
 	}
 
+	/**
+	 * Waits for the exit of the process without a limit.
+	 * @return its exit code
+	 */
+	int waitFor() throws InterruptedException {
+		return this.process.waitFor();
+	}
+
 	/**
 	 * Waits until the process exits.
 	 * @return its exit code
--- a/entry/src/test/java/org/fulmargap/entry/TcpForwarder.java
+++ b/entry/src/test/java/org/fulmargap/entry/TcpForwarder.java
@@ -111,6 +111,16 @@
 			.forEach((connection) -> connection.silent = true);
 	}
 
+	/**
+	 * Resets open connections on both sides.
+	 * @param selected selects the connections by the first bytes of the client
+	 */
+	void reset(Predicate<String> selected) {
+		this.connections.stream()
+			.filter((connection) -> connection.greeting == null || selected.test(connection.greeting))
+			.forEach(Connection::reset);
+	}
+
 	private static void start(Runnable task) {
 		Thread thread = new Thread(task, "forwarder");
 		thread.setDaemon(true);
@@ -253,6 +263,17 @@
 			this.server = server;
 		}
 
+		private void reset() {
+			try {
+				this.client.setSoLinger(true, 0);
+				this.server.setSoLinger(true, 0);
+			}
+			catch (IOException ex) {
+				// The connection has ended.
+			}
+			close();
+		}
+
 		private void close() {
 			TcpForwarder.this.connections.remove(this);
 			try (this.client; this.server) {
