Rewrite the settings in place in the soak of own ends

Cause: in a trial of the soak on a process ended with exit code 2, "bad settings: node: must be a non-empty string". The driver wrote the settings file in place, partly by two threads at once, so that a starting VM read an empty file. It can't be told from the code alone whether the platform replaces the file in one step.

Change: EntryProcess replaces the settings in one step, so that SIGHUP is tested by itself. A disturbance of its own, REWRITE_AT_START, empties the file and writes it again 0 to 4 ms later while VMs start.

--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -170,10 +171,23 @@
 	}
 
 	/**
-	 * Replaces text in the settings file, without a signal.
+	 * Replaces text in the settings file in one step, without a signal.
 	 */
 	void changeSettings(String pattern, String replacement) throws IOException {
-		Files.writeString(this.settings, Files.readString(this.settings).replaceAll(pattern, replacement));
+		Path next = Path.of(this.settings + ".next");
+		Files.writeString(next, Files.readString(this.settings).replaceAll(pattern, replacement));
+		Files.move(next, this.settings, StandardCopyOption.ATOMIC_MOVE);
+	}
+
+	/**
+	 * Empties the settings file and writes the same text again after a pause, without a
+	 * signal.
+	 */
+	void rewriteSettings(long pauseMs) throws IOException, InterruptedException {
+		String text = Files.readString(this.settings);
+		Files.writeString(this.settings, "");
+		Thread.sleep(pauseMs);
+		Files.writeString(this.settings, text);
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/OwnEndSoakTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/OwnEndSoakTests.java
@@ -65,6 +65,10 @@
 
 	private static final int MAX_ROUTES = 600;
 
+	private static final int REWRITES = 20;
+
+	private static final int MAX_REWRITE_MS = 5;
+
 	private final Slot[] slots = new Slot[DOMAINS.size()];
 
 	private final List<TcpForwarder> storePaths = new ArrayList<>();
@@ -295,7 +299,7 @@
 			}
 			case HUP -> {
 				for (int vm : some) {
-					changeSettings(vm, draw);
+					this.slots[vm].changeSettings(draw);
 					Thread.sleep(draw.nextInt(300));
 				}
 			}
@@ -305,7 +309,16 @@
 				}
 				for (int vm : some) {
 					Thread.sleep(draw.nextInt(600));
-					changeSettings(vm, draw);
+					this.slots[vm].changeSettings(draw);
+				}
+			}
+			case REWRITE_AT_START -> {
+				for (int vm : some) {
+					this.slots[vm].end("KILL");
+				}
+				for (int i = 0; i < REWRITES; i++) {
+					Thread.sleep(draw.nextInt(100));
+					this.slots[some.get(draw.nextInt(some.size()))].rewriteSettings(draw.nextInt(MAX_REWRITE_MS));
 				}
 			}
 			case RESET_CONNECTIONS -> {
@@ -355,13 +368,6 @@
 		return values[draw.nextInt(values.length)];
 	}
 
-	private void changeSettings(int vm, Random draw) throws IOException, InterruptedException {
-		EntryProcess process = this.slots[vm].process;
-		process.changeSettings("retry-slack = .*", "retry-slack = " + (40 + draw.nextInt(20)));
-		process.changeSettings("drain-ms = .*", "drain-ms = " + (1_500 + draw.nextInt(1_000)));
-		process.signal("HUP");
-	}
-
 	private void storeFault(List<Integer> some, TcpForwarder.Mode mode, int lengthMs, boolean kill)
 			throws IOException, InterruptedException {
 		for (int vm : some) {
@@ -422,6 +428,16 @@
 			}
 		}
 
+		private synchronized void changeSettings(Random draw) throws IOException, InterruptedException {
+			this.process.changeSettings("retry-slack = .*", "retry-slack = " + (40 + draw.nextInt(20)));
+			this.process.changeSettings("drain-ms = .*", "drain-ms = " + (1_500 + draw.nextInt(1_000)));
+			this.process.signal("HUP");
+		}
+
+		private synchronized void rewriteSettings(long pauseMs) throws IOException, InterruptedException {
+			this.process.rewriteSettings(pauseMs);
+		}
+
 		private void awaitEnd(EntryProcess started, long startedMs) {
 			try {
 				int code = started.waitFor();
@@ -559,6 +575,9 @@
 		/** The settings of VMs change while they start. */
 		HUP_AT_START,
 
+		/** The settings of VMs are written again in place while they start. */
+		REWRITE_AT_START,
+
 		/** All connections of VMs and endpoints are reset. */
 		RESET_CONNECTIONS,
 
