--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry.peer;
 
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -86,6 +87,16 @@
 		assertThat(received.report().admittedItems().get("stage")).containsExactly(1, 0, 2, 0);
 	}
 
+	@Test
+	void aHeartbeatOfAnOlderProgramHasPositionsWithoutAHistory() throws IOException {
+		List<StorePosition> positions = List.of(new StorePosition(3, 4), StorePosition.UNREAD);
+		byte[] frame = PeerCodec
+			.encode(new PeerMessage.Heartbeat(PeerRelation.NONE, false, true, true, LoadReport.NONE, positions), 0);
+		byte[] older = Arrays.copyOf(frame, frame.length - 1 - positions.size());
+		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(older, 0);
+		assertThat(received.positions()).containsExactly(new StorePosition(0, 4), StorePosition.UNREAD);
+	}
+
 	@Test
 	void recordsAreDecodedWithTopicAndOffset() throws IOException {
 		StorePage page = new StorePage(2, List.of(new KeyedRecord("config", new byte[] { 1, 2 }, 6)), 7, true);
