--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -198,6 +198,10 @@
 		}
 	}
 
+	long pid() {
+		return this.process.pid();
+	}
+
 	boolean isAlive() {
 		return this.process.isAlive();
 	}
--- a/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
@@ -213,6 +213,29 @@
 
 	}
 
+	/**
+	 * Guards against processes that end because another one cuts a file that they have
+	 * mapped.
+	 */
+	@Nested
+	class MappedFiles {
+
+		@Test
+		void aVmOutlivesTheFileOfItsPerformanceCounters() throws Exception {
+			try (EntryProcess vm = start()) {
+				awaitLine(vm, "event=started");
+				Path counters = Path.of("/tmp", "hsperfdata_" + System.getProperty("user.name"),
+						Long.toString(vm.pid()));
+				if (Files.exists(counters)) {
+					Files.write(counters, new byte[0]);
+				}
+				Thread.sleep(2_000);
+				assertThat(vm.isAlive()).isTrue();
+			}
+		}
+
+	}
+
 	/**
 	 * Guards against processes that end without a line that says why.
 	 */
