Start no VM after a signal that ends the process

Callers saw connections cut that a VM had accepted after its SIGTERM: a signal that came before the VM listened ended the process without a drain, but the main thread went on to open the ports until the exit.

Cause: EntryLauncher.stop left the start lock before it wrote the last line and called System.exit. The last line may take 500 ms when nobody reads standard error.

The stop is now noted under the start lock, and the main thread starts no VM after it. It waits instead of ending, because the JVM would end with it before the last line is written.

--- a/entry/src/main/java/org/fulmargap/entry/EntryLauncher.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryLauncher.java
@@ -37,6 +37,9 @@
 	/** Held while the VM starts to listen, so that a VM that accepts requests drains. */
 	private final Object startLock = new Object();
 
+	// Guarded by the start lock.
+	private boolean stopped;
+
 	private volatile EntryVm vm;
 
 	private EntryLauncher(Path file) {
@@ -66,6 +69,11 @@
 			return;
 		}
 		synchronized (this.startLock) {
+			while (this.stopped) {
+				// The thread of the signal ends the process. Requests that are accepted
+				// meanwhile would be cut.
+				this.startLock.wait();
+			}
 			this.vm = new EntryVm(this.settings, METRICS_PORT);
 			this.vm.start();
 		}
@@ -161,6 +169,7 @@
 		EntryVm started;
 		synchronized (this.startLock) {
 			started = this.vm;
+			this.stopped = true;
 		}
 		if (started == null) {
 			exit(signal + " before the start was over", 0);
--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -13,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -88,6 +90,19 @@
 	 * @throws IOException if the process can't be started
 	 */
 	EntryProcess(int number, Path directory, Path settings) throws IOException {
+		this(number, directory, settings, (builder) -> {
+		});
+	}
+
+	/**
+	 * Starts a process in a changed way.
+	 * @param number a number from 1 to 200 that no other process has
+	 * @param directory the directory for its log
+	 * @param settings its settings file, which need not exist
+	 * @param change changes how the process is started
+	 * @throws IOException if the process can't be started
+	 */
+	EntryProcess(int number, Path directory, Path settings, Consumer<ProcessBuilder> change) throws IOException {
 		this.ip = ip(number);
 		this.settings = settings;
 		ProcessBuilder builder = new ProcessBuilder(command());
@@ -96,9 +111,9 @@
 		}
 		builder.environment().put(NodeSettingsFile.PATH_VARIABLE, this.settings.toString());
 		this.log = directory.resolve("vm-" + number + ".log");
-		this.process = builder.redirectErrorStream(true)
-			.redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()))
-			.start();
+		builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()));
+		change.accept(builder);
+		this.process = builder.start();
 	}
 
 	/**
@@ -173,6 +188,36 @@
 		new ProcessBuilder("kill", '-' + signal, Long.toString(this.process.pid())).inheritIO().start().waitFor();
 	}
 
+	/**
+	 * Returns whether callers can connect.
+	 */
+	boolean isCallerPortOpen() {
+		try (Socket socket = new Socket(this.ip, CALLER_PORT)) {
+			return socket.isConnected();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * Returns whether the process has a thread of the given name, of which the kernel
+	 * keeps 15 characters.
+	 */
+	boolean hasThread(String name) {
+		try (Stream<Path> threads = Files.list(Path.of("/proc/" + this.process.pid() + "/task"))) {
+			for (Path thread : (Iterable<Path>) threads::iterator) {
+				if (Files.readString(thread.resolve("comm")).startsWith(name)) {
+					return true;
+				}
+			}
+		}
+		catch (IOException | UncheckedIOException ex) {
+			// The process or the thread has ended meanwhile.
+		}
+		return false;
+	}
+
 	boolean isReady() {
 		HttpRequest probe = HttpRequest.newBuilder(URI.create("http://" + readinessAddress() + "/readyz"))
 			.timeout(Duration.ofSeconds(1))
--- a/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fulmargap.platform.standin.CallerWire;
@@ -95,6 +97,40 @@
 
 	}
 
+	/**
+	 * Guards against processes that accept requests after a signal that ends them, and
+	 * cut these requests.
+	 */
+	@Nested
+	class SignalsBeforeItListens {
+
+		// The process then waits before its end until its last line is written.
+		private void fillStandardError(ProcessBuilder builder) {
+			List<String> command = new ArrayList<>(
+					List.of("sh", "-c", "head -c 65536 /dev/zero >&2; exec \"$0\" \"$@\""));
+			command.addAll(builder.command());
+			builder.command(command).redirectErrorStream(false).redirectError(ProcessBuilder.Redirect.PIPE);
+		}
+
+		@Test
+		void aVmThatIsStoppedBeforeItListensAcceptsNoCallers() throws Exception {
+			Path file = ProcessStartTests.this.directory.resolve("node.toml");
+			try (EntryProcess vm = new EntryProcess(ProcessStartTests.this.number, ProcessStartTests.this.directory,
+					file, this::fillStandardError)) {
+				Installation.await(() -> vm.hasThread("direct-log"));
+				Thread.sleep(300);
+				vm.signal("TERM");
+				Files.writeString(file, EntryProcess.settings(ProcessStartTests.this.number, "a",
+						ProcessStartTests.this.store.address()));
+				while (vm.isAlive()) {
+					assertThat(vm.isCallerPortOpen()).isFalse();
+				}
+				assertThat(vm.awaitExit()).isZero();
+			}
+		}
+
+	}
+
 	/**
 	 * Guards against processes that end because a port is taken when they start.
 	 */
