Notice a restored store at the first read, and relay all removals

A read after a failure was held open although only an answer shows a new history. TopicView took a record with an unknown key below its position for a new one, and after a listing that skipped records it relayed records from before it without the removals among them. Change: the first read after a failure doesn't wait; such records are ignored; removalsFrom rises with each listing that goes past the position.

--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -132,7 +132,7 @@
 	private long readPage(long startedAtMs) {
 		try {
 			StorePage page = (this.position.isRead())
-					? this.store.read(this.topic, this.position.offset(), this.wait.waitMs(this.endedAtMs, startedAtMs))
+					? this.store.read(this.topic, this.position.offset(), waitMs(startedAtMs))
 					: this.store.newest(this.topic);
 			long nowMs = this.clockMs.getAsLong();
 			if (!page.isComplete() && page.history() != this.position.history()) {
@@ -152,6 +152,12 @@
 		}
 	}
 
+	// After a failure the store may have come back from a copy, which only an answer
+	// shows.
+	private long waitMs(long nowMs) {
+		return (this.failing) ? 0 : this.wait.waitMs(this.endedAtMs, nowMs);
+	}
+
 	// The offset of the read belongs to another history of the store than the page, which
 	// may lack records.
 	private long otherHistory(long nowMs) {
--- a/entry/src/main/java/org/fulmargap/entry/TopicView.java
+++ b/entry/src/main/java/org/fulmargap/entry/TopicView.java
@@ -69,7 +69,10 @@
 		for (KeyedRecord record : page.records()) {
 			listed.add(record.key());
 			KeyedRecord known = this.newest.get(record.key());
-			if (known == null || record.offset() > known.offset()) {
+			// A key that isn't known below the position was removed before it.
+			boolean newer = (known != null) ? record.offset() > known.offset()
+					: record.offset() >= this.position.offset();
+			if (newer) {
 				this.newest.put(record.key(), record);
 				fresh.add(record);
 			}
@@ -78,8 +81,12 @@
 		if (page.isComplete()) {
 			addRemovals(page, listed, fresh);
 		}
-		if (!this.position.isRead()) {
-			this.removalsFrom = (page.isComplete()) ? page.nextOffset() : 0;
+		if (page.isComplete() && page.nextOffset() > this.position.offset()) {
+			// Keys that were added and removed since the position aren't known.
+			this.removalsFrom = page.nextOffset();
+		}
+		else if (!this.position.isRead()) {
+			this.removalsFrom = 0;
 		}
 		this.position = this.position.later(new StorePosition(this.position.history(), page.nextOffset()));
 		return new StorePage(this.position.history(), fresh, page.nextOffset(), page.isComplete());
