Start without signals that the JVM leaves to others

A VM did not start at all, with code 1 and without a log line, when JAVA_TOOL_OPTIONS of the platform held -Xrs.

Cause: the JVM refuses handlers of SIGHUP, SIGTERM and SIGINT then, and the exception ended the main thread before the log was open.

Evidence: a real process with JAVA_TOOL_OPTIONS=-Xrs ended at once with "IllegalArgumentException: Signal already used by VM or OS: SIGHUP". The new test failed. Whether any platform sets this option is not known.

A refused signal is now noted and logged (signals_unhandled), and the VM starts. Such a signal still ends the process without a drain.

--- a/entry/src/main/java/org/fulmargap/entry/EntryLauncher.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryLauncher.java
@@ -56,6 +56,9 @@
 		EntryLauncher launcher = new EntryLauncher(Path.of((path != null) ? path : "/etc/fulmargap/node.toml"));
 		Thread.setDefaultUncaughtExceptionHandler(launcher.fatalErrors);
 		launcher.logStart();
+		if (!signals.unhandled().isEmpty()) {
+			EventLog.state("signals_unhandled").with("signals", String.join(" ", signals.unhandled())).writeDirect();
+		}
 		signals.forwardTo(launcher::received);
 		launcher.serve();
 	}
--- a/entry/src/main/java/org/fulmargap/entry/ProcessSignals.java
+++ b/entry/src/main/java/org/fulmargap/entry/ProcessSignals.java
@@ -1,6 +1,8 @@
 package org.fulmargap.entry;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
 
 import sun.misc.Signal;
@@ -14,6 +16,9 @@
 
 	private final Queue<String> early = new ArrayDeque<>();
 
+	// The JVM leaves them to others, for example with the option -Xrs.
+	private final List<String> unhandled = new ArrayList<>();
+
 	private Receiver receiver;
 
 	private ProcessSignals() {
@@ -26,11 +31,29 @@
 	static ProcessSignals register() {
 		ProcessSignals signals = new ProcessSignals();
 		for (String name : new String[] { "HUP", "TERM", "INT" }) {
-			Signal.handle(new Signal(name), signals);
+			signals.register(name);
 		}
 		return signals;
 	}
 
+	private void register(String name) {
+		try {
+			Signal.handle(new Signal(name), this);
+		}
+		catch (IllegalArgumentException ex) {
+			this.unhandled.add(name);
+		}
+	}
+
+	/**
+	 * Returns the signals that can't be handled. The process ends at them without a
+	 * drain.
+	 * @return their names
+	 */
+	List<String> unhandled() {
+		return List.copyOf(this.unhandled);
+	}
+
 	/**
 	 * Hands over the signals that have arrived, and each later one on a thread of its
 	 * own.
--- a/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/ProcessStartTests.java
@@ -97,6 +97,27 @@
 
 	}
 
+	/**
+	 * Guards against processes that don't start because the JVM leaves the signals to
+	 * others.
+	 */
+	@Nested
+	class SignalsThatCanNotBeHandled {
+
+		@Test
+		void aVmServesWithoutThem() throws Exception {
+			Path file = Files.writeString(ProcessStartTests.this.directory.resolve("node.toml"),
+					EntryProcess.settings(ProcessStartTests.this.number, "a", ProcessStartTests.this.store.address()));
+			try (EntryProcess vm = new EntryProcess(ProcessStartTests.this.number, ProcessStartTests.this.directory,
+					file, (builder) -> builder.environment().put("JAVA_TOOL_OPTIONS", "-Xrs"))) {
+				Installation.await(() -> !vm.isAlive() || hasLine(vm, "event=started"));
+				assertThat(vm.isAlive()).isTrue();
+				assertThat(vm.logLines("event=signals_unhandled signals=\"HUP TERM INT\"")).hasSize(1);
+			}
+		}
+
+	}
+
 	/**
 	 * Guards against processes that accept requests after a signal that ends them, and
 	 * cut these requests.
