Pause before an address is written again in a newer history

A VM could use up the write calls to the store that all VMs share.

Cause: MemberRegistration repeated a write without a pause when it was acknowledged in an older history of the store than the newest one that the VM knows, for example from a peer, while the store's answers name an older history or none.

Evidence: against the stand-in, 24 writes in 1.2 s; the new test failed.

Such a write is now repeated after the same delay as a failed one, 500 ms.

Result: the new test passes (2 or 3 writes in 1.2 s).

--- a/entry/src/main/java/org/fulmargap/entry/MemberRegistration.java
+++ b/entry/src/main/java/org/fulmargap/entry/MemberRegistration.java
@@ -13,7 +13,10 @@
  */
 final class MemberRegistration implements Runnable {
 
-	/** The delay before a failed write is repeated, in milliseconds. */
+	/**
+	 * The delay before a write is repeated that failed or was acknowledged in an older
+	 * history than the newest one, in milliseconds.
+	 */
 	private static final long RETRY_DELAY_MS = 500;
 
 	private static final long NEVER = -1;
@@ -73,9 +76,10 @@
 		}
 	}
 
-	private synchronized void written(long history) {
+	private synchronized boolean written(long history) {
 		this.writtenIn = history;
 		notifyAll();
+		return history >= this.newestHistory;
 	}
 
 	private boolean write() {
@@ -87,8 +91,7 @@
 				.with("address", this.own.address())
 				.with("history", history)
 				.write();
-			written(history);
-			return true;
+			return written(history);
 		}
 		catch (StoreException ex) {
 			EventLog.state("register_failed").with("type", ex.type()).with("cause", ex.getMessage()).write();
