Let the read after a timeout wait, as a slow store needs

Cause: made SlowStoreTests.aVersionIsInForceWhileTheStoreIsSlow fail ("the condition was not met in time"): without a wait, reads of a store that answers after the timeout never succeed. Change: the read after a failure doesn't wait only if the failure was no timeout.

--- a/entry/src/main/java/org/fulmargap/entry/StoreTail.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreTail.java
@@ -53,6 +53,9 @@
 
 	private volatile boolean failing;
 
+	// The last failure was no timeout.
+	private boolean failedAtOnce;
+
 	// The store was away. One read that times out may only mean a silent connection.
 	private boolean outage;
 
@@ -152,10 +155,10 @@
 		}
 	}
 
-	// After a failure the store may have come back from a copy, which only an answer
-	// shows.
+	// The store may have come back from a copy, which only an answer shows. A store that
+	// answers slowly needs the time that a waiting read has.
 	private long waitMs(long nowMs) {
-		return (this.failing) ? 0 : this.wait.waitMs(this.endedAtMs, nowMs);
+		return (this.failing && this.failedAtOnce) ? 0 : this.wait.waitMs(this.endedAtMs, nowMs);
 	}
 
 	// The offset of the read belongs to another history of the store than the page, which
@@ -218,6 +221,7 @@
 	}
 
 	private long failed(StoreException ex, long openMs) {
+		this.failedAtOnce = openMs < StoreClient.ANSWER_TIMEOUT_MS;
 		// The next read uses a new connection. With what is left of the time since the
 		// last answer, reads of a store that answers slowly would never succeed again.
 		this.endedAtMs = this.clockMs.getAsLong();
