Count what a restored copy lacks from the first answer of the new history

An endpoint that was not written again after a restore got requests 3,036 to 3,051 ms after the return of the store, and one that was removed right after the return 3.5 s after it.

Cause: each topic counted 2.5 s from its own listing. A topic that made no call while the store was away holds its first read open, so its listing came 1.0 to 1.5 s later than the first answer of another topic.

Change: the time counts from when this VM learned of the new history on any topic.

--- a/entry/src/main/java/org/fulmargap/entry/RestoredTopic.java
+++ b/entry/src/main/java/org/fulmargap/entry/RestoredTopic.java
@@ -38,10 +38,10 @@
 
 	/**
 	 * Records that the store has come back from an older copy.
-	 * @param nowMs the current time in milliseconds
+	 * @param returnedAtMs when this VM learned of it, in milliseconds
 	 */
-	void restored(long nowMs) {
-		this.restoredAtMs = nowMs;
+	void restored(long returnedAtMs) {
+		this.restoredAtMs = returnedAtMs;
 		this.missingDropped = false;
 		this.outdatedDropped = false;
 	}
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -130,6 +130,10 @@
 
 	private volatile boolean relayed;
 
+	private long newestHistory;
+
+	private long newestHistoryAtMs;
+
 	private long relayedAtMs;
 
 	// The hub that relayed records last.
@@ -262,7 +266,7 @@
 		StorePosition position = known.position();
 		this.positions.get(topic).set(position);
 		this.lags.get(topic).advanced(position);
-		this.registration.historyKnown(position.history());
+		historyKnown(position.history());
 		if (previous.isRead() && position.history() > previous.history()) {
 			restored(topic, previous, origin);
 			this.peers.sendToMembers(new PeerMessage.Records(topic, 0, known.listing()));
@@ -279,6 +283,14 @@
 		}
 	}
 
+	private void historyKnown(long history) {
+		this.registration.historyKnown(history);
+		if (history > this.newestHistory) {
+			this.newestHistory = history;
+			this.newestHistoryAtMs = this.clockMs.getAsLong();
+		}
+	}
+
 	// What the system itself wrote is gone for good, so members stay known, and what the
 	// store lacks of the quarantine is written again.
 	private void restored(StoreTopic topic, StorePosition previous, PageOrigin origin) {
@@ -292,10 +304,10 @@
 			.with("missing", known.unconfirmed().size())
 			.with("source", origin.source())
 			.write();
-		long nowMs = this.clockMs.getAsLong();
+		// The records of this topic may arrive later than the first answer of the store.
 		switch (topic) {
-			case OPERATOR -> this.restoredOperator.restored(nowMs);
-			case ENDPOINTS -> this.restoredEndpoints.restored(nowMs);
+			case OPERATOR -> this.restoredOperator.restored(this.newestHistoryAtMs);
+			case ENDPOINTS -> this.restoredEndpoints.restored(this.newestHistoryAtMs);
 			case QUARANTINE -> this.quarantine.restored(known.position().history());
 			case MEMBERS -> {
 			}
