Use no records of VMs that know no histories of the store

Cause: a VM of an older program names no history, and its positions and records counted as of the known history. So this program's VMs took an offset of the history that is gone for one of the present history, asked for the records up to it, and waited behind it.

Change: a position without a history is of the earliest one. Nothing is requested of such a VM and what it relays is refused once the store numbers its histories. A VM whose hub is in an earlier history, also one of this program that has not noticed the restore, reads the store itself after the usual second; RecordSource decides it, split from StoreWatch.

The run of packaged VMs of two programs was not repeated for this commit.

--- a/core/src/main/java/org/fulmargap/fleet/StorePosition.java
+++ b/core/src/main/java/org/fulmargap/fleet/StorePosition.java
@@ -7,7 +7,8 @@
  * after all positions of an earlier one, whatever their offsets, because a store that
  * comes back from an older copy gives offsets out again.
  *
- * @param history the number of the store's history; 0 if the store numbers none
+ * @param history the number of the store's history; 0 if the store numbers none, or if a
+ * VM with a program that knows no histories has named the position
  * @param offset the offset from which the topic was not read; -1 if it was not read at
  * all
  */
@@ -27,16 +28,6 @@
 		return this.offset >= 0;
 	}
 
-	/**
-	 * Returns this position in a known history if it names none, as positions of a VM
-	 * with an older program do.
-	 * @param known the number of the known history
-	 * @return a position with the number of a history
-	 */
-	public StorePosition orIn(long known) {
-		return (this.history == 0) ? new StorePosition(known, this.offset) : this;
-	}
-
 	/**
 	 * Returns the later one of two positions.
 	 * @param other the other position
--- a/core/src/test/java/org/fulmargap/fleet/RecordLagTests.java
+++ b/core/src/test/java/org/fulmargap/fleet/RecordLagTests.java
@@ -49,4 +49,11 @@
 		assertThat(this.lag.shouldRequest(at(6), 0, 0)).isTrue();
 	}
 
+	@Test
+	void nothingIsRequestedOfAPeerThatKnowsNoHistories() {
+		this.lag.advanced(new StorePosition(2, 5));
+		assertThat(this.lag.shouldRequest(at(9), 0, 0)).isFalse();
+		assertThat(this.lag.shouldRequest(new StorePosition(2, 6), 0, 1)).isTrue();
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -52,12 +52,6 @@
 	 */
 	private static final long QUARANTINE_WAIT_MS = 30_000;
 
-	/**
-	 * How long a VM that is no hub waits for one to relay records before it reads them
-	 * itself, in milliseconds: enough to find a new hub.
-	 */
-	private static final long RELAY_GRACE_MS = 1_000;
-
 	private static final long OPERATOR_INTERVAL_MS = 200;
 
 	private static final long ENDPOINTS_INTERVAL_MS = 600;
@@ -126,24 +120,12 @@
 
 	private final MemberRegistration registration;
 
-	private volatile boolean hub = true;
-
-	private volatile boolean relayed;
+	private final RecordSource source;
 
 	private long newestHistory;
 
 	private long newestHistoryAtMs;
 
-	private long relayedAtMs;
-
-	// The hub that relayed records last.
-	private String relayingHub = "";
-
-	// From where this VM gets records: the store or the name of a hub.
-	private String source = PageOrigin.STORE;
-
-	private long sourceSinceMs;
-
 	private long storeOutageAtMs = Long.MIN_VALUE / 2;
 
 	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers,
@@ -155,7 +137,7 @@
 		this.peers = peers;
 		this.quarantine = quarantine;
 		this.registration = new MemberRegistration(store, own);
-		this.sourceSinceMs = clockMs.getAsLong();
+		this.source = new RecordSource(clockMs.getAsLong());
 		for (StoreTopic topic : StoreTopic.values()) {
 			this.topics.put(topic, new TopicView());
 			this.lags.put(topic, new RecordLag());
@@ -196,38 +178,18 @@
 	 */
 	void update(long nowMs) {
 		dropEarlierHistory(nowMs);
-		this.hub = this.peers.isHub();
-		this.peers.relayingHub().ifPresent((name) -> {
-			this.relayingHub = name;
-			this.relayedAtMs = nowMs;
-		});
-		this.relayed = nowMs - this.relayedAtMs < RELAY_GRACE_MS;
-		boolean reading = this.hub || !this.relayed;
-		updateSource((reading) ? PageOrigin.STORE : this.relayingHub, nowMs);
-		if (reading) {
+		this.source.update(this.peers.isHub(), this.peers.relayingHub(), nowMs);
+		if (this.source.isStore()) {
 			this.tails.values().forEach(StoreTail::needChanged);
 		}
 	}
 
-	private void updateSource(String newSource, long nowMs) {
-		if (newSource.equals(this.source)) {
-			return;
-		}
-		EventLog.state("store_source")
-			.with("source", newSource)
-			.with("previous", this.source)
-			.with("previous_ms", nowMs - this.sourceSinceMs)
-			.write();
-		this.source = newSource;
-		this.sourceSinceMs = nowMs;
-	}
-
 	/**
 	 * Returns whether this VM reads the store itself, without failures.
 	 * @return {@code true} if the last reads of configuration and endpoints succeeded
 	 */
 	boolean isStoreReached() {
-		return this.hub && this.tails.get(StoreTopic.OPERATOR).isReached()
+		return this.source.isHub() && this.tails.get(StoreTopic.OPERATOR).isReached()
 				&& this.tails.get(StoreTopic.ENDPOINTS).isReached();
 	}
 
@@ -369,11 +331,12 @@
 	 * @param nowMs the current time in milliseconds
 	 */
 	void comparePositions(String peer, List<StorePosition> peerPositions, long nowMs) {
+		this.source.peerCompared(peer, isInEarlierHistory(peerPositions));
 		long patienceMs = (isStoreReached()) ? BEHIND_MS : 0;
 		for (StoreTopic topic : StoreTopic.values()) {
 			if (topic.ordinal() < peerPositions.size()) {
 				StorePosition own = this.topics.get(topic).position();
-				StorePosition theirs = peerPositions.get(topic.ordinal()).orIn(own.history());
+				StorePosition theirs = peerPositions.get(topic.ordinal());
 				if (this.lags.get(topic).shouldRequest(theirs, patienceMs, nowMs)) {
 					request(peer, topic, (theirs.history() > own.history()) ? StorePosition.UNREAD : own);
 				}
@@ -381,6 +344,13 @@
 		}
 	}
 
+	// Whether a peer has not noticed that the store came back from an older copy.
+	private boolean isInEarlierHistory(List<StorePosition> peerPositions) {
+		StorePosition theirs = peerPositions.isEmpty() ? StorePosition.UNREAD
+				: peerPositions.get(StoreTopic.OPERATOR.ordinal());
+		return theirs.history() < this.topics.get(StoreTopic.OPERATOR).position().history();
+	}
+
 	private void request(String peer, StoreTopic topic, StorePosition from) {
 		EventLog.state("records_wanted").with("topic", topic).with("peer", peer).with("offset", from.offset()).write();
 		this.peers.send(peer, new PeerMessage.RecordsRequest(topic, from.offset()));
@@ -407,7 +377,7 @@
 	void received(String peer, PeerMessage.Records records, long nowMs) {
 		StorePage page = records.page();
 		StorePosition own = this.topics.get(records.topic()).position();
-		StorePosition from = new StorePosition(page.history(), records.from()).orIn(own.history());
+		StorePosition from = new StorePosition(page.history(), records.from());
 		boolean lacksRecords = !page.isComplete() && from.compareTo(own) > 0;
 		if (lacksRecords) {
 			request(peer, records.topic(), (from.history() > own.history()) ? StorePosition.UNREAD : own);
@@ -561,7 +531,7 @@
 
 		@Override
 		public boolean isNeeded() {
-			return StoreWatch.this.hub || !StoreWatch.this.relayed || !position().isRead();
+			return StoreWatch.this.source.isStore() || !position().isRead();
 		}
 
 		@Override
@@ -571,7 +541,7 @@
 
 		@Override
 		public long maxRetryDelayMs() {
-			return (StoreWatch.this.hub) ? HUB_RETRY_DELAY_MS : MEMBER_RETRY_DELAY_MS;
+			return (StoreWatch.this.source.isHub()) ? HUB_RETRY_DELAY_MS : MEMBER_RETRY_DELAY_MS;
 		}
 
 	}
--- a/entry/src/main/java/org/fulmargap/entry/TopicView.java
+++ b/entry/src/main/java/org/fulmargap/entry/TopicView.java
@@ -38,16 +38,11 @@
 	 * Returns whether a page can be applied.
 	 * @param page the page
 	 * @return {@code false} if it is of an earlier history of the store than the known
-	 * one, or of a later one and not a complete listing
+	 * one, or names none, or if it is of a later one and not a complete listing
 	 */
 	boolean accepts(StorePage page) {
-		long history = historyOf(page);
-		return history == this.position.history() || (history > this.position.history() && page.isComplete());
-	}
-
-	// A page of a VM with an older program names no history.
-	private long historyOf(StorePage page) {
-		return (page.history() == 0) ? this.position.history() : page.history();
+		long known = this.position.history();
+		return page.history() == known || (page.history() > known && page.isComplete());
 	}
 
 	/**
@@ -61,7 +56,7 @@
 		if (!accepts(page)) {
 			throw new IllegalArgumentException("a page of history " + page.history() + " after " + this.position);
 		}
-		if (historyOf(page) > this.position.history()) {
+		if (page.history() > this.position.history()) {
 			startHistory(page.history());
 		}
 		List<KeyedRecord> fresh = new ArrayList<>();
--- a/entry/src/test/java/org/fulmargap/entry/TopicViewTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/TopicViewTests.java
@@ -47,4 +47,13 @@
 		assertThat(fresh.records().get(0).isRemoval()).isTrue();
 	}
 
+	@Test
+	void recordsOfAVmThatKnowsNoHistoriesDoNotHideThoseOfTheRestoredStore() {
+		this.view.apply(new StorePage(2, List.of(record("config", 1, 3)), 4, true));
+		assertThat(this.view.accepts(new StorePage(0, List.of(record("config", 2, 9)), 10, false))).isFalse();
+		assertThat(this.view.accepts(new StorePage(0, List.of(record("config", 2, 9)), 10, true))).isFalse();
+		this.view.apply(new StorePage(2, List.of(record("config", 3, 4)), 5, false));
+		assertThat(this.view.listing().records().get(0).value()).containsExactly(3);
+	}
+
 }
