Let a caller take its last answer before a connection is closed

A stream that began before the drain left its connection open until the process ended, so that the next request on it got no answer for up to the rest of the drain.

Cause: a socket that is closed with unread bytes is reset, and a reset drops what the peer has not read. And an answer that did not announce the end of its connection did not end it, also when nothing more would be read there.

Change: after the last answer the output is shut down, and what the caller has sent is read and dropped until it closes the connection, or has been silent for a second. A connection that is not read any more ends with its last answer. A connection on which nothing is left unread closes as before.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -2,14 +2,15 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -19,12 +20,14 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.util.ReferenceCountUtil;
 import org.fulmargap.catalog.RequestLimits;
 
 /**
@@ -49,6 +52,15 @@
 	/** The longest time from the head of a request to its end, in milliseconds. */
 	private static final long MAX_RECEIVE_MS = 60_000;
 
+	/**
+	 * How long a caller that sends nothing more has to take its last answer and to close
+	 * the connection, if it has sent more than was read, in milliseconds.
+	 */
+	private static final long LINGER_MS = 1_000;
+
+	/** How long such a caller may go on sending, in milliseconds. */
+	private static final long MAX_LINGER_MS = 10_000;
+
 	private final CallerServer server;
 
 	private final Deque<Exchange> pipelined = new ArrayDeque<>();
@@ -73,6 +85,14 @@
 
 	private boolean closing;
 
+	// Whether the last answer was written, and what arrives is dropped until the caller
+	// closes the connection.
+	private boolean lingering;
+
+	// Whether a request that was read got no answer, because the one before it was the
+	// last.
+	private boolean requestDropped;
+
 	private boolean readingStopped;
 
 	private long idleSinceMs;
@@ -110,12 +130,14 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		FullHttpRequest request = (FullHttpRequest) message;
 		if (this.closing) {
 			// The last answer is being written; later requests are dropped.
-			request.release();
+			this.requestDropped = true;
+			this.idleSinceMs = this.server.nowMs();
+			ReferenceCountUtil.release(message);
 			return;
 		}
+		FullHttpRequest request = (FullHttpRequest) message;
 		Exchange exchange = new Exchange(request, received(request));
 		if (!mayStart()) {
 			this.pipelined.add(exchange);
@@ -284,7 +306,7 @@
 	 * @return {@code true} if its caller would lose a request by a close
 	 */
 	boolean isBusy() {
-		return this.partial || hasRequests() || this.unwrittenAnswers > 0;
+		return this.partial || hasRequests() || this.unwrittenAnswers > 0 || this.lingering;
 	}
 
 	/**
@@ -297,8 +319,11 @@
 	}
 
 	private void updateReading() {
-		boolean reading = !this.readingStopped && this.pipelined.size() < MAX_PIPELINED;
-		this.context.channel().config().setAutoRead(reading);
+		this.context.channel().config().setAutoRead(this.lingering || mayRead());
+	}
+
+	private boolean mayRead() {
+		return !this.readingStopped && this.pipelined.size() < MAX_PIPELINED;
 	}
 
 	void closeIfUnused() {
@@ -318,6 +343,43 @@
 			return;
 		}
 		startNext();
+		closeIfNotRead();
+	}
+
+	// No further request can be read, so the connection is of no use to its caller.
+	private void closeIfNotRead() {
+		if (this.readingStopped && !isBusy()) {
+			closeAfterLastAnswer();
+		}
+	}
+
+	// A close with unread bytes is a reset, at which the caller loses what it has not
+	// taken of its answer. So the rest of what it sends is read and dropped first.
+	private void closeAfterLastAnswer() {
+		this.closing = true;
+		boolean unread = this.requestDropped || this.partial || !mayRead();
+		if (!unread || !this.context.channel().isActive()) {
+			close(CloseReason.LAST_ANSWER);
+			return;
+		}
+		this.lingering = true;
+		this.context.pipeline().remove(HttpRequestDecoder.class);
+		this.context.pipeline().remove(RequestAggregator.class);
+		((DuplexChannel) this.context.channel()).shutdownOutput();
+		updateReading();
+		linger(this.server.nowMs());
+	}
+
+	private void linger(long sinceMs) {
+		this.context.channel().eventLoop().schedule(() -> {
+			long nowMs = this.server.nowMs();
+			if (nowMs - this.idleSinceMs >= LINGER_MS || nowMs - sinceMs >= MAX_LINGER_MS) {
+				close(CloseReason.LAST_ANSWER);
+			}
+			else {
+				linger(sinceMs);
+			}
+		}, LINGER_MS, TimeUnit.MILLISECONDS);
 	}
 
 	private final class Exchange implements CallerExchange {
@@ -444,9 +506,6 @@
 			if (last) {
 				CallerConnection.this.unwrittenAnswers++;
 				future.addListener((written) -> written(written.isSuccess()));
-				if (!this.keepAlive) {
-					future.addListener(ChannelFutureListener.CLOSE);
-				}
 				finished(this);
 			}
 		}
@@ -456,9 +515,13 @@
 			CallerConnection.this.idleSinceMs = CallerConnection.this.server.nowMs();
 			if (!whole) {
 				CallerConnection.this.cut = this.open;
+				CallerConnection.this.context.close();
 			}
 			else if (!this.keepAlive) {
-				CallerConnection.this.end.because(CloseReason.LAST_ANSWER);
+				closeAfterLastAnswer();
+			}
+			else {
+				closeIfNotRead();
 			}
 		}
 
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -80,6 +80,12 @@
 						exchange.answer(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
 						return null;
 					}
+					if (request.uri().equals("/later")) {
+						exchange.begin(200, new DefaultHttpHeaders());
+						exchange.write(Unpooled.copiedBuffer("part", StandardCharsets.US_ASCII));
+						this.loop.schedule(exchange::end, SILENCE_MS / 2, TimeUnit.MILLISECONDS);
+						return null;
+					}
 					if (request.uri().equals("/slow")) {
 						this.loop.schedule(() -> exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER),
 								SILENCE_MS / 2, TimeUnit.MILLISECONDS);
@@ -318,6 +324,19 @@
 		}
 	}
 
+	// The answer began before the drain, so it doesn't say that the connection closes.
+	@Test
+	void aConnectionThatIsNotReadAnyMoreEndsWithItsLastAnswer() throws Exception {
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("GET /later HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			this.loop.submit(this.server::stopReading).sync();
+			assertThat(socket.getInputStream().readAllBytes())
+				.endsWith("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
