Close the ports and connections of a VM before its process exits

Cause: close() started the end of the event loop and returned, and the exit followed at once. The JVM then stops all threads and waits 300 ms for those in native code. If the event loop had not run its selector again by then, the listening socket and closed connections stayed open in the kernel, which went on accepting connections, until the process was gone.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -72,8 +72,14 @@
 	/** How long the event loop must be idle before it ends, in milliseconds. */
 	private static final long CLOSE_QUIET_MS = 20;
 
-	/** The longest time in which the event loop ends, in milliseconds. */
-	private static final long CLOSE_TIMEOUT_MS = 1_000;
+	/** The longest time in which the event loop starts to end, in milliseconds. */
+	private static final long CLOSE_TIMEOUT_MS = 150;
+
+	/**
+	 * How long the end of the event loop is awaited, in milliseconds. It is a part of the
+	 * time between the end of a drain and SIGKILL.
+	 */
+	private static final long CLOSE_WAIT_MS = 300;
 
 	/** The longest time between two tries to serve the metrics, in milliseconds. */
 	private static final long METRICS_RETRY_MS = 30_000;
@@ -350,6 +356,10 @@
 				this.view.directory().leaving(nowMs), this.view.directory().limits(nowMs));
 	}
 
+	/**
+	 * Closes all ports and connections. Returns when they are closed, so that no caller
+	 * sends a request to a process that ends without reading it.
+	 */
 	@Override
 	public void close() {
 		this.watch.close();
@@ -357,7 +367,8 @@
 		this.store.close();
 		// Without a quiet period the event loop may end before it has closed its
 		// connections.
-		this.group.shutdownGracefully(CLOSE_QUIET_MS, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		this.group.shutdownGracefully(CLOSE_QUIET_MS, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+			.awaitUninterruptibly(CLOSE_WAIT_MS);
 	}
 
 }
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmCloseTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmCloseTests.java
@@ -1,12 +1,14 @@
 package org.fulmargap.entry;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.net.SocketException;
 
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Guards against connections that stay open without an event loop after a VM was closed,
@@ -16,6 +18,8 @@
 
 	private static final int CLOSES = 60;
 
+	private static final int FEW_CLOSES = 5;
+
 	private static final int TIMEOUT_MS = 3_000;
 
 	@Test
@@ -34,6 +38,19 @@
 		}
 	}
 
+	@Test
+	void noConnectionCanBeOpenedToAClosedVm() throws Exception {
+		try (Installation installation = new Installation()) {
+			for (int i = 0; i < FEW_CLOSES; i++) {
+				EntryVm vm = installation.vm("vm-" + i);
+				String address = installation.callerAddress(i);
+				int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+				vm.close();
+				assertThatThrownBy(() -> new Socket("127.0.0.1", port)).isInstanceOf(ConnectException.class);
+			}
+		}
+	}
+
 	private static int endOf(Socket caller) throws IOException {
 		try {
 			return caller.getInputStream().read();
