Use no results of an endpoint that has started again

Cause: a result was known by its handle alone. A VM that had read the start of the new process still passed on handles of the earlier one, and released them, which frees results of others. The coordinator took a handle that came again for a copy of an earlier answer and made the work item again, so that few requests were served.

Change: the outcome of a work item names the start of the process that keeps the result (older programs skip the field). When a VM reads of a later process at the address, requests that still need the results make them again, once, or end with a true answer. A process that takes over an address gets no stage calls for a second, so that other VMs know of it first.

--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -24,6 +24,12 @@
 	/** The upper bound of a call's ratio, to limit the effect of outliers. */
 	private static final double MAX_SLOWDOWN_FACTOR = 20;
 
+	/**
+	 * How long other VMs may not know that a process has taken over an address, in
+	 * milliseconds.
+	 */
+	private static final long TAKEOVER_MS = 1_000;
+
 	private final Map<String, PeerLoad> peerLoads = new HashMap<>();
 
 	private final PrefixCache prefixCache = new PrefixCache();
@@ -42,6 +48,8 @@
 
 	private long removeAtMs = Long.MAX_VALUE;
 
+	private long tookOverAtMs = Long.MIN_VALUE / 2;
+
 	private int inFlight;
 
 	private long prefillTokens;
@@ -80,6 +88,24 @@
 		clearTokens();
 	}
 
+	/**
+	 * Records that the process has the address of an earlier one.
+	 * @param nowMs the current time in milliseconds
+	 */
+	void takesOverAddress(long nowMs) {
+		this.tookOverAtMs = nowMs;
+	}
+
+	/**
+	 * Returns whether other VMs may still take the process for the earlier one at its
+	 * address.
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} for a while after this VM has read its first record
+	 */
+	public boolean isTakingOver(long nowMs) {
+		return nowMs - this.tookOverAtMs < TAKEOVER_MS;
+	}
+
 	void removeAt(long removeAtMs) {
 		this.removeAtMs = Math.min(this.removeAtMs, removeAtMs);
 	}
--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -56,6 +56,14 @@
 
 	private final Map<String, List<Endpoint>> byService = new HashMap<>();
 
+	// When the latest process at an address started, in milliseconds since the epoch.
+	private final Map<String, Long> startsByAddress = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+			return size() > MAX_REMEMBERED;
+		}
+	};
+
 	private Set<String> evacuatedDomains = Set.of();
 
 	/**
@@ -71,15 +79,44 @@
 			this.byId.put(record.id(), added);
 			this.deleted.remove(record.id());
 			list(record.service()).add(added);
+			recordStart(added, nowMs);
 			return Change.ADDED;
 		}
 		boolean wasDraining = known.record().draining();
+		boolean restarted = !known.record().isSameProcess(record);
 		if (!known.record().service().equals(record.service())) {
 			list(known.record().service()).remove(known);
 			list(record.service()).add(known);
 		}
 		known.update(record, nowMs);
-		return (record.draining() && !wasDraining) ? Change.DRAINING : Change.UPDATED;
+		recordStart(known, nowMs);
+		if (record.draining() && !wasDraining) {
+			return Change.DRAINING;
+		}
+		return (restarted) ? Change.RESTARTED : Change.UPDATED;
+	}
+
+	private void recordStart(Endpoint endpoint, long nowMs) {
+		EndpointRecord record = endpoint.record();
+		Long previousMs = this.startsByAddress.get(record.address());
+		if (previousMs == null || previousMs < record.startedAtMs()) {
+			this.startsByAddress.put(record.address(), record.startedAtMs());
+			if (previousMs != null) {
+				endpoint.takesOverAddress(nowMs);
+			}
+		}
+	}
+
+	/**
+	 * Returns whether a process has ended because a later one has its address. What it
+	 * kept is gone, and the later one may give the same names to other things.
+	 * @param address the address of the process as {@code IP:port}
+	 * @param startedAtMs when it started, in milliseconds since the epoch; 0 if it did
+	 * not state it
+	 * @return {@code true} if a record of a later process at the address was read
+	 */
+	public boolean isReplaced(String address, long startedAtMs) {
+		return startedAtMs > 0 && this.startsByAddress.getOrDefault(address, 0L) > startedAtMs;
 	}
 
 	/**
@@ -379,6 +416,9 @@
 		/** The endpoint has started to drain. */
 		DRAINING,
 
+		/** A new process of the endpoint has started. */
+		RESTARTED,
+
 		/** Something else changed, or nothing. */
 		UPDATED
 
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -152,6 +152,7 @@
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
 				new CallerTimes(), openRequests, this.setAside, new EndpointLimits(this::limitShare), this.metrics);
+		this.view.onEndpointChange((record) -> openRequests.endpointChanged());
 		RequestRouter router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, router);
 		this.store = new StoreClient(settings.storeAddress());
--- a/entry/src/main/java/org/fulmargap/entry/StoreView.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreView.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.fulmargap.catalog.Catalog;
 import org.fulmargap.catalog.RequestLimits;
@@ -23,6 +24,17 @@
 
 	private boolean endpointsKnown;
 
+	private Consumer<EndpointRecord> endpointListener = (record) -> {
+	};
+
+	/**
+	 * Sets who hears that an endpoint was added, restarted or has begun to drain.
+	 * @param listener receives the new record
+	 */
+	void onEndpointChange(Consumer<EndpointRecord> listener) {
+		this.endpointListener = listener;
+	}
+
 	/**
 	 * Replaces the configuration if the given one has a higher version.
 	 * @param newest the configuration
@@ -59,7 +71,11 @@
 	 * @return what changed
 	 */
 	public EndpointDirectory.Change put(EndpointRecord record, long nowMs) {
-		return this.directory.put(record, nowMs);
+		EndpointDirectory.Change change = this.directory.put(record, nowMs);
+		if (change != EndpointDirectory.Change.UPDATED) {
+			this.endpointListener.accept(record);
+		}
+		return change;
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -125,6 +125,10 @@
 					.packString(outcome.handle())
 					.packString(outcome.failureDomain());
 			}
+			// VMs with an older program skip it.
+			for (WorkItemOutcome outcome : outcomes.outcomes()) {
+				out.packLong(outcome.makerStartedAtMs());
+			}
 		}
 		else if (message instanceof PeerMessage.Cancellation cancellation) {
 			out.packInt(Type.CANCELLATION.ordinal()).packLong(cancellation.itemId());
@@ -437,7 +441,10 @@
 	private static PeerMessage.Outcomes readOutcomes(MessageUnpacker in) throws IOException {
 		List<WorkItemOutcome> outcomes = new ArrayList<>();
 		for (int i = readSize(in); i > 0; i--) {
-			outcomes.add(new WorkItemOutcome(in.unpackLong(), readStatus(in), in.unpackString(), in.unpackString()));
+			outcomes.add(new WorkItemOutcome(in.unpackLong(), readStatus(in), in.unpackString(), in.unpackString(), 0));
+		}
+		for (int i = 0; i < outcomes.size() && in.hasNext(); i++) {
+			outcomes.set(i, outcomes.get(i).madeBy(in.unpackLong()));
 		}
 		return new PeerMessage.Outcomes(outcomes);
 	}
--- a/entry/src/main/java/org/fulmargap/entry/request/OpenRequests.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/OpenRequests.java
@@ -38,6 +38,14 @@
 		List.copyOf(this.flows).forEach((flow) -> flow.stopAt(newStopsAtMs));
 	}
 
+	/**
+	 * Handles that an endpoint may have started again, so that results that it kept are
+	 * gone.
+	 */
+	public void endpointChanged() {
+		List.copyOf(this.flows).forEach(RequestFlow::endpointChanged);
+	}
+
 	boolean isStopping() {
 		return this.stopsAtMs != NEVER_MS;
 	}
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -265,7 +265,10 @@
 		long restMs = directory.restMs(stageService, nowMs);
 		// Only the coordinator of the service knows when the next call can be made.
 		long intervalMs = EndpointLimits.intervalMs(directory.available(stageService, nowMs));
-		if (this.services.openRequests().isStopping()) {
+		if (this.runs > 0) {
+			refuse(Refusal.OUTCOME_UNKNOWN);
+		}
+		else if (this.services.openRequests().isStopping()) {
 			refuse(Refusal.STOPPING);
 		}
 		else if (restMs > 0) {
@@ -279,8 +282,18 @@
 		}
 	}
 
+	/**
+	 * Handles that an endpoint may have started again.
+	 */
+	void endpointChanged() {
+		if (this.call == null) {
+			this.stageRun.remakesLost();
+		}
+	}
+
 	private void dispatch() {
-		if (this.finished) {
+		// Stages whose results are made again dispatch the request when they are done.
+		if (this.finished || !this.stageRun.isFinished() || this.stageRun.remakesLost()) {
 			return;
 		}
 		long nowMs = this.services.nowMs();
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -76,6 +76,8 @@
 
 	private boolean finished;
 
+	private boolean closed;
+
 	/**
 	 * Creates a run.
 	 * @param clockMs the current time in milliseconds
@@ -284,6 +286,9 @@
 	private void done(StageProgress stage, int itemIndex, WorkItemOutcome outcome) {
 		stage.done(itemIndex, outcome);
 		this.admittedWork.remove(stage.service(), this.priority, 1);
+		if (this.client.isLost(outcome) && remakesLost()) {
+			return;
+		}
 		if (stage.isDone()) {
 			EventLog.request("stage_done", this.request.attemptId())
 				.with("stage", this.stages.indexOf(stage))
@@ -309,12 +314,60 @@
 			failed(stage);
 			return;
 		}
-		this.inputsRecomputed = true;
-		EventLog.request("inputs_remade", this.request.attemptId()).with("service", stage.service()).write();
+		logRemade(stage, "gone");
 		runAgain(stage);
 		advance();
 	}
 
+	private void logRemade(StageProgress stage, String reason) {
+		this.inputsRecomputed = true;
+		EventLog.request("inputs_remade", this.request.attemptId())
+			.with("service", stage.service())
+			.with("reason", reason)
+			.write();
+	}
+
+	/**
+	 * Makes the results again that are needed and whose endpoint has started again since,
+	 * but only once per request; a second time the run fails.
+	 * @return {@code false} if all results that are needed can be used
+	 */
+	boolean remakesLost() {
+		List<StageProgress> lost = this.stages.stream().filter((stage) -> isInUse(stage) && hasLost(stage)).toList();
+		if (lost.isEmpty()) {
+			return false;
+		}
+		if (this.inputsRecomputed || this.closed) {
+			failed(lost.get(0));
+			return true;
+		}
+		this.finished = false;
+		lost.forEach((stage) -> {
+			logRemade(stage, "restarted");
+			remake(stage);
+		});
+		advance();
+		return true;
+	}
+
+	private boolean isInUse(StageProgress stage) {
+		return this.route.finalStages().contains(this.stages.indexOf(stage)) || isNeeded(stage);
+	}
+
+	private boolean hasLost(StageProgress stage) {
+		return stage.results().stream().anyMatch(this.client::isLost);
+	}
+
+	private void remake(StageProgress lost) {
+		dependents(lost).filter((dependent) -> !dependent.isDone()).forEach((dependent) -> {
+			dependent.takeItemIds().forEach(this.client::cancel);
+			dependent.reset();
+		});
+		release(lost);
+		this.admittedWork.add(lost.service(), this.priority, lost.discardResults());
+		runAgain(lost);
+	}
+
 	private void runAgain(StageProgress stage) {
 		stage.takeItemIds().forEach(this.client::cancel);
 		stage.reset();
@@ -353,14 +406,27 @@
 		}
 	}
 
+	// What has the handle of a lost result now may belong to another request.
 	private void release(StageProgress stage) {
-		List<String> handles = stage.handles();
+		List<String> handles = stage.results()
+			.stream()
+			.filter((result) -> !this.client.isLost(result))
+			.map(WorkItemOutcome::handle)
+			.toList();
 		if (!handles.isEmpty() && !stage.isReleased()) {
 			stage.release();
 			this.client.release(stage.service(), handles);
 		}
 	}
 
+	/**
+	 * Returns whether the stages are done or have failed.
+	 * @return {@code false} while stages run
+	 */
+	boolean isFinished() {
+		return this.finished;
+	}
+
 	/**
 	 * Returns the results that the request itself needs.
 	 * @return the handles of the results, or {@code null} if the route has no stages
@@ -394,6 +460,7 @@
 	 */
 	void close() {
 		this.finished = true;
+		this.closed = true;
 		this.stages.forEach((stage) -> {
 			stage.takeItemIds().forEach(this.client::cancel);
 			this.admittedWork.remove(stage.service(), this.priority, stage.takeAdmitted());
@@ -402,7 +469,8 @@
 	}
 
 	/**
-	 * Receives the result of a run; called at most once.
+	 * Receives the result of a run. The stages are done once more after results were made
+	 * again.
 	 */
 	interface Listener {
 
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -203,7 +203,7 @@
 	 */
 	public void release(List<String> handles) {
 		for (String handle : handles) {
-			String address = handle.substring(0, Math.max(0, handle.indexOf('/')));
+			String address = ResultHandles.address(handle);
 			if (this.releasedByAddress.isEmpty()) {
 				this.loop.schedule(this::sendFreeCalls, FREE_DELAY_MS, TimeUnit.MILLISECONDS);
 			}
@@ -211,6 +211,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether a process has ended because a later one has its address.
+	 * @param address the address of the process
+	 * @param startedAtMs when it started, in milliseconds since the epoch
+	 * @return {@code true} if a record of a later process was read
+	 */
+	boolean isReplaced(String address, long startedAtMs) {
+		return this.view.directory().isReplaced(address, startedAtMs);
+	}
+
 	/**
 	 * Marks results as evictable: they are released when other results need their space.
 	 * @param service the service that produced them
@@ -376,9 +386,11 @@
 			release(this.scheduler.evict(nowMs));
 		}
 
+		// A process that has the address of an earlier one may give its results the same
+		// handles. Until all VMs know of it, it makes none.
 		private Optional<StageCall> next(List<Endpoint> available, long nowMs) {
-			return this.scheduler.next(StageCallDispatcher.this.limits.sendable(available, CALL_PRIORITY, nowMs),
-					nowMs);
+			List<Endpoint> known = available.stream().filter((endpoint) -> !endpoint.isTakingOver(nowMs)).toList();
+			return this.scheduler.next(StageCallDispatcher.this.limits.sendable(known, CALL_PRIORITY, nowMs), nowMs);
 		}
 
 		// All endpoints are leaving or rest: waiting could take until the deadline.
@@ -570,7 +582,7 @@
 				return false;
 			}
 			List<String> handles = handles(results);
-			if (!this.queue.recentHandles.add(handles)) {
+			if (!this.queue.recentHandles.add(handles.stream().map(this::ofProcess).toList())) {
 				retryAll("copy", true, nowMs);
 				return false;
 			}
@@ -583,6 +595,11 @@
 			return !handles.isEmpty();
 		}
 
+		// An endpoint that starts again may give the same handles again.
+		private String ofProcess(String handle) {
+			return this.calledRecord.startedAtMs() + " " + handle;
+		}
+
 		private static List<String> handles(List<WorkItemResult> results) {
 			return results.stream().filter((result) -> result.failure() == null).map(WorkItemResult::handle).toList();
 		}
@@ -591,8 +608,8 @@
 			Endpoint endpoint = this.call.endpoint();
 			if (result.failure() == null) {
 				this.queue.scheduler.recordResult(endpoint, result.handle(), item.resultBytes(), nowMs);
-				this.queue.finish(item,
-						WorkItemOutcome.done(item.itemId(), result.handle(), endpoint.record().failureDomain()));
+				this.queue.finish(item, WorkItemOutcome.done(item.itemId(), result.handle(),
+						endpoint.record().failureDomain(), this.calledRecord.startedAtMs()));
 				return;
 			}
 			EventLog.request("piece_failed", item.attemptId())
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageClient.java
@@ -152,6 +152,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether a result is gone because the endpoint that kept it has started
+	 * again.
+	 * @param result the outcome of a work item with a result
+	 * @return {@code true} if its handle must not be used any more
+	 */
+	public boolean isLost(WorkItemOutcome result) {
+		return this.dispatcher.isReplaced(result.makerAddress(), result.makerStartedAtMs());
+	}
+
 	/**
 	 * Releases results that are no longer needed.
 	 * @param service the service of their stage
--- a/entry/src/main/java/org/fulmargap/entry/stage/WorkItemOutcome.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/WorkItemOutcome.java
@@ -7,8 +7,10 @@
  * @param status the status of the work item
  * @param handle the handle of the result; empty if there is none
  * @param failureDomain the failure domain that keeps the result; empty if there is none
+ * @param makerStartedAtMs when the process that keeps the result started, in milliseconds
+ * since the epoch; 0 if it is not known
  */
-public record WorkItemOutcome(long itemId, Status status, String handle, String failureDomain) {
+public record WorkItemOutcome(long itemId, Status status, String handle, String failureDomain, long makerStartedAtMs) {
 
 	/**
 	 * Creates the report that a work item has read its inputs.
@@ -16,7 +18,7 @@
 	 * @return the report
 	 */
 	public static WorkItemOutcome inputsRead(long itemId) {
-		return new WorkItemOutcome(itemId, Status.INPUTS_READ, "", "");
+		return new WorkItemOutcome(itemId, Status.INPUTS_READ, "", "", 0);
 	}
 
 	/**
@@ -24,10 +26,12 @@
 	 * @param itemId the id of the work item
 	 * @param handle the handle of the result
 	 * @param failureDomain the failure domain that keeps the result
+	 * @param makerStartedAtMs when the process that keeps the result started, in
+	 * milliseconds since the epoch
 	 * @return the outcome
 	 */
-	public static WorkItemOutcome done(long itemId, String handle, String failureDomain) {
-		return new WorkItemOutcome(itemId, Status.DONE, handle, failureDomain);
+	public static WorkItemOutcome done(long itemId, String handle, String failureDomain, long makerStartedAtMs) {
+		return new WorkItemOutcome(itemId, Status.DONE, handle, failureDomain, makerStartedAtMs);
 	}
 
 	/**
@@ -36,7 +40,7 @@
 	 * @return the outcome
 	 */
 	public static WorkItemOutcome failed(long itemId) {
-		return new WorkItemOutcome(itemId, Status.FAILED, "", "");
+		return new WorkItemOutcome(itemId, Status.FAILED, "", "", 0);
 	}
 
 	/**
@@ -45,7 +49,7 @@
 	 * @return the outcome
 	 */
 	public static WorkItemOutcome inputGone(long itemId) {
-		return new WorkItemOutcome(itemId, Status.INPUT_GONE, "", "");
+		return new WorkItemOutcome(itemId, Status.INPUT_GONE, "", "", 0);
 	}
 
 	/**
@@ -56,6 +60,23 @@
 		return this.status == Status.DONE;
 	}
 
+	/**
+	 * Returns this outcome with another process that keeps the result.
+	 * @param startedAtMs when the process started, in milliseconds since the epoch
+	 * @return the outcome
+	 */
+	public WorkItemOutcome madeBy(long startedAtMs) {
+		return new WorkItemOutcome(this.itemId, this.status, this.handle, this.failureDomain, startedAtMs);
+	}
+
+	/**
+	 * Returns the address of the endpoint that keeps the result.
+	 * @return the address as {@code IP:port}; empty if there is no result
+	 */
+	public String makerAddress() {
+		return ResultHandles.address(this.handle);
+	}
+
 	/**
 	 * The status of a work item. Messages between VMs contain the ordinal, so the order
 	 * of the constants must not change.
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -41,7 +41,8 @@
 						List.of(new PeerMessage.Cancellation(1), new PeerMessage.CrashReport("print", "engine"))),
 				new PeerMessage.RecordsRequest(StoreTopic.ENDPOINTS, -1),
 				new PeerMessage.PromptSent("engine", new Prompt(10, 2, List.of(new PromptPart("aa", 6)))),
-				new PeerMessage.Outcomes(List.of(WorkItemOutcome.done(3, "handle", "a"), WorkItemOutcome.failed(4))),
+				new PeerMessage.Outcomes(
+						List.of(WorkItemOutcome.done(3, "handle", "a", 1_700_000_000_005L), WorkItemOutcome.failed(4))),
 				new PeerMessage.Cancellation(8), new PeerMessage.Release("stage", List.of("h1", "h2"), true),
 				new PeerMessage.CrashReport("print", "engine"));
 		for (PeerMessage message : messages) {
