Bound the memory that the bodies of callers hold together

Cause: nothing bounded the bodies of all connections together. Once they had used up direct memory, each read tried for half a second to get a buffer, on the only event loop. A connection that should not be read was read on until its request was whole, because the aggregator asks for more by itself.

A large body of a stated length gets memory for all of it or is not read; after a second in all its request is refused with 503 and a spread Retry-After, and what its caller still sends is dropped. At most 16 KiB are read from a caller at once.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -20,6 +22,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -28,7 +31,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import org.fulmargap.catalog.RequestLimits;
+import org.fulmargap.entry.EventLog;
 
 /**
  * The connection of one caller. Passes its requests to the handler one at a time, in
@@ -61,6 +66,18 @@
 	/** How long such a caller may go on sending, in milliseconds. */
 	private static final long MAX_LINGER_MS = 10_000;
 
+	/**
+	 * How long a body waits for memory in all before its request is refused, in
+	 * milliseconds.
+	 */
+	private static final long MAX_MEMORY_WAIT_MS = 1_000;
+
+	/**
+	 * The shortest time after which a request that found no memory may be sent again, in
+	 * seconds. The longest one is a second more.
+	 */
+	private static final double MEMORY_RETRY_AFTER_S = 0.5;
+
 	private final CallerServer server;
 
 	private final Deque<Exchange> pipelined = new ArrayDeque<>();
@@ -100,6 +117,14 @@
 	// At the last check of the idle timeout.
 	private long lastUnwrittenBytes;
 
+	// Refuses the request whose body waits for memory; null if none does.
+	private Future<?> memoryTimer;
+
+	private long memoryWaitSinceMs;
+
+	// How long the body that is being received has waited for memory before.
+	private long memoryWaitedMs;
+
 	CallerConnection(CallerServer server) {
 		this.server = server;
 		this.idleSinceMs = server.nowMs();
@@ -113,10 +138,67 @@
 
 	/**
 	 * Records that the head of a request was read.
-	 * @param headers the headers of the request
+	 * @param head the head of the request
 	 */
-	void receiving(HttpHeaders headers) {
-		this.receiving = new OpenRequest(headers, this.server.nowMs());
+	void receiving(HttpRequest head) {
+		String account = head.headers().get(HttpHeaderNames.AUTHORIZATION, "");
+		this.receiving = new OpenRequest(head, this.server.nowMs(),
+				this.server.memory().share(account, HttpUtil.getContentLength(head, 0L), this::memoryAvailable));
+		this.memoryWaitedMs = 0;
+	}
+
+	/**
+	 * Records that a part of the body of the request that is being received was read.
+	 * @param bytes the size of the part in bytes
+	 */
+	void bodyRead(int bytes) {
+		if (this.receiving != null) {
+			this.receiving.body().add(bytes);
+		}
+	}
+
+	private void memoryAvailable(boolean available) {
+		long nowMs = this.server.nowMs();
+		if (available) {
+			this.memoryTimer.cancel(false);
+			this.memoryTimer = null;
+			this.memoryWaitedMs += nowMs - this.memoryWaitSinceMs;
+		}
+		else {
+			this.memoryWaitSinceMs = nowMs;
+			this.memoryTimer = scheduleMemoryTimeout(Math.max(0, MAX_MEMORY_WAIT_MS - this.memoryWaitedMs));
+		}
+		updateReading();
+	}
+
+	private Future<?> scheduleMemoryTimeout(long afterMs) {
+		return this.context.channel().eventLoop().schedule(this::memoryTimedOut, afterMs, TimeUnit.MILLISECONDS);
+	}
+
+	// An answer is due only when those to earlier requests are written.
+	private void memoryTimedOut() {
+		if (hasRequests()) {
+			this.memoryTimer = scheduleMemoryTimeout(MAX_MEMORY_WAIT_MS);
+		}
+		else if (!this.closing) {
+			refuseReceiving();
+		}
+	}
+
+	private void refuseReceiving() {
+		OpenRequest refused = this.receiving;
+		EventLog.request("body_refused", refused.id())
+			.with("received_bytes", refused.body().receivedBytes())
+			.with("all_bytes", this.server.memory().usedBytes())
+			.with("age_ms", this.server.nowMs() - refused.sinceMs())
+			.write();
+		this.receiving = null;
+		this.partial = false;
+		this.requestDropped = true;
+		Exchange exchange = new Exchange(RequestAggregator.withoutBody(refused.head()), refused);
+		exchange.keepAlive = false;
+		this.current = exchange;
+		exchange.refuseForNow();
 	}
 
 	/**
@@ -150,10 +232,11 @@
 	// A head that can't be accepted is passed on without a call of receiving().
 	private OpenRequest received(FullHttpRequest request) {
 		if (this.receiving == null) {
-			receiving(request.headers());
+			receiving(request);
 		}
 		OpenRequest received = this.receiving;
 		this.receiving = null;
+		received.body().whole();
 		return received;
 	}
 
@@ -200,15 +283,31 @@
 	public void channelInactive(ChannelHandlerContext context) {
 		this.server.closed(this);
 		logOpenRequest();
-		this.pipelined.forEach((waiting) -> waiting.request.release());
+		this.pipelined.forEach((waiting) -> {
+			waiting.request.release();
+			waiting.open.end();
+		});
 		this.pipelined.clear();
+		endReceiving();
 		Exchange abandoned = this.current;
 		this.current = null;
+		if (abandoned != null) {
+			abandoned.open.end();
+		}
 		if (abandoned != null && abandoned.listener != null) {
 			abandoned.listener.callerLeft();
 		}
 	}
 
+	private void endReceiving() {
+		if (this.memoryTimer != null) {
+			this.memoryTimer.cancel(false);
+		}
+		if (this.receiving != null) {
+			this.receiving.end();
+		}
+	}
+
 	private void logOpenRequest() {
 		if (this.cut != null) {
 			logClosed(this.cut, OpenRequest.Progress.ANSWERING);
@@ -323,7 +422,7 @@
 	}
 
 	private boolean mayRead() {
-		return !this.readingStopped && this.pipelined.size() < MAX_PIPELINED;
+		return !this.readingStopped && this.pipelined.size() < MAX_PIPELINED && this.memoryTimer == null;
 	}
 
 	void closeIfUnused() {
@@ -337,6 +436,7 @@
 			return;
 		}
 		this.current = null;
+		exchange.open.end();
 		this.idleSinceMs = this.server.nowMs();
 		if (!exchange.keepAlive) {
 			this.closing = true;
@@ -363,6 +463,7 @@
 			return;
 		}
 		this.lingering = true;
+		endReceiving();
 		this.context.pipeline().remove(HttpRequestDecoder.class);
 		this.context.pipeline().remove(RequestAggregator.class);
 		((DuplexChannel) this.context.channel()).shutdownOutput();
@@ -406,6 +507,13 @@
 			this.keepAlive = HttpUtil.isKeepAlive(request);
 		}
 
+		private void refuseForNow() {
+			double afterSeconds = MEMORY_RETRY_AFTER_S + ThreadLocalRandom.current().nextDouble();
+			HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+			headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", afterSeconds));
+			answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
+		}
+
 		private void refuse(HttpResponseStatus status) {
 			answer(status.code(), DefaultHttpHeadersFactory.headersFactory().newHeaders(), Unpooled.EMPTY_BUFFER);
 		}
@@ -478,6 +586,7 @@
 			if (!isFinished()) {
 				CallerConnection.this.current = null;
 				CallerConnection.this.cut = this.open;
+				this.open.end();
 				close(CloseReason.ABORTED);
 			}
 		}
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -28,6 +29,13 @@
 
 	private static final int MAX_CHUNK_BYTES = 65_536;
 
+	/** The most that is read from a connection at once, in bytes. */
+	private static final int MAX_READ_BYTES = 16_384;
+
+	private static final int FIRST_READ_BYTES = 2_048;
+
+	private static final int MIN_READ_BYTES = 512;
+
 	private static final long SWEEP_INTERVAL_MS = 1_000;
 
 	private final EventLoop loop;
@@ -40,6 +48,8 @@
 
 	private final CallerHandler handler;
 
+	private final RequestMemory memory = new RequestMemory();
+
 	private boolean draining;
 
 	private ListeningPort port;
@@ -70,6 +80,8 @@
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.RECVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
@@ -147,6 +159,10 @@
 		return this.handler;
 	}
 
+	RequestMemory memory() {
+		return this.memory;
+	}
+
 	long nowMs() {
 		return this.clockMs.getAsLong();
 	}
--- a/entry/src/main/java/org/fulmargap/entry/caller/OpenRequest.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/OpenRequest.java
@@ -1,22 +1,30 @@
 package org.fulmargap.entry.caller;
 
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import org.fulmargap.platform.CallerHeaders;
 
 /**
  * A request of a caller that has no whole answer yet.
  *
- * @param headers the headers of the request
+ * @param head the head of the request
  * @param sinceMs when its head was read, in milliseconds
+ * @param body the memory that its body holds
  */
-record OpenRequest(HttpHeaders headers, long sinceMs) {
+record OpenRequest(HttpRequest head, long sinceMs, RequestMemory.Share body) {
 
 	/**
 	 * Returns the id of the caller's attempt.
 	 * @return the id, or an empty string
 	 */
 	String id() {
-		return CallerHeaders.decode((name) -> this.headers.get(name)).attemptId();
+		return CallerHeaders.decode((name) -> this.head.headers().get(name)).attemptId();
+	}
+
+	/**
+	 * Releases the memory of its body. Further calls change nothing.
+	 */
+	void end() {
+		this.body.close();
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/caller/RequestAggregator.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/RequestAggregator.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -48,7 +49,18 @@
 		if (!this.dropping) {
 			this.connection.partRead(part instanceof LastHttpContent);
 		}
+		int bytes = (part instanceof HttpContent content) ? content.content().readableBytes() : 0;
 		super.decode(context, part, whole);
+		if (!this.dropping && bytes > 0) {
+			this.connection.bodyRead(bytes);
+		}
+	}
+
+	// The aggregator would read on until the request is whole, whatever the connection
+	// has asked for.
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		context.fireChannelReadComplete();
 	}
 
 	// A caller that gets no interim answer sends the body after a while. Expectations
@@ -62,19 +74,27 @@
 
 	@Override
 	protected FullHttpMessage beginAggregation(HttpMessage head, ByteBuf content) throws Exception {
-		this.connection.receiving(head.headers());
+		this.connection.receiving((HttpRequest) head);
 		return super.beginAggregation(head, content);
 	}
 
 	@Override
 	protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-		HttpRequest head = (HttpRequest) oversized;
-		FullHttpRequest refused = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(),
-				Unpooled.EMPTY_BUFFER, head.headers(), DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+		FullHttpRequest refused = withoutBody((HttpRequest) oversized);
 		refused.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("the body is over the limit")));
 		this.dropping = true;
 		this.connection.partRead(true);
 		context.fireChannelRead(refused);
 	}
 
+	/**
+	 * Returns a request without its body.
+	 * @param head the head of the request
+	 * @return the request
+	 */
+	static FullHttpRequest withoutBody(HttpRequest head) {
+		return new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), Unpooled.EMPTY_BUFFER,
+				head.headers(), DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+	}
+
 }
