Read on after a body that was whole when it had to wait for memory

A head whose length is no number ended its connection without the 400 that it got before, because the length was read again.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -142,8 +142,10 @@
 	 */
 	void receiving(HttpRequest head) {
 		String account = head.headers().get(HttpHeaderNames.AUTHORIZATION, "");
+		// The length in a head that can't be accepted may be no number.
+		long statedBytes = (head.decoderResult().isSuccess()) ? HttpUtil.getContentLength(head, 0L) : 0;
 		this.receiving = new OpenRequest(head, this.server.nowMs(),
-				this.server.memory().share(account, HttpUtil.getContentLength(head, 0L), this::memoryAvailable));
+				this.server.memory().share(account, statedBytes, this::memoryAvailable));
 		this.memoryWaitedMs = 0;
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/caller/RequestMemory.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/RequestMemory.java
@@ -184,7 +184,10 @@
 		 */
 		void whole() {
 			this.whole = true;
-			this.waiting = false;
+			if (this.waiting) {
+				this.waiting = false;
+				this.listener.mayRead(true);
+			}
 		}
 
 		/**
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -134,6 +134,16 @@
 		}
 	}
 
+	@Test
+	void aHeadWhoseLengthIsNoNumberIsAnsweredWith400() throws Exception {
+		try (Socket socket = connect()) {
+			socket.getOutputStream()
+				.write("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			String received = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(received).startsWith("HTTP/1.1 400 ");
+		}
+	}
+
 	@Test
 	void aConnectionIsBusyUntilItsAnswerIsWritten() throws Exception {
 		try (Socket socket = connect()) {
--- a/entry/src/test/java/org/fulmargap/entry/caller/RequestMemoryTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/RequestMemoryTests.java
@@ -26,7 +26,7 @@
 
 	private RequestMemory memory;
 
-	private boolean hugeAllowed;
+	private boolean shareAllowed;
 
 	@BeforeTry
 	void empty() {
@@ -76,11 +76,22 @@
 		Body first = body("a");
 		first.receive(PART_BYTES);
 		RequestMemory.Share huge = this.memory.share("b", 2 * RequestMemory.MAX_TOTAL_BYTES,
-				(allowed) -> this.hugeAllowed = allowed);
+				(allowed) -> this.shareAllowed = allowed);
 		huge.add(PART_BYTES);
-		assertThat(this.hugeAllowed).isFalse();
+		assertThat(this.shareAllowed).isFalse();
 		first.share.close();
-		assertThat(this.hugeAllowed).isTrue();
+		assertThat(this.shareAllowed).isTrue();
+	}
+
+	@Example
+	void aBodyThatIsWholeWaitsForNoMemory() {
+		this.memory.share("a", RequestMemory.MAX_TOTAL_BYTES, (allowed) -> {
+		}).add(PART_BYTES);
+		RequestMemory.Share last = this.memory.share("b", 0, (allowed) -> this.shareAllowed = allowed);
+		last.add(PART_BYTES);
+		assertThat(this.shareAllowed).isFalse();
+		last.whole();
+		assertThat(this.shareAllowed).isTrue();
 	}
 
 	@Example
