--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -266,6 +266,7 @@
 			socket.getOutputStream()
 				.write("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 					.getBytes(StandardCharsets.US_ASCII));
+			awaitBusyConnection();
 			for (int sentMs = 0; sentMs < 60_000; sentMs += STALL_MS) {
 				socket.getOutputStream().write("1\r\nx\r\n".getBytes(StandardCharsets.US_ASCII));
 				Thread.sleep(SILENCE_MS / 3);
@@ -347,6 +348,14 @@
 		}
 	}
 
+	// The first head that a JVM reads may take it a while.
+	private void awaitBusyConnection() throws InterruptedException {
+		long limitAtMs = System.currentTimeMillis() + STALL_MS;
+		while (busyConnections() == 0 && System.currentTimeMillis() < limitAtMs) {
+			Thread.sleep(1);
+		}
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.server::busyConnections).sync().getNow();
 	}
