--- a/entry/src/main/java/org/fulmargap/entry/caller/RequestMemory.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/RequestMemory.java
@@ -3,7 +3,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Stream;
 
 /**
  * Limits the memory that the bodies of callers' requests hold together, from their first
