--- a/core/src/main/java/org/fulmargap/placement/EndpointRecord.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointRecord.java
@@ -14,22 +14,24 @@
  * @param coldForMs how long it stays cold from the time of the record, in milliseconds
  * @param startedAtMs when it started, in milliseconds since the epoch; 0 if not stated
  * @param sequence the number of the record among those of its process
+ * @param softwareVersion the version of its software, or an empty string if not stated
  */
 public record EndpointRecord(String id, String service, String address, String failureDomain, int slots,
-		boolean draining, long coldForMs, long startedAtMs, long sequence) {
+		boolean draining, long coldForMs, long startedAtMs, long sequence, String softwareVersion) {
 
 	/**
 	 * Creates a record.
-	 * @throws NullPointerException if id, service or address is null
+	 * @throws NullPointerException if id, service, address or software version is null
 	 */
 	public EndpointRecord {
 		Objects.requireNonNull(id, "id");
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(address, "address");
+		Objects.requireNonNull(softwareVersion, "softwareVersion");
 	}
 
 	/**
-	 * Creates a record without a number.
+	 * Creates a record without a number and a software version.
 	 * @param id the name of the endpoint
 	 * @param service the service that it belongs to
 	 * @param address its address as {@code IP:port}
@@ -41,7 +43,7 @@
 	 */
 	public EndpointRecord(String id, String service, String address, String failureDomain, int slots, boolean draining,
 			long coldForMs, long startedAtMs) {
-		this(id, service, address, failureDomain, slots, draining, coldForMs, startedAtMs, 0);
+		this(id, service, address, failureDomain, slots, draining, coldForMs, startedAtMs, 0, "");
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -92,6 +92,9 @@
 	 */
 	private static final long COPY_OUTDATED_MS = 6_000;
 
+	/** The length of the longest version that is logged whole, in characters. */
+	private static final int MAX_LOGGED_LENGTH = 100;
+
 	private final StoreClient store;
 
 	private final EventLoop loop;
@@ -463,6 +466,7 @@
 					.with("endpoint", endpoint.id())
 					.with("service", endpoint.service())
 					.with("domain", endpoint.failureDomain())
+					.with("software_version", EventLog.cut(endpoint.softwareVersion(), MAX_LOGGED_LENGTH))
 					.with("cold_ms", endpoint.coldForMs())
 					.with("offset", record.offset())
 					.write();
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -93,7 +93,7 @@
 
 	private final StageRun stageRun;
 
-	private final Set<String> triedEndpoints = new HashSet<>();
+	private final RequestCandidates candidates;
 
 	// Endpoints that were replaced may be listed with the same address.
 	private final Set<String> calledAddresses = new HashSet<>();
@@ -128,6 +128,7 @@
 			.services()
 			.getOrDefault(serviceName, new ServiceSpec(serviceName, 0, 0, null, null));
 		this.account = account;
+		this.candidates = new RequestCandidates(services, this.service.name(), priority());
 		this.fingerprint = fingerprint;
 		this.sharedParts = request.prompt().sharedParts();
 		this.arrivedAtMs = services.nowMs();
@@ -150,8 +151,8 @@
 		long nowMs = this.arrivedAtMs;
 		Placement.Demand demand = new Placement.Demand(this.request.prompt(), List.of());
 		return this.services.placement()
-			.choose(this.services.view().directory().available(this.service.name(), nowMs), Set.of(), this.service,
-					demand, this.services.peers().vmCount(), nowMs);
+			.choose(this.candidates.available(nowMs), Set.of(), this.service, demand, this.services.peers().vmCount(),
+					nowMs);
 	}
 
 	private long promptMs(Optional<Choice> engine) {
@@ -170,7 +171,7 @@
 			.schedule(this::deadlinePassed, this.deadlineAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
 		this.services.openRequests().add(this);
 		this.services.retryBudget().firstRequest(this.service.name(), this.arrivedAtMs);
-		if (isSetAside(this.arrivedAtMs) || limitWaitMs(this.arrivedAtMs) > 0) {
+		if (isSetAside(this.arrivedAtMs) || this.candidates.limitWaitMs(this.arrivedAtMs) > 0) {
 			refuseWithoutEndpoint();
 			return;
 		}
@@ -192,12 +193,6 @@
 				|| this.stageRun.services().anyMatch((stage) -> directory.isSetAside(stage, nowMs));
 	}
 
-	// The time until this VM may send to one of the endpoints, if all have limits.
-	private long limitWaitMs(long nowMs) {
-		return this.services.limits()
-			.waitMs(this.services.view().directory().available(this.service.name(), nowMs), priority(), nowMs);
-	}
-
 	// Whether the stages and then a number of runs, one after the other, can be done
 	// before this VM stops.
 	private boolean isTimeFor(double stagesMs, int runs, long nowMs) {
@@ -306,10 +301,9 @@
 			return;
 		}
 		Placement.Demand demand = new Placement.Demand(this.request.prompt(), this.stageRun.finalInputs());
-		List<Endpoint> available = this.services.view().directory().available(this.service.name(), nowMs);
 		Optional<Choice> choice = this.services.placement()
-			.choose(this.services.limits().sendable(available, priority(), nowMs), this.triedEndpoints, this.service,
-					demand, this.services.peers().vmCount(), nowMs);
+			.choose(this.candidates.sendable(nowMs), this.candidates.tried(), this.service, demand,
+					this.services.peers().vmCount(), nowMs);
 		if (choice.isEmpty()) {
 			waitForEndpoint(nowMs);
 			return;
@@ -330,12 +324,7 @@
 	// An available endpoint that was not chosen, for example because the rate of requests
 	// to cold endpoints is limited, may accept the request a little later.
 	private void waitForEndpoint(long nowMs) {
-		List<Endpoint> untried = this.services.view()
-			.directory()
-			.available(this.service.name(), nowMs)
-			.stream()
-			.filter((endpoint) -> !this.triedEndpoints.contains(endpoint.record().id()))
-			.toList();
+		List<Endpoint> untried = this.candidates.untried(nowMs);
 		long waitedMs = nowMs - this.arrivedAtMs;
 		boolean worthWaiting = !untried.isEmpty()
 				&& (hasProgress() || this.services.limits().waitMs(untried, priority(), nowMs) == 0);
@@ -352,12 +341,7 @@
 		if (!this.services.retryBudget().hasRetry(this.service.name(), vmCount, nowMs)) {
 			return false;
 		}
-		List<Endpoint> available = this.services.view().directory().available(this.service.name(), nowMs);
-		return this.services.limits()
-			.sendable(available, priority(), nowMs)
-			.stream()
-			.anyMatch((endpoint) -> endpoint != called && !this.triedEndpoints.contains(endpoint.record().id())
-					&& !endpoint.isSuspended(nowMs));
+		return this.candidates.hasOther(called, nowMs);
 	}
 
 	// Whether stages or runs were made, which a refusal would make useless.
@@ -384,7 +368,7 @@
 	}
 
 	private void refuseByLimits(long nowMs) {
-		long waitMs = limitWaitMs(nowMs);
+		long waitMs = this.candidates.limitWaitMs(nowMs);
 		if (waitMs > 0) {
 			this.services.limits().refused(this.service.name(), priority(), waitMs, nowMs);
 			refuse(Refusal.ENDPOINTS_LIMITED, waitMs);
@@ -487,7 +471,7 @@
 			this.runs++;
 		}
 		String id = failed.endpoint.record().id();
-		this.triedEndpoints.add(id);
+		this.candidates.addTried(id);
 		long nowMs = this.services.nowMs();
 		boolean allowed = (!this.stream.hasBegun() || this.route.resumable())
 				&& RetryRule.mayRetry(this.route.isRetryable(), failure.mayHaveRun(), this.runs,
@@ -781,7 +765,7 @@
 					.write();
 				recordError(nowMs);
 				flow.runs++;
-				flow.triedEndpoints.add(this.endpoint.record().id());
+				flow.candidates.addTried(this.endpoint.record().id());
 				flow.dispatch();
 				return;
 			}
