--- /dev/null
+++ b/core/src/main/java/org/fulmargap/rollout/VersionEvidence.java
@@ -0,0 +1,75 @@
+package org.fulmargap.rollout;
+
+import java.util.Collection;
+
+/**
+ * Compares the answers of two software versions on the same routes over the same time.
+ */
+final class VersionEvidence {
+
+	/** Fewer bad answers are no evidence, in answers. */
+	private static final int MIN_BAD_ANSWERS = 5;
+
+	/**
+	 * From this many bad answers on, those of a single endpoint count as well, in
+	 * answers. Operators bound what follows the 50th.
+	 */
+	private static final int MAX_BAD_ANSWERS_OF_ONE_ENDPOINT = 25;
+
+	/**
+	 * The half width of the confidence intervals, in standard deviations: about one in a
+	 * hundred on each side, because the comparison is repeated with each heartbeat.
+	 */
+	private static final double CONFIDENCE = 2.3;
+
+	/**
+	 * A share of bad answers that is higher by less than this is not the fault of a
+	 * version.
+	 */
+	private static final double MIN_DIFFERENCE = 0.03;
+
+	private VersionEvidence() {
+	}
+
+	/**
+	 * Returns whether the new version is worse on one of the routes or on all together.
+	 * @param routes the answers by route
+	 * @return {@code true} if the difference is statistically significant
+	 */
+	static boolean isWorse(Collection<RouteCounts> routes) {
+		RouteCounts all = routes.stream().reduce(RouteCounts.NONE, RouteCounts::plus);
+		return isWorse(all) || routes.stream().anyMatch(VersionEvidence::isWorse);
+	}
+
+	private static boolean isWorse(RouteCounts counts) {
+		AnswerCounts updated = counts.updated();
+		AnswerCounts compared = (updated.bad() >= MAX_BAD_ANSWERS_OF_ONE_ENDPOINT) ? updated
+				: counts.updatedWithoutWorst();
+		return compared.bad() >= MIN_BAD_ANSWERS && lowerBound(compared) > upperBound(counts.old()) + MIN_DIFFERENCE;
+	}
+
+	// The bounds of the Wilson score interval of the share of bad answers.
+	private static double lowerBound(AnswerCounts counts) {
+		return (counts.answered() > 0) ? Math.max(0, center(counts) - halfWidth(counts)) : 0;
+	}
+
+	private static double upperBound(AnswerCounts counts) {
+		// Without answers of the old version, nothing is known of what is usual, and bad
+		// answers are taken as the fault of the new one.
+		return (counts.answered() > 0) ? Math.min(1, center(counts) + halfWidth(counts)) : 0;
+	}
+
+	private static double center(AnswerCounts counts) {
+		double n = counts.answered();
+		double share = counts.bad() / n;
+		return (share + CONFIDENCE * CONFIDENCE / (2 * n)) / (1 + CONFIDENCE * CONFIDENCE / n);
+	}
+
+	private static double halfWidth(AnswerCounts counts) {
+		double n = counts.answered();
+		double share = counts.bad() / n;
+		double variance = share * (1 - share) / n + CONFIDENCE * CONFIDENCE / (4 * n * n);
+		return CONFIDENCE / (1 + CONFIDENCE * CONFIDENCE / n) * Math.sqrt(variance);
+	}
+
+}
