Let streams go on only at the software version that began them

What two versions write doesn't fit together, and endpoints don't check it. A request now is restricted to the version of its first event. While a service has several versions, VMs announce where streams began, and one VM writes it to the store in a ring of records, so that VMs that start after all were killed know it.

--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -393,6 +393,20 @@
 			.max(Comparator.comparingLong((endpoint) -> endpoint.record().startedAtMs()));
 	}
 
+	/**
+	 * Returns the software versions of the known endpoints of each service, including
+	 * draining and removed ones.
+	 * @return the versions by service
+	 */
+	public Map<String, Set<String>> softwareVersions() {
+		Map<String, Set<String>> versions = new HashMap<>();
+		for (Endpoint endpoint : this.byId.values()) {
+			EndpointRecord record = endpoint.record();
+			versions.computeIfAbsent(record.service(), (name) -> new HashSet<>()).add(record.softwareVersion());
+		}
+		return versions;
+	}
+
 	/**
 	 * Returns all known endpoints, including draining and removed ones.
 	 * @return the endpoints
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -124,6 +124,8 @@
 
 	private final QuarantineSync quarantineSync;
 
+	private final StreamVersions streamVersions;
+
 	private final StoreWatch watch;
 
 	private final Drain drain;
@@ -146,16 +148,19 @@
 		this.dispatcher = new StageCallDispatcher(this.loop, this.clockMs, this.view, pool, retries,
 				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.setAside, this.metrics);
 		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
+		this.store = new StoreClient(settings.storeAddress());
+		this.streamVersions = new StreamVersions(this.store, this.loop, this.clockMs, this.view.directory(), this.peers,
+				this.metrics);
 		OpenRequests openRequests = new OpenRequests();
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine,
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
-				new CallerTimes(), openRequests, this.setAside, new EndpointLimits(this::limitShare), this.metrics);
+				new CallerTimes(), openRequests, this.setAside, this.streamVersions,
+				new EndpointLimits(this::limitShare), this.metrics);
 		this.view.onEndpointChange((record) -> openRequests.endpointChanged());
 		RequestRouter router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, router);
-		this.store = new StoreClient(settings.storeAddress());
 		this.drain = new Drain(settings, this.loop, this.clockMs, this.callers, this.peers, router, openRequests,
 				this.dispatcher, this.store::calls);
 		this.quarantineSync = new QuarantineSync(this.store, this.loop, this.clockMs, this.promptParts, this.peers);
@@ -262,6 +267,9 @@
 		else if (message instanceof PeerMessage.Release release) {
 			this.stages.receive(release);
 		}
+		else if (message instanceof PeerMessage.StreamBegun begun) {
+			this.streamVersions.heard(begun.origin());
+		}
 		else if (message instanceof PeerMessage.RecordsRequest request) {
 			this.watch.sendRecords(peer, request);
 		}
@@ -329,6 +337,7 @@
 	public void hubsChosen(long nowMs) {
 		this.watch.update(nowMs);
 		this.quarantineSync.update(nowMs);
+		this.streamVersions.update(nowMs);
 	}
 
 	@Override
@@ -365,6 +374,7 @@
 	public void close() {
 		this.watch.close();
 		this.quarantineSync.close();
+		this.streamVersions.close();
 		this.store.close();
 		// Without a quiet period the event loop may end before it has closed its
 		// connections.
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -141,7 +141,7 @@
 		this.quarantine = quarantine;
 		this.registration = new MemberRegistration(store, own);
 		this.source = new RecordSource(clockMs.getAsLong());
-		for (StoreTopic topic : StoreTopic.values()) {
+		for (StoreTopic topic : StoreTopic.FOLLOWED) {
 			this.topics.put(topic, new TopicView());
 			this.lags.put(topic, new RecordLag());
 			this.positions.put(topic, new AtomicReference<>(StorePosition.UNREAD));
@@ -245,6 +245,7 @@
 			case ENDPOINTS -> applyEndpointPage(fresh);
 			case MEMBERS -> applyMemberPage(fresh);
 			case QUARANTINE -> this.quarantine.apply(fresh.records());
+			case STATUS, VERSIONS, STREAMS -> throw new IllegalStateException("not followed: " + topic);
 		}
 	}
 
@@ -274,7 +275,7 @@
 			case OPERATOR -> this.restoredOperator.restored(this.newestHistoryAtMs);
 			case ENDPOINTS -> this.restoredEndpoints.restored(this.newestHistoryAtMs);
 			case QUARANTINE -> this.quarantine.restored(known.position().history());
-			case MEMBERS -> {
+			case MEMBERS, STATUS, VERSIONS, STREAMS -> {
 			}
 		}
 	}
@@ -318,7 +319,7 @@
 	 */
 	List<StorePosition> positions() {
 		List<StorePosition> known = new ArrayList<>();
-		for (StoreTopic topic : StoreTopic.values()) {
+		for (StoreTopic topic : StoreTopic.FOLLOWED) {
 			known.add(this.topics.get(topic).position());
 		}
 		return known;
@@ -336,7 +337,7 @@
 	void comparePositions(String peer, List<StorePosition> peerPositions, long nowMs) {
 		this.source.peerCompared(peer, isInEarlierHistory(peerPositions));
 		long patienceMs = (isStoreReached()) ? BEHIND_MS : 0;
-		for (StoreTopic topic : StoreTopic.values()) {
+		for (StoreTopic topic : StoreTopic.FOLLOWED) {
 			if (topic.ordinal() < peerPositions.size()) {
 				StorePosition own = this.topics.get(topic).position();
 				StorePosition theirs = peerPositions.get(topic.ordinal());
@@ -365,6 +366,9 @@
 	 * @param request the topic and the first offset
 	 */
 	void sendRecords(String peer, PeerMessage.RecordsRequest request) {
+		if (!this.topics.containsKey(request.topic())) {
+			return;
+		}
 		StorePage page = this.topics.get(request.topic()).since(request.from());
 		if (page.position().isRead()) {
 			this.peers.send(peer, new PeerMessage.Records(request.topic(), request.from(), page));
@@ -378,6 +382,9 @@
 	 * @param nowMs the current time in milliseconds
 	 */
 	void received(String peer, PeerMessage.Records records, long nowMs) {
+		if (!this.topics.containsKey(records.topic())) {
+			return;
+		}
 		StorePage page = records.page();
 		StorePosition own = this.topics.get(records.topic()).position();
 		StorePosition from = new StorePosition(page.history(), records.from());
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
@@ -0,0 +1,392 @@
+package org.fulmargap.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+import org.fulmargap.entry.peer.PeerMessage;
+import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.placement.EndpointDirectory;
+import org.fulmargap.platform.KeyedRecord;
+import org.fulmargap.platform.MalformedRecordException;
+import org.fulmargap.platform.StoreClient;
+import org.fulmargap.platform.StoreException;
+import org.fulmargap.platform.StoreTopic;
+import org.fulmargap.platform.StreamRecords;
+import org.fulmargap.stream.ServiceVersions;
+import org.fulmargap.stream.StreamOrigin;
+import org.fulmargap.stream.StreamOrigins;
+
+/**
+ * Finds the software version at which a stream that is taken up must go on. Only while a
+ * service has several versions do VMs tell each other where streams began, and one of
+ * them writes it to the store for VMs that start. Confined to the event loop, except for
+ * the calls to the store.
+ */
+public final class StreamVersions implements AutoCloseable {
+
+	/** The interval at which origins are written, in milliseconds. */
+	private static final long WRITE_INTERVAL_MS = 250;
+
+	/** The interval at which a mixed service's versions are written, in milliseconds. */
+	private static final long VERSIONS_INTERVAL_MS = 5_000;
+
+	/**
+	 * The number of records for origins. Each is replaced after this many intervals, when
+	 * the streams in it have ended.
+	 */
+	private static final int RECORDS = 160;
+
+	/** The number of origins in a record. */
+	private static final int MAX_ORIGINS_PER_RECORD = 1_000;
+
+	/** Further origins are dropped while the store accepts no writes. */
+	private static final int MAX_PENDING = 10_000;
+
+	/** The size of the longest key of a record, in bytes. */
+	private static final int MAX_KEY_BYTES = 255;
+
+	/**
+	 * How far the clocks of two VMs may differ, in milliseconds: a version counts as
+	 * listed lately for this much longer after a start.
+	 */
+	private static final long CLOCK_TOLERANCE_MS = 10_000;
+
+	/** The length of the longest attempt id that is logged whole, in characters. */
+	private static final int MAX_LOGGED_LENGTH = 100;
+
+	/** The name whose coordinator writes. */
+	private static final String DUTY = "streams";
+
+	private final StoreClient store;
+
+	private final EventLoop loop;
+
+	private final LongSupplier clockMs;
+
+	private final EndpointDirectory directory;
+
+	private final PeerNetwork peers;
+
+	private final EntryMetrics metrics;
+
+	private final long startedAtMs;
+
+	private final StreamOrigins origins = new StreamOrigins();
+
+	private final ServiceVersions versions = new ServiceVersions();
+
+	private final Set<String> mixedServices = new HashSet<>();
+
+	private final Deque<StreamOrigin> pending = new ArrayDeque<>();
+
+	private final Map<String, Long> versionsWrittenAtMs = new HashMap<>();
+
+	private final List<Runnable> waiting = new ArrayList<>();
+
+	// A single thread, started with the first call.
+	private final ExecutorService caller = Executors.newSingleThreadExecutor((task) -> {
+		Thread thread = new Thread(task, "stream-versions");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private History history = History.UNREAD;
+
+	private boolean writing;
+
+	private long nextWriteAtMs = Long.MIN_VALUE;
+
+	StreamVersions(StoreClient store, EventLoop loop, LongSupplier clockMs, EndpointDirectory directory,
+			PeerNetwork peers, EntryMetrics metrics) {
+		this.store = store;
+		this.loop = loop;
+		this.clockMs = clockMs;
+		this.directory = directory;
+		this.peers = peers;
+		this.metrics = metrics;
+		this.startedAtMs = clockMs.getAsLong();
+	}
+
+	/**
+	 * Records that a stream has begun at this VM.
+	 * @param origin where it began
+	 */
+	public void begun(StreamOrigin origin) {
+		long nowMs = this.clockMs.getAsLong();
+		this.origins.add(origin, true, nowMs);
+		this.versions.listed(origin.service(), origin.softwareVersion(), nowMs);
+		if (this.versions.isMixed(origin.service(), nowMs)) {
+			announce(origin);
+		}
+	}
+
+	private void announce(StreamOrigin origin) {
+		this.peers.announce(new PeerMessage.StreamBegun(origin));
+		addPending(origin);
+	}
+
+	/**
+	 * Records where a stream began at another VM.
+	 * @param origin where it began
+	 */
+	void heard(StreamOrigin origin) {
+		this.origins.add(origin, false, this.clockMs.getAsLong());
+		addPending(origin);
+	}
+
+	private void addPending(StreamOrigin origin) {
+		if (!isWriter()) {
+			this.pending.clear();
+		}
+		else if (this.pending.size() < MAX_PENDING) {
+			this.pending.add(origin);
+		}
+		else {
+			this.metrics.count("stream_origins_dropped");
+		}
+	}
+
+	private boolean isWriter() {
+		return this.peers.coordinatorOf(DUTY).equals(this.peers.ownName());
+	}
+
+	/**
+	 * Finds out where a stream that is taken up may go on. A VM that has started lately
+	 * reads from the store what it needs for the answer.
+	 * @param attemptId the id of the attempt that brought the first event, or an empty
+	 * string
+	 * @param service the service that is to go on with the stream
+	 * @param result receives the answer, possibly during this call
+	 */
+	public void resolve(String attemptId, String service, Consumer<StreamPlacement> result) {
+		long nowMs = this.clockMs.getAsLong();
+		update(nowMs);
+		boolean lacksHistory = nowMs - this.startedAtMs < ServiceVersions.LATELY_MS && this.history == History.UNREAD;
+		if (this.origins.find(attemptId).isPresent() || !lacksHistory) {
+			result.accept(placement(attemptId, service));
+			return;
+		}
+		this.waiting.add(() -> result.accept(placement(attemptId, service)));
+		if (this.waiting.size() == 1) {
+			this.caller.execute(this::readHistory);
+		}
+	}
+
+	private StreamPlacement placement(String attemptId, String service) {
+		long nowMs = this.clockMs.getAsLong();
+		StreamPlacement placement = this.origins.find(attemptId)
+			.map((origin) -> StreamPlacement.at(origin.softwareVersion()))
+			.orElseGet(() -> ofUnknownOrigin(service, nowMs));
+		EventLog.state("stream_taken_up")
+			.with("resumed", EventLog.cut(attemptId, MAX_LOGGED_LENGTH))
+			.with("service", service)
+			.with("placement", placement)
+			.with("versions", this.versions.lately(service, nowMs).size())
+			.with("history", this.history)
+			.write();
+		this.metrics.count("stream_taken_up_" + placement.kind().metric());
+		return placement;
+	}
+
+	private StreamPlacement ofUnknownOrigin(String service, long nowMs) {
+		boolean unsure = this.history == History.UNREADABLE && nowMs - this.startedAtMs < ServiceVersions.LATELY_MS;
+		return (unsure || this.versions.isMixed(service, nowMs)) ? StreamPlacement.UNKNOWN : StreamPlacement.ANYWHERE;
+	}
+
+	/**
+	 * Notices which versions the services have, and writes what VMs that start need.
+	 * Called with each heartbeat.
+	 * @param nowMs the current time in milliseconds
+	 */
+	void update(long nowMs) {
+		this.directory.softwareVersions().forEach((service, listed) -> {
+			listed.forEach((version) -> this.versions.listed(service, version, nowMs));
+			updateMixed(service, nowMs);
+		});
+		if (!this.writing && nowMs >= this.nextWriteAtMs && isWriter()) {
+			Map<String, byte[]> changes = dueRecords(nowMs);
+			if (!changes.isEmpty() || !this.pending.isEmpty()) {
+				write(changes, nowMs);
+			}
+		}
+	}
+
+	private void updateMixed(String service, long nowMs) {
+		boolean mixed = this.versions.isMixed(service, nowMs);
+		if (mixed && this.mixedServices.add(service)) {
+			logVersions("versions_mixed", service, nowMs);
+			this.origins.own(service, nowMs - ServiceVersions.LATELY_MS).forEach(this::announce);
+		}
+		else if (!mixed && this.mixedServices.remove(service)) {
+			logVersions("versions_uniform", service, nowMs);
+		}
+	}
+
+	private void logVersions(String event, String service, long nowMs) {
+		EventLog.state(event)
+			.with("service", service)
+			.with("versions", String.join(",", this.versions.lately(service, nowMs)))
+			.write();
+	}
+
+	// The times at which versions of mixed services were listed, by the key of the
+	// record.
+	private Map<String, byte[]> dueRecords(long nowMs) {
+		Map<String, byte[]> due = new HashMap<>();
+		long epochMs = System.currentTimeMillis();
+		for (String service : this.mixedServices) {
+			for (String version : this.versions.lately(service, nowMs)) {
+				String key = service + '/' + version;
+				boolean written = nowMs
+						- this.versionsWrittenAtMs.getOrDefault(key, Long.MIN_VALUE / 2) < VERSIONS_INTERVAL_MS;
+				if (!written && key.getBytes(StandardCharsets.UTF_8).length <= MAX_KEY_BYTES) {
+					due.put(key, StreamRecords.encodeTime(epochMs));
+				}
+			}
+		}
+		return due;
+	}
+
+	private void write(Map<String, byte[]> versionRecords, long nowMs) {
+		List<StreamOrigin> batch = new ArrayList<>();
+		while (!this.pending.isEmpty() && batch.size() < MAX_ORIGINS_PER_RECORD) {
+			batch.add(this.pending.poll());
+		}
+		this.writing = true;
+		this.nextWriteAtMs = nowMs + WRITE_INTERVAL_MS;
+		this.caller.execute(() -> {
+			boolean written = put(versionRecords, batch);
+			this.loop.execute(() -> written(versionRecords.keySet(), batch, written));
+		});
+	}
+
+	private boolean put(Map<String, byte[]> versionRecords, List<StreamOrigin> batch) {
+		try {
+			for (Map.Entry<String, byte[]> record : versionRecords.entrySet()) {
+				this.store.put(StoreTopic.VERSIONS, record.getKey(), record.getValue());
+			}
+			if (!batch.isEmpty()) {
+				long number = System.currentTimeMillis() / WRITE_INTERVAL_MS % RECORDS;
+				this.store.put(StoreTopic.STREAMS, Long.toString(number), StreamRecords.encode(batch));
+			}
+			return true;
+		}
+		catch (StoreException ex) {
+			EventLog.state("stream_origins_not_written")
+				.with("origins", batch.size())
+				.with("cause", ex.getMessage())
+				.write();
+			return false;
+		}
+	}
+
+	private void written(Set<String> versionKeys, List<StreamOrigin> batch, boolean written) {
+		long nowMs = this.clockMs.getAsLong();
+		this.writing = false;
+		if (written) {
+			versionKeys.forEach((key) -> this.versionsWrittenAtMs.put(key, nowMs));
+			this.metrics.add("stream_origins_written", batch.size());
+			return;
+		}
+		this.nextWriteAtMs = nowMs + VERSIONS_INTERVAL_MS / 5;
+		batch.forEach(this::addPending);
+	}
+
+	// Runs in the thread that calls the store.
+	private void readHistory() {
+		List<KeyedRecord> listed = List.of();
+		List<KeyedRecord> begun = List.of();
+		History result = History.READ;
+		try {
+			listed = this.store.newest(StoreTopic.VERSIONS).records();
+			begun = (listed.isEmpty()) ? List.of() : this.store.newest(StoreTopic.STREAMS).records();
+		}
+		catch (StoreException ex) {
+			result = History.UNREADABLE;
+			EventLog.state("stream_origins_not_read").with("cause", ex.getMessage()).write();
+		}
+		List<KeyedRecord> versionRecords = listed;
+		List<KeyedRecord> streamRecords = begun;
+		History outcome = result;
+		this.loop.execute(() -> historyRead(versionRecords, streamRecords, outcome));
+	}
+
+	private void historyRead(List<KeyedRecord> versionRecords, List<KeyedRecord> streamRecords, History outcome) {
+		this.history = outcome;
+		long nowMs = this.clockMs.getAsLong();
+		for (KeyedRecord record : versionRecords) {
+			applyVersion(record, nowMs);
+		}
+		for (KeyedRecord record : streamRecords) {
+			applyOrigins(record, nowMs);
+		}
+		List<Runnable> resolved = List.copyOf(this.waiting);
+		this.waiting.clear();
+		resolved.forEach(Runnable::run);
+	}
+
+	private void applyVersion(KeyedRecord record, long nowMs) {
+		int slash = record.key().lastIndexOf('/');
+		try {
+			long ageMs = System.currentTimeMillis() - StreamRecords.decodeTime(record.value()) - CLOCK_TOLERANCE_MS;
+			if (slash > 0) {
+				this.versions.listed(record.key().substring(0, slash), record.key().substring(slash + 1),
+						nowMs - Math.max(0, ageMs));
+			}
+		}
+		catch (MalformedRecordException ex) {
+			refused(record, ex);
+		}
+	}
+
+	private void applyOrigins(KeyedRecord record, long nowMs) {
+		try {
+			StreamRecords.decode(record.value()).forEach((origin) -> this.origins.add(origin, false, nowMs));
+		}
+		catch (MalformedRecordException ex) {
+			refused(record, ex);
+		}
+	}
+
+	private static void refused(KeyedRecord record, MalformedRecordException cause) {
+		EventLog.state("stream_record_refused")
+			.with("key", record.key())
+			.with("offset", record.offset())
+			.with("cause", cause.getMessage())
+			.write();
+	}
+
+	@Override
+	public void close() {
+		this.caller.shutdownNow();
+	}
+
+	/**
+	 * What is known of the time before this VM started.
+	 */
+	private enum History {
+
+		/** It has not been needed yet. */
+		UNREAD,
+
+		/** What the store has of it. */
+		READ,
+
+		/** The store could not be read. */
+		UNREADABLE
+
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -25,6 +25,7 @@
 import org.fulmargap.platform.StoreTopic;
 import org.fulmargap.routing.PartCrash;
 import org.fulmargap.routing.PartVerdict;
+import org.fulmargap.stream.StreamOrigin;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -152,6 +153,11 @@
 				write(out, part, nowMs);
 			}
 		}
+		else if (message instanceof PeerMessage.StreamBegun begun) {
+			StreamOrigin origin = begun.origin();
+			out.packInt(Type.STREAM_BEGUN.ordinal()).packString(origin.attemptId());
+			out.packString(origin.service()).packString(origin.softwareVersion());
+		}
 		else if (message instanceof PeerMessage.Ping ping) {
 			out.packInt(Type.PING.ordinal()).packBoolean(ping.answer()).packBoolean(ping.receiving());
 		}
@@ -613,6 +619,14 @@
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
 				return new PeerMessage.PromptPartVerdicts(readVerdicts(in, nowMs));
 			}
+		},
+
+		STREAM_BEGUN {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.StreamBegun(
+						new StreamOrigin(in.unpackString(), in.unpackString(), in.unpackString()));
+			}
 		};
 
 		abstract PeerMessage read(MessageUnpacker in, long nowMs) throws IOException;
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -14,6 +14,7 @@
 import org.fulmargap.platform.StoreTopic;
 import org.fulmargap.routing.PartCrash;
 import org.fulmargap.routing.PartVerdict;
+import org.fulmargap.stream.StreamOrigin;
 
 /**
  * A message between entry VMs.
@@ -175,6 +176,14 @@
 	record PromptPartVerdicts(List<PartVerdict> verdicts) implements PeerMessage {
 	}
 
+	/**
+	 * Reports where a stream began, while its service has several software versions.
+	 *
+	 * @param origin the origin
+	 */
+	record StreamBegun(StreamOrigin origin) implements PeerMessage {
+	}
+
 	/**
 	 * Several messages in one frame, in the order in which they are to be handled.
 	 *
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -514,7 +514,8 @@
 
 	private static boolean isEvent(PeerMessage message) {
 		return message instanceof PeerMessage.PromptSent || message instanceof PeerMessage.CrashReport
-				|| message instanceof PeerMessage.PromptPartCrash || message instanceof PeerMessage.PromptPartsAnswered;
+				|| message instanceof PeerMessage.PromptPartCrash || message instanceof PeerMessage.PromptPartsAnswered
+				|| message instanceof PeerMessage.StreamBegun;
 	}
 
 	private void receiveHeartbeat(Peer peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
--- a/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -33,6 +33,15 @@
 	/** No endpoint accepts the request at present. */
 	NO_ENDPOINT(503, 300),
 
+	/** No endpoint has the software version at which the stream must go on. */
+	NO_SUCH_VERSION(503, 300),
+
+	/**
+	 * The stream may have begun at any of several software versions, so it goes on at
+	 * none.
+	 */
+	UNKNOWN_VERSION(503, 1_000),
+
 	/**
 	 * All endpoints that could run the request asked for rest. The caller may retry after
 	 * the earliest end of it, not before.
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestCandidates.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestCandidates.java
@@ -20,6 +20,9 @@
 
 	private final Set<String> tried = new HashSet<>();
 
+	// The only version that may get the request; null if all may.
+	private String softwareVersion;
+
 	RequestCandidates(RequestServices services, String service, int priority) {
 		this.services = services;
 		this.service = service;
@@ -32,7 +35,31 @@
 	 * @return the endpoints
 	 */
 	List<Endpoint> available(long nowMs) {
-		return this.services.view().directory().available(this.service, nowMs);
+		List<Endpoint> available = this.services.view().directory().available(this.service, nowMs);
+		return (this.softwareVersion != null) ? available.stream().filter(this::hasVersion).toList() : available;
+	}
+
+	private boolean hasVersion(Endpoint endpoint) {
+		return endpoint.record().softwareVersion().equals(this.softwareVersion);
+	}
+
+	/**
+	 * Restricts the request to endpoints of one software version, because what another
+	 * one would write doesn't continue its stream.
+	 * @param version the version
+	 */
+	void restrictTo(String version) {
+		this.softwareVersion = version;
+	}
+
+	/**
+	 * Returns whether the request is restricted to a software version that no available
+	 * endpoint has.
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if waiting for an endpoint makes no sense
+	 */
+	boolean lackVersion(long nowMs) {
+		return this.softwareVersion != null && available(nowMs).isEmpty();
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -20,6 +20,7 @@
 import org.fulmargap.catalog.ServiceSpec;
 import org.fulmargap.entry.ConfigInForce;
 import org.fulmargap.entry.EventLog;
+import org.fulmargap.entry.StreamPlacement;
 import org.fulmargap.entry.caller.CallerExchange;
 import org.fulmargap.entry.caller.CallerListener;
 import org.fulmargap.entry.endpoint.AnswerFault;
@@ -40,6 +41,7 @@
 import org.fulmargap.platform.EndpointHeaders;
 import org.fulmargap.platform.EndpointRequest;
 import org.fulmargap.routing.CrashQuarantine;
+import org.fulmargap.stream.StreamOrigin;
 
 /**
  * Handles one request from admission to the response: runs its stages, calls an endpoint,
@@ -175,6 +177,37 @@
 			refuseWithoutEndpoint();
 			return;
 		}
+		if (isContinuation()) {
+			this.services.streamVersions()
+				.resolve(this.request.resumedAttemptId(), this.service.name(), this::originResolved);
+			return;
+		}
+		admit();
+	}
+
+	private boolean isContinuation() {
+		return this.route.kind().isStreaming() && this.request.isContinuation();
+	}
+
+	private void originResolved(StreamPlacement placement) {
+		if (this.finished) {
+			return;
+		}
+		switch (placement.kind()) {
+			case ONE_VERSION -> this.candidates.restrictTo(placement.softwareVersion());
+			case UNKNOWN -> refuse(Refusal.UNKNOWN_VERSION);
+			case ANYWHERE -> {
+			}
+		}
+		if (this.candidates.lackVersion(this.services.nowMs())) {
+			refuse(Refusal.NO_SUCH_VERSION);
+		}
+		else if (!this.finished) {
+			admit();
+		}
+	}
+
+	private void admit() {
 		PipelineAdmission.ExpectedTimes expected = this.stageRun.estimate(this.services::availableEndpoints,
 				this.config.catalog(), this.arrivedAtMs);
 		if (!isTimeFor(expected.stagesMs(), 1, this.arrivedAtMs)) {
@@ -326,6 +359,10 @@
 	private void waitForEndpoint(long nowMs) {
 		List<Endpoint> untried = this.candidates.untried(nowMs);
 		long waitedMs = nowMs - this.arrivedAtMs;
+		if (this.candidates.lackVersion(nowMs)) {
+			refuse((this.runs > 0) ? Refusal.OUTCOME_UNKNOWN : Refusal.NO_SUCH_VERSION);
+			return;
+		}
 		boolean worthWaiting = !untried.isEmpty()
 				&& (hasProgress() || this.services.limits().waitMs(untried, priority(), nowMs) == 0);
 		if (worthWaiting && waitedMs + NO_ENDPOINT_PAUSE_MS < this.route.objectiveMs() / 2) {
@@ -466,6 +503,14 @@
 		finish();
 	}
 
+	private void streamBegun(EndpointRecord endpoint) {
+		this.candidates.restrictTo(endpoint.softwareVersion());
+		if (!isContinuation() && !this.request.attemptId().isEmpty()) {
+			this.services.streamVersions()
+				.begun(new StreamOrigin(this.request.attemptId(), this.service.name(), endpoint.softwareVersion()));
+		}
+	}
+
 	private void callFailed(Call failed, CallFailure failure) {
 		if (failure.mayHaveRun()) {
 			this.runs++;
@@ -707,6 +752,7 @@
 				this.endpoint.firstEvent(this.unreadTokens);
 				flow.services.metrics().time("first_event", nowMs - flow.arrivedAtMs);
 				flow.stageRun.close();
+				flow.streamBegun(this.calledRecord);
 				EventLog.request("first_event", flow.request.attemptId())
 					.with("endpoint", this.endpoint)
 					.with("after_ms", nowMs - this.sentAtMs)
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -9,6 +9,7 @@
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.SetAsideEndpoints;
 import org.fulmargap.entry.StoreView;
+import org.fulmargap.entry.StreamVersions;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
@@ -39,6 +40,7 @@
  * @param callerTimes the longest time that callers of each route allow
  * @param openRequests the requests that are not answered yet
  * @param setAside the endpoints that announced that they want no new work
+ * @param streamVersions finds where streams that are taken up may go on
  * @param limits the shares of this VM in the limits that endpoints named
  * @param metrics counters and latencies
  */
@@ -46,7 +48,7 @@
 		SharedRetryBudget retryBudget, CrashQuarantine quarantine, PromptPartWatch promptParts, EndpointPool pool,
 		StageClient stages, AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers,
 		ServiceTimes serviceTimes, RunTimes runTimes, CallerTimes callerTimes, OpenRequests openRequests,
-		SetAsideEndpoints setAside, EndpointLimits limits, EntryMetrics metrics) {
+		SetAsideEndpoints setAside, StreamVersions streamVersions, EndpointLimits limits, EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and probes the endpoint to find out
--- a/entry/src/test/java/org/fulmargap/entry/StreamVersionTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StreamVersionTests.java
@@ -21,6 +21,11 @@
 
 	private static final int OK = 200;
 
+	private static final int UNAVAILABLE = 503;
+
+	/** Some heartbeats between VMs, in milliseconds. */
+	private static final long HEARTBEATS_MS = 800;
+
 	private Installation installation;
 
 	private EndpointStandIn older;
@@ -72,6 +77,58 @@
 		}
 	}
 
+	private HttpRequest.Builder continuation(int vm, String attemptId, String resumed) {
+		return this.installation.attempt(vm, "/stream/x")
+			.setHeader(CallerWire.ATTEMPT_ID, attemptId)
+			.header("Resumes", resumed)
+			.header("Last-Event-Id", "2");
+	}
+
+	@Test
+	void aStreamGoesOnAtTheVersionThatBeganItAtAnotherVm() throws Exception {
+		this.installation.vm("vm-1");
+		this.installation.awaitReady();
+		listNewer();
+		assertThat(this.installation.send(stream("begun")).statusCode()).isEqualTo(OK);
+		EndpointStandIn other = (ran(this.newer, "begun")) ? this.older : this.newer;
+		Thread.sleep(HEARTBEATS_MS);
+		for (int i = 0; i < 4; i++) {
+			this.installation.send(continuation(1, "again" + i, "begun"));
+			assertThat(ran(other, "again" + i)).as("attempt %s ran at the other version", i).isFalse();
+		}
+	}
+
+	@Test
+	void aStreamGoesOnAtTheVersionThatBeganItAfterAllVmsWereKilled() throws Exception {
+		listNewer();
+		assertThat(this.installation.send(stream("begun")).statusCode()).isEqualTo(OK);
+		EndpointStandIn origin = (ran(this.newer, "begun")) ? this.newer : this.older;
+		Installation
+			.await(() -> this.installation.store().values("keyed.fulmargap-streams").toString().contains("\"begun\""));
+		this.installation.restart(0);
+		this.installation.awaitReady();
+		assertThat(this.installation.send(continuation(0, "again", "begun")).statusCode()).isEqualTo(OK);
+		assertThat(ran(origin, "again")).isTrue();
+	}
+
+	@Test
+	void aStreamOfAVersionThatLeftDoesNotGoOnAfterAllVmsWereKilled() throws Exception {
+		listNewer();
+		Installation
+			.await(() -> this.installation.store().values("keyed.fulmargap-versions").keySet().contains("pool/v1"));
+		this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "pool-1", "");
+		this.installation.restart(0);
+		this.installation.awaitReady();
+		int status = this.installation.send(continuation(0, "again", "unknown")).statusCode();
+		assertThat(status).isEqualTo(UNAVAILABLE);
+		assertThat(ran(this.newer, "again")).isFalse();
+	}
+
+	@Test
+	void aStreamOfUnknownOriginGoesOnIfOnlyOneVersionServes() throws Exception {
+		assertThat(this.installation.send(continuation(0, "again", "unknown")).statusCode()).isEqualTo(OK);
+	}
+
 	@Test
 	void aBrokenStreamDoesNotGoOnAtAnotherVersionInOneAnswer() throws Exception {
 		listNewer();
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -22,6 +22,7 @@
 import org.fulmargap.platform.StoreTopic;
 import org.fulmargap.routing.PartCrash;
 import org.fulmargap.routing.PartVerdict;
+import org.fulmargap.stream.StreamOrigin;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -44,7 +45,8 @@
 				new PeerMessage.Outcomes(
 						List.of(WorkItemOutcome.done(3, "handle", "a", 1_700_000_000_005L), WorkItemOutcome.failed(4))),
 				new PeerMessage.Cancellation(8), new PeerMessage.Release("stage", List.of("h1", "h2"), true),
-				new PeerMessage.CrashReport("print", "engine"));
+				new PeerMessage.CrashReport("print", "engine"),
+				new PeerMessage.StreamBegun(new StreamOrigin("attempt", "pool", "v2")));
 		for (PeerMessage message : messages) {
 			assertThat(PeerCodec.decode(PeerCodec.encode(message, 7), 7)).isEqualTo(message);
 		}
