Move the traffic of a service to another software version on an operator's order

An order under rollout/SERVICE is followed where the settings have exposure bounds. The progress is kept in the store with conditional writes, and the state is written for operators. RequestCandidates and the stage calls send each request to the version that the split allows.

--- a/core/src/main/java/org/fulmargap/fleet/LoadReport.java
+++ b/core/src/main/java/org/fulmargap/fleet/LoadReport.java
@@ -18,12 +18,27 @@
  * their records don't say it
  * @param limits what processes of endpoints said about the rates that they take from all
  * entry VMs together
+ * @param rollouts what the VMs have seen of rollouts, and what coordinators allow
  */
 public record LoadReport(Map<String, EndpointLoad> loads, Map<String, int[]> admittedItems,
 		Map<String, Map<String, Double>> availableEndpoints, Set<EndpointProcess> leaving,
-		Map<EndpointProcess, NamedLimit> limits) {
+		Map<EndpointProcess, NamedLimit> limits, RolloutExchange rollouts) {
 
 	/** No load. */
 	public static final LoadReport NONE = new LoadReport(Map.of(), Map.of(), Map.of(), Set.of(), Map.of());
 
+	/**
+	 * Creates a report without rollouts.
+	 * @param loads the requests in flight by endpoint
+	 * @param admittedItems the numbers of work items by rank, by service
+	 * @param availableEndpoints the available endpoints of each service by VM
+	 * @param leaving the processes of endpoints that are leaving
+	 * @param limits the rates that processes of endpoints take
+	 */
+	public LoadReport(Map<String, EndpointLoad> loads, Map<String, int[]> admittedItems,
+			Map<String, Map<String, Double>> availableEndpoints, Set<EndpointProcess> leaving,
+			Map<EndpointProcess, NamedLimit> limits) {
+		this(loads, admittedItems, availableEndpoints, leaving, limits, RolloutExchange.NONE);
+	}
+
 }
--- a/core/src/main/java/org/fulmargap/fleet/LoadReports.java
+++ b/core/src/main/java/org/fulmargap/fleet/LoadReports.java
@@ -62,6 +62,7 @@
 		Map<String, Map<String, Double>> available = new HashMap<>(own.availableEndpoints());
 		Set<EndpointProcess> leaving = new HashSet<>(own.leaving());
 		Map<EndpointProcess, NamedLimit> limits = new HashMap<>(own.limits());
+		RolloutExchange rollouts = own.rollouts();
 		own.admittedItems().forEach((service, items) -> admitted.put(service, items.clone()));
 		for (String vm : vms) {
 			Received received = this.reports.get(vm);
@@ -73,9 +74,10 @@
 			report.admittedItems().forEach((service, items) -> admitted.merge(service, items, LoadReports::add));
 			available.putAll(report.availableEndpoints());
 			leaving.addAll(report.leaving());
+			rollouts = rollouts.plus(report.rollouts());
 			report.limits().forEach((process, limit) -> limits.merge(process, limit, NamedLimit::newest));
 		}
-		return new LoadReport(loads, admitted, available, leaving, limits);
+		return new LoadReport(loads, admitted, available, leaving, limits, rollouts);
 	}
 
 	private static int[] add(int[] sum, int[] items) {
--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -30,6 +30,11 @@
 	 */
 	private static final long TAKEOVER_MS = 1_000;
 
+	/**
+	 * How long a process counts as new after its first record was read, in milliseconds.
+	 */
+	private static final long NEW_MS = 5_000;
+
 	private final Map<String, PeerLoad> peerLoads = new HashMap<>();
 
 	private final PrefixCache prefixCache = new PrefixCache();
@@ -50,6 +55,8 @@
 
 	private long tookOverAtMs = Long.MIN_VALUE / 2;
 
+	private long knownSinceMs;
+
 	private int inFlight;
 
 	private long prefillTokens;
@@ -64,6 +71,7 @@
 
 	Endpoint(EndpointRecord record, EndpointNotice notice, long nowMs) {
 		this.notice = notice;
+		this.knownSinceMs = nowMs;
 		update(record, nowMs);
 	}
 
@@ -79,6 +87,7 @@
 		if (this.record != null && !this.record.isSameProcess(record)) {
 			this.prefixCache.clear();
 			this.slowdownFactor = 1;
+			this.knownSinceMs = nowMs;
 		}
 		this.record = record;
 		this.removeAtMs = Long.MAX_VALUE;
@@ -88,6 +97,25 @@
 		clearTokens();
 	}
 
+	/**
+	 * Returns whether the process may have started shortly before, so that it is slower
+	 * than usual.
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} for a while after its first record was read
+	 */
+	public boolean isNew(long nowMs) {
+		return knownForMs(nowMs) < NEW_MS;
+	}
+
+	/**
+	 * Returns for how long the process has been known.
+	 * @param nowMs the current time in milliseconds
+	 * @return the time since its first record was read, in milliseconds
+	 */
+	public long knownForMs(long nowMs) {
+		return nowMs - this.knownSinceMs;
+	}
+
 	/**
 	 * Records that the process has the address of an earlier one.
 	 * @param nowMs the current time in milliseconds
--- a/core/src/main/java/org/fulmargap/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/fulmargap/rollout/RolloutDecision.java
@@ -107,7 +107,8 @@
 	}
 
 	private boolean mayRise(RolloutPhase phase, long stepAtMs, RolloutReport sum, ServiceState service, long nowMs) {
-		if (service.updatedEndpoints() == 0 || sum.vms() < service.vmsInTouch()) {
+		if (service.updatedEndpoints() == 0 || sum.vms() < service.vmsInTouch()
+				|| VersionEvidence.isSuspect(sum.routes().values())) {
 			return false;
 		}
 		long ageMs = nowMs - this.orderedAtMs;
--- a/core/src/main/java/org/fulmargap/rollout/RolloutStep.java
+++ b/core/src/main/java/org/fulmargap/rollout/RolloutStep.java
@@ -20,13 +20,35 @@
 		return new RolloutStep(orderId, 0, RolloutPhase.WAITING, 0, RolloutState.IN_PROGRESS);
 	}
 
-	RolloutStep next(RolloutPhase nextPhase, double nextShare) {
-		return new RolloutStep(this.orderId, this.number + 1, nextPhase, nextShare, RolloutState.IN_PROGRESS);
-	}
-
-	RolloutStep end(RolloutState finalState) {
+	/**
+	 * Returns the step that ends a rollout.
+	 * @param finalState the final state
+	 * @return the next step
+	 */
+	public RolloutStep end(RolloutState finalState) {
 		double finalShare = (finalState == RolloutState.COMPLETE) ? 1 : 0;
 		return new RolloutStep(this.orderId, this.number + 1, this.phase, finalShare, finalState);
 	}
 
+	/**
+	 * Returns which of two steps holds.
+	 * @param first a step
+	 * @param second another step
+	 * @return the one of the newer order or with the higher number; of two with the same
+	 * number, the one with the lower share
+	 */
+	public static RolloutStep newest(RolloutStep first, RolloutStep second) {
+		if (first.orderId != second.orderId) {
+			return (first.orderId > second.orderId) ? first : second;
+		}
+		if (first.number != second.number) {
+			return (first.number > second.number) ? first : second;
+		}
+		return (first.share <= second.share) ? first : second;
+	}
+
+	RolloutStep next(RolloutPhase nextPhase, double nextShare) {
+		return new RolloutStep(this.orderId, this.number + 1, nextPhase, nextShare, RolloutState.IN_PROGRESS);
+	}
+
 }
--- a/core/src/main/java/org/fulmargap/rollout/VersionEvidence.java
+++ b/core/src/main/java/org/fulmargap/rollout/VersionEvidence.java
@@ -10,6 +10,9 @@
 	/** Fewer bad answers are no evidence, in answers. */
 	private static final int MIN_BAD_ANSWERS = 5;
 
+	/** Fewer bad answers don't keep the share from rising, in answers. */
+	private static final int MIN_SUSPECT_ANSWERS = 2;
+
 	/**
 	 * From this many bad answers on, those of a single endpoint count as well, in
 	 * answers. Operators bound what follows the 50th.
@@ -48,6 +51,22 @@
 		return compared.bad() >= MIN_BAD_ANSWERS && lowerBound(compared) > upperBound(counts.old()) + MIN_DIFFERENCE;
 	}
 
+	/**
+	 * Returns whether bad answers of the new version may become evidence, so that it
+	 * should not get more requests yet.
+	 * @param routes the answers by route
+	 * @return {@code true} if it has several bad answers and a higher share of them
+	 */
+	static boolean isSuspect(Collection<RouteCounts> routes) {
+		RouteCounts all = routes.stream().reduce(RouteCounts.NONE, RouteCounts::plus);
+		AnswerCounts updated = all.updatedWithoutWorst();
+		return updated.bad() >= MIN_SUSPECT_ANSWERS && share(updated) > 2 * share(all.old()) + MIN_DIFFERENCE;
+	}
+
+	private static double share(AnswerCounts counts) {
+		return (counts.answered() > 0) ? counts.bad() / (double) counts.answered() : 0;
+	}
+
 	// The bounds of the Wilson score interval of the share of bad answers.
 	private static double lowerBound(AnswerCounts counts) {
 		return (counts.answered() > 0) ? Math.max(0, center(counts) - halfWidth(counts)) : 0;
--- a/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
+++ b/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
@@ -31,7 +31,14 @@
 
 	private static final double MAX_CONCENTRATED_SHARE = 0.5;
 
-	private final RolloutOrder order;
+	/** The answers of old endpoints after which their usual time is known. */
+	private static final int MIN_USUAL_ANSWERS = 10;
+
+	/** An answer is slow if it takes this many times the usual time of its route. */
+	private static final double SLOW_FACTOR = 2.5;
+
+	/** The weight of the newest answer in the moving average of a route's time. */
+	private static final double USUAL_WEIGHT = 0.1;
 
 	private final RolloutLimits limits;
 
@@ -39,6 +46,10 @@
 
 	private final Map<String, RouteCounts> routes = new HashMap<>();
 
+	private final Map<String, UsualTime> usualTimes = new HashMap<>();
+
+	private RolloutOrder order;
+
 	private RolloutStep step;
 
 	private long stepReceivedAtMs = Long.MIN_VALUE / 2;
@@ -73,6 +84,24 @@
 		return this.order;
 	}
 
+	/**
+	 * Replaces the id of the order, which its operator has written again. The state and
+	 * the counts stay.
+	 * @param id the new id
+	 */
+	public void renumber(long id) {
+		this.order = new RolloutOrder(this.order.service(), this.order.toVersion(), this.order.durationMs(), id);
+		this.step = new RolloutStep(id, this.step.number(), this.step.phase(), this.step.share(), this.step.state());
+	}
+
+	/**
+	 * Returns whether the old versions get no requests any more.
+	 * @return {@code true} if the rollout is complete
+	 */
+	public boolean isComplete() {
+		return this.step.state() == RolloutState.COMPLETE;
+	}
+
 	/**
 	 * Returns the step that this VM follows, which may have expired.
 	 * @return the step
@@ -129,6 +158,27 @@
 		return (nowMs - this.stepReceivedAtMs < STEP_LIFETIME_MS) ? this.step.share() : 0;
 	}
 
+	/**
+	 * Returns whether a request that has been assigned to a version still goes there.
+	 * @param toUpdated whether it was assigned to the new version
+	 * @param nowMs the current time in milliseconds
+	 * @return whether it goes to the new version now
+	 */
+	public boolean stillToUpdated(boolean toUpdated, long nowMs) {
+		double share = share(nowMs);
+		return share >= 1 || (toUpdated && share > 0);
+	}
+
+	/**
+	 * Returns whether an endpoint may go on with a stream that its version began.
+	 * @param endpoint the endpoint
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code false} if its version may get no requests now
+	 */
+	public boolean mayContinueAt(Endpoint endpoint, long nowMs) {
+		return (isUpdated(endpoint)) ? share(nowMs) > 0 : this.step.state() != RolloutState.COMPLETE;
+	}
+
 	private boolean isWithinOwnBound() {
 		if (!this.step.phase().isBounded()) {
 			return true;
@@ -219,12 +269,26 @@
 	 * Records the answer of an endpoint.
 	 * @param route the route or stage
 	 * @param endpoint the endpoint
-	 * @param outcome what the answer was
+	 * @param failed whether it is a failure that is the endpoint's fault
+	 * @param measuredMs how long it took, in milliseconds
+	 * @param nowMs the current time in milliseconds
 	 */
-	public void answered(String route, Endpoint endpoint, AnswerOutcome outcome) {
-		RouteCounts counts = (isUpdated(endpoint))
-				? new RouteCounts(AnswerCounts.NONE, Map.of(endpoint.record().id(), outcome.counts()))
-				: new RouteCounts(outcome.counts(), Map.of());
+	public void answered(String route, Endpoint endpoint, boolean failed, double measuredMs, long nowMs) {
+		UsualTime usual = this.usualTimes.computeIfAbsent(route, (name) -> new UsualTime());
+		// Endpoints are slow for a while after their start, whatever their version.
+		boolean slow = !failed && usual.isExceeded(measuredMs) && !endpoint.isCold(nowMs) && !endpoint.isNew(nowMs);
+		AnswerOutcome outcome = (failed) ? AnswerOutcome.FAILED : (slow) ? AnswerOutcome.SLOW : AnswerOutcome.GOOD;
+		if (isUpdated(endpoint)) {
+			add(route, new RouteCounts(AnswerCounts.NONE, Map.of(endpoint.record().id(), outcome.counts())));
+			return;
+		}
+		add(route, new RouteCounts(outcome.counts(), Map.of()));
+		if (!failed) {
+			usual.add(measuredMs);
+		}
+	}
+
+	private void add(String route, RouteCounts counts) {
 		this.routes.merge(route, counts, RouteCounts::plus);
 	}
 
@@ -237,4 +301,25 @@
 				this.step.number(), 1);
 	}
 
+	/**
+	 * How long answers of old endpoints take on a route.
+	 */
+	private static final class UsualTime {
+
+		private double averageMs;
+
+		private int answers;
+
+		private void add(double measuredMs) {
+			this.answers++;
+			double weight = Math.max(USUAL_WEIGHT, 1.0 / this.answers);
+			this.averageMs += weight * (measuredMs - this.averageMs);
+		}
+
+		private boolean isExceeded(double measuredMs) {
+			return this.answers >= MIN_USUAL_ANSWERS && measuredMs > this.averageMs * SLOW_FACTOR;
+		}
+
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -24,6 +24,8 @@
 import org.fulmargap.entry.request.RequestServices;
 import org.fulmargap.entry.request.RunTimes;
 import org.fulmargap.entry.request.ServiceTimes;
+import org.fulmargap.entry.rollout.RolloutStore;
+import org.fulmargap.entry.rollout.Rollouts;
 import org.fulmargap.entry.stage.StageCallDispatcher;
 import org.fulmargap.entry.stage.StageClient;
 import org.fulmargap.fleet.EndpointLoad;
@@ -126,6 +128,10 @@
 
 	private final StreamVersions streamVersions;
 
+	private final RolloutStore rolloutStore;
+
+	private final Rollouts rollouts;
+
 	private final StoreWatch watch;
 
 	private final Drain drain;
@@ -145,18 +151,21 @@
 		EndpointPool pool = new EndpointPool(this.loop, this.clockMs);
 		SharedRetryBudget retries = new SharedRetryBudget(settings.retryRatio(), settings.retrySlack(),
 				settings.retryWindowMs());
-		this.dispatcher = new StageCallDispatcher(this.loop, this.clockMs, this.view, pool, retries,
-				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.setAside, this.metrics);
-		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
 		this.store = new StoreClient(settings.storeAddress());
 		this.streamVersions = new StreamVersions(this.store, this.loop, this.clockMs, this.view.directory(), this.peers,
 				this.metrics);
+		this.rolloutStore = new RolloutStore(this.store, this.loop);
+		this.rollouts = new Rollouts(settings.rolloutLimits(), this.view.directory(), this.peers, this.rolloutStore,
+				this.metrics, this.clockMs);
+		this.dispatcher = new StageCallDispatcher(this.loop, this.clockMs, this.view, pool, retries,
+				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.setAside, this.rollouts, this.metrics);
+		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
 		OpenRequests openRequests = new OpenRequests();
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine,
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
-				new CallerTimes(), openRequests, this.setAside, this.streamVersions,
+				new CallerTimes(), openRequests, this.setAside, this.streamVersions, this.rollouts,
 				new EndpointLimits(this::limitShare), this.metrics);
 		this.view.onEndpointChange((record) -> openRequests.endpointChanged());
 		RequestRouter router = new RequestRouter(services);
@@ -165,7 +174,7 @@
 				this.dispatcher, this.store::calls);
 		this.quarantineSync = new QuarantineSync(this.store, this.loop, this.clockMs, this.promptParts, this.peers);
 		this.watch = new StoreWatch(this.store, this.loop, this.clockMs, this.view, this.peers, this.quarantineSync,
-				settings, ownMember(settings));
+				this.rollouts, settings, ownMember(settings));
 	}
 
 	private double limitShare(String endpoint, double limitPerSecond, long nowMs) {
@@ -308,6 +317,7 @@
 		this.admittedWork.recordReport(peer, report.admittedItems(), nowMs);
 		this.setAside.reportedLeaving(report.leaving());
 		this.setAside.reportedLimits(report.limits());
+		this.rollouts.reported(peer, report.rollouts(), nowMs);
 		report.availableEndpoints().forEach((vm, available) -> this.endpointReports.recordReport(vm, available, nowMs));
 		for (Endpoint endpoint : this.view.directory().all()) {
 			EndpointLoad load = report.loads().get(endpoint.record().id());
@@ -338,6 +348,7 @@
 		this.watch.update(nowMs);
 		this.quarantineSync.update(nowMs);
 		this.streamVersions.update(nowMs);
+		this.rollouts.update(nowMs);
 	}
 
 	@Override
@@ -363,7 +374,7 @@
 			}
 		}
 		return new LoadReport(loads, this.admittedWork.own(), Map.of(this.settings.vm(), available),
-				this.view.directory().leaving(nowMs), this.view.directory().limits(nowMs));
+				this.view.directory().leaving(nowMs), this.view.directory().limits(nowMs), this.rollouts.own());
 	}
 
 	/**
@@ -375,6 +386,7 @@
 		this.watch.close();
 		this.quarantineSync.close();
 		this.streamVersions.close();
+		this.rolloutStore.close();
 		this.store.close();
 		// Without a quiet period the event loop may end before it has closed its
 		// connections.
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoop;
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.entry.rollout.Rollouts;
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.RecordLag;
 import org.fulmargap.fleet.StorePosition;
@@ -107,6 +108,8 @@
 
 	private final QuarantineSync quarantine;
 
+	private final Rollouts rollouts;
+
 	private final Map<StoreTopic, TopicView> topics = new EnumMap<>(StoreTopic.class);
 
 	private final Map<StoreTopic, RecordLag> lags = new EnumMap<>(StoreTopic.class);
@@ -132,13 +135,14 @@
 	private long storeOutageAtMs = Long.MIN_VALUE / 2;
 
 	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers,
-			QuarantineSync quarantine, NodeSettings settings, FleetMember own) {
+			QuarantineSync quarantine, Rollouts rollouts, NodeSettings settings, FleetMember own) {
 		this.store = store;
 		this.loop = loop;
 		this.clockMs = clockMs;
 		this.view = view;
 		this.peers = peers;
 		this.quarantine = quarantine;
+		this.rollouts = rollouts;
 		this.registration = new MemberRegistration(store, own);
 		this.source = new RecordSource(clockMs.getAsLong());
 		for (StoreTopic topic : StoreTopic.FOLLOWED) {
@@ -245,7 +249,7 @@
 			case ENDPOINTS -> applyEndpointPage(fresh);
 			case MEMBERS -> applyMemberPage(fresh);
 			case QUARANTINE -> this.quarantine.apply(fresh.records());
-			case STATUS, VERSIONS, STREAMS -> throw new IllegalStateException("not followed: " + topic);
+			case STATUS, VERSIONS, STREAMS, ROLLOUTS -> throw new IllegalStateException("not followed: " + topic);
 		}
 	}
 
@@ -275,7 +279,7 @@
 			case OPERATOR -> this.restoredOperator.restored(this.newestHistoryAtMs);
 			case ENDPOINTS -> this.restoredEndpoints.restored(this.newestHistoryAtMs);
 			case QUARANTINE -> this.quarantine.restored(known.position().history());
-			case MEMBERS, STATUS, VERSIONS, STREAMS -> {
+			case MEMBERS, STATUS, VERSIONS, STREAMS, ROLLOUTS -> {
 			}
 		}
 	}
@@ -430,6 +434,9 @@
 				.with("offset", offset)
 				.write();
 		}
+		else if (record instanceof OperatorRecord.Rollout rollout) {
+			this.rollouts.ordered(rollout.service(), rollout.order(), nowMs);
+		}
 	}
 
 	private void applyEndpointPage(StorePage page) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -15,6 +15,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.RolloutExchange;
 import org.fulmargap.fleet.StorePosition;
 import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.NamedLimit;
@@ -102,6 +103,9 @@
 			out.packDouble(limit.getValue().perSecond()).packLong(limit.getValue().observedAtMs() - nowMs);
 		}
 		writePositions(out, heartbeat.positions());
+		if (!report.rollouts().isEmpty()) {
+			RolloutCodec.write(out, report.rollouts());
+		}
 	}
 
 	// VMs with an older program read the offsets and skip the histories, so these are the
@@ -385,9 +389,12 @@
 		for (int i = readMapSize(in); i > 0; i--) {
 			available.put(in.unpackString(), readAvailable(in));
 		}
+		Set<EndpointProcess> leaving = readProcesses(in);
+		Map<EndpointProcess, NamedLimit> limits = readLimits(in, nowMs);
+		List<StorePosition> positions = readPositions(in);
+		RolloutExchange rollouts = (in.hasNext()) ? RolloutCodec.read(in) : RolloutExchange.NONE;
 		return new PeerMessage.Heartbeat(relation, draining, receiving, storeReached,
-				new LoadReport(loads, admitted, available, readProcesses(in), readLimits(in, nowMs)),
-				readPositions(in));
+				new LoadReport(loads, admitted, available, leaving, limits, rollouts), positions);
 	}
 
 	private static Map<EndpointProcess, NamedLimit> readLimits(MessageUnpacker in, long nowMs) throws IOException {
@@ -482,7 +489,7 @@
 		return strings;
 	}
 
-	private static int readMapSize(MessageUnpacker in) throws IOException {
+	static int readMapSize(MessageUnpacker in) throws IOException {
 		int size = in.unpackMapHeader();
 		if (size > MAX_ENTRIES) {
 			throw new IOException("map too long: " + size + " entries");
@@ -490,7 +497,7 @@
 		return size;
 	}
 
-	private static int readSize(MessageUnpacker in) throws IOException {
+	static int readSize(MessageUnpacker in) throws IOException {
 		int size = in.unpackArrayHeader();
 		if (size > MAX_ENTRIES) {
 			throw new IOException("list too long: " + size + " entries");
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -163,6 +163,14 @@
 		return this.fleet.count(this.clockMs.getAsLong());
 	}
 
+	/**
+	 * Returns the number of entry VMs that were alive in the last heartbeats.
+	 * @return the number, this VM included
+	 */
+	public int aliveCount() {
+		return 1 + this.fleet.confirmed(this.clockMs.getAsLong()).size();
+	}
+
 	/**
 	 * Returns the share of this VM in the rate that an endpoint takes from all entry VMs
 	 * together.
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestCandidates.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestCandidates.java
@@ -3,9 +3,11 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.fulmargap.placement.Endpoint;
+import org.fulmargap.rollout.VersionSplit;
 
 /**
  * The endpoints to which one request may be sent. Confined to the event loop.
@@ -16,16 +18,22 @@
 
 	private final String service;
 
+	private final String attemptId;
+
 	private final int priority;
 
 	private final Set<String> tried = new HashSet<>();
 
+	// Whether a rollout sends the request to the new version; null if not decided yet.
+	private Boolean toUpdated;
+
 	// The only version that may get the request; null if all may.
 	private String softwareVersion;
 
-	RequestCandidates(RequestServices services, String service, int priority) {
+	RequestCandidates(RequestServices services, String service, String attemptId, int priority) {
 		this.services = services;
 		this.service = service;
+		this.attemptId = attemptId;
 		this.priority = priority;
 	}
 
@@ -35,8 +43,41 @@
 	 * @return the endpoints
 	 */
 	List<Endpoint> available(long nowMs) {
-		List<Endpoint> available = this.services.view().directory().available(this.service, nowMs);
-		return (this.softwareVersion != null) ? available.stream().filter(this::hasVersion).toList() : available;
+		List<Endpoint> available = this.services.rollouts()
+			.usable(this.service, this.services.view().directory().available(this.service, nowMs), nowMs);
+		List<Endpoint> allowed = split().map((split) -> allowedBy(split, available, nowMs)).orElse(available);
+		return (this.softwareVersion != null) ? allowed.stream().filter(this::hasVersion).toList() : allowed;
+	}
+
+	/**
+	 * Returns how the requests to the service are divided during a rollout.
+	 * @return the split, or empty if there is no rollout
+	 */
+	Optional<VersionSplit> split() {
+		return this.services.rollouts().split(this.service);
+	}
+
+	private List<Endpoint> allowedBy(VersionSplit split, List<Endpoint> available, long nowMs) {
+		if (this.softwareVersion != null) {
+			return available.stream().filter((endpoint) -> split.mayContinueAt(endpoint, nowMs)).toList();
+		}
+		if (this.toUpdated == null) {
+			this.toUpdated = split.sendsToUpdated(this.attemptId, nowMs);
+		}
+		return split.candidates(available, split.stillToUpdated(this.toUpdated, nowMs), nowMs);
+	}
+
+	/**
+	 * Assigns a request that no endpoint of the new version takes to the old one, if it
+	 * may still get requests.
+	 * @param nowMs the current time in milliseconds
+	 * @return whether the request was reassigned
+	 */
+	boolean reassignToOld(long nowMs) {
+		boolean reassigned = this.softwareVersion == null && Boolean.TRUE.equals(this.toUpdated)
+				&& split().filter((split) -> split.share(nowMs) < 1).isPresent();
+		this.toUpdated = (reassigned) ? Boolean.FALSE : this.toUpdated;
+		return reassigned;
 	}
 
 	private boolean hasVersion(Endpoint endpoint) {
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -40,6 +40,7 @@
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.EndpointHeaders;
 import org.fulmargap.platform.EndpointRequest;
+import org.fulmargap.rollout.VersionSplit;
 import org.fulmargap.routing.CrashQuarantine;
 import org.fulmargap.stream.StreamOrigin;
 
@@ -130,7 +131,7 @@
 			.services()
 			.getOrDefault(serviceName, new ServiceSpec(serviceName, 0, 0, null, null));
 		this.account = account;
-		this.candidates = new RequestCandidates(services, this.service.name(), priority());
+		this.candidates = new RequestCandidates(services, this.service.name(), request.attemptId(), priority());
 		this.fingerprint = fingerprint;
 		this.sharedParts = request.prompt().sharedParts();
 		this.arrivedAtMs = services.nowMs();
@@ -338,6 +339,10 @@
 			.choose(this.candidates.sendable(nowMs), this.candidates.tried(), this.service, demand,
 					this.services.peers().vmCount(), nowMs);
 		if (choice.isEmpty()) {
+			if (this.candidates.reassignToOld(nowMs)) {
+				dispatch();
+				return;
+			}
 			waitForEndpoint(nowMs);
 			return;
 		}
@@ -555,6 +560,9 @@
 
 		private final long sentAtMs;
 
+		// How a rollout divides the requests, and counts the answers; null without one.
+		private final VersionSplit split;
+
 		private final PromptEvidence promptEvidence;
 
 		private final ResponseTimer timer;
@@ -583,6 +591,7 @@
 			this.endpoint = choice.endpoint();
 			this.calledRecord = this.endpoint.record();
 			this.sentAtMs = nowMs;
+			this.split = RequestFlow.this.candidates.split().orElse(null);
 			RequestFlow flow = RequestFlow.this;
 			this.promptEvidence = new PromptEvidence(flow.services.promptParts(), flow.sharedParts);
 			this.timer = new ResponseTimer(flow.services, flow.route, flow.runs, flow.service.name(),
@@ -596,10 +605,14 @@
 			this.unreadTokens = this.endpoint.started(prompt, cacheTokens, nowMs);
 			flow.services.limits().sent(this.endpoint, flow.priority());
 			flow.calls++;
+			if (this.split != null) {
+				this.split.sent(this.split.isUpdated(this.endpoint));
+			}
 			EventLog.request("dispatched", flow.request.attemptId())
 				.with("route", flow.route.name())
 				.with("service", flow.service.name())
 				.with("endpoint", this.endpoint)
+				.with("software_version", this.calledRecord.softwareVersion())
 				.with("cost_ms", Math.round(this.choice.costMs()))
 				.with("candidates", this.choice.candidates())
 				.with("in_flight", this.endpoint.inFlight(nowMs))
@@ -795,6 +808,7 @@
 			if (fault != null) {
 				logFault(fault);
 				this.endpoint.failed(false, nowMs);
+				recordAnswer(true, nowMs);
 				flow.callFailed(this, CallFailure.WRONG_ANSWER);
 				return;
 			}
@@ -841,6 +855,13 @@
 		private void recordError(long nowMs) {
 			if (!this.answer.asksForRest()) {
 				this.endpoint.failed(false, nowMs);
+				recordAnswer(true, nowMs);
+			}
+		}
+
+		private void recordAnswer(boolean failed, long nowMs) {
+			if (this.split != null) {
+				this.split.answered(RequestFlow.this.route.name(), this.endpoint, failed, nowMs - this.sentAtMs, nowMs);
 			}
 		}
 
@@ -864,6 +885,7 @@
 			}
 			flow.services.runTimes().record(flow.route.name(), nowMs - this.sentAtMs);
 			this.endpoint.succeeded(nowMs - this.sentAtMs, expectedMs, nowMs);
+			recordAnswer(false, nowMs);
 			this.promptEvidence.completed(this.body.isStream(), nowMs);
 			flow.services.quarantine().completed(flow.fingerprint);
 		}
@@ -885,6 +907,7 @@
 			long nowMs = flow.services.nowMs();
 			if (failure.isFault()) {
 				this.endpoint.failed(failure != CallFailure.WRONG_ANSWER, nowMs);
+				recordAnswer(true, nowMs);
 			}
 			// A crash may also end an answer that has neither a length nor chunks.
 			if (failure == CallFailure.CONNECTION_LOST || failure == CallFailure.STREAM_CUT) {
@@ -911,6 +934,9 @@
 			this.closed = true;
 			RequestFlow.this.call = null;
 			this.endpoint.ended();
+			if (this.split != null) {
+				this.split.ended(this.split.isUpdated(this.endpoint));
+			}
 			if (!this.firstEventReceived) {
 				this.endpoint.firstEvent(this.unreadTokens);
 			}
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -13,6 +13,7 @@
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.entry.rollout.Rollouts;
 import org.fulmargap.entry.stage.StageClient;
 import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.EndpointRecord;
@@ -41,6 +42,7 @@
  * @param openRequests the requests that are not answered yet
  * @param setAside the endpoints that announced that they want no new work
  * @param streamVersions finds where streams that are taken up may go on
+ * @param rollouts the rollouts between software versions
  * @param limits the shares of this VM in the limits that endpoints named
  * @param metrics counters and latencies
  */
@@ -48,7 +50,8 @@
 		SharedRetryBudget retryBudget, CrashQuarantine quarantine, PromptPartWatch promptParts, EndpointPool pool,
 		StageClient stages, AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers,
 		ServiceTimes serviceTimes, RunTimes runTimes, CallerTimes callerTimes, OpenRequests openRequests,
-		SetAsideEndpoints setAside, StreamVersions streamVersions, EndpointLimits limits, EntryMetrics metrics) {
+		SetAsideEndpoints setAside, StreamVersions streamVersions, Rollouts rollouts, EndpointLimits limits,
+		EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and probes the endpoint to find out
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/RolloutStore.java
@@ -0,0 +1,153 @@
+package org.fulmargap.entry.rollout;
+
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import org.fulmargap.entry.EventLog;
+import org.fulmargap.platform.KeyedRecord;
+import org.fulmargap.platform.MalformedRecordException;
+import org.fulmargap.platform.RolloutRecords;
+import org.fulmargap.platform.StoreClient;
+import org.fulmargap.platform.StoreException;
+import org.fulmargap.platform.StorePage;
+import org.fulmargap.platform.StoreTopic;
+import org.fulmargap.rollout.RolloutProgress;
+
+/**
+ * Keeps the progress of rollouts in the platform's store, and their states for operators.
+ * Calls are made one after the other in a thread of their own; results arrive on the
+ * event loop.
+ */
+public final class RolloutStore implements AutoCloseable {
+
+	/** How often a write is tried whose condition fails because of another writer. */
+	private static final int MAX_TRIES = 4;
+
+	private final StoreClient store;
+
+	private final EventLoop loop;
+
+	// A single thread, started with the first call.
+	private final ExecutorService caller = Executors.newSingleThreadExecutor((task) -> {
+		Thread thread = new Thread(task, "rollouts");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	/**
+	 * Creates an access to the store.
+	 * @param store the store
+	 * @param loop the event loop that gets the results
+	 */
+	public RolloutStore(StoreClient store, EventLoop loop) {
+		this.store = store;
+		this.loop = loop;
+	}
+
+	/**
+	 * Reads the progress of a service's rollout.
+	 * @param service the name of the service
+	 * @param result receives the progress
+	 */
+	void read(String service, Consumer<Result> result) {
+		this.caller.execute(() -> {
+			Result read = tryRead(service);
+			this.loop.execute(() -> result.accept(read));
+		});
+	}
+
+	/**
+	 * Writes the progress of a service's rollout, and its state for operators. A final
+	 * state of the same order stays as it is.
+	 * @param service the name of the service
+	 * @param progress the progress
+	 * @param result receives what the store has now
+	 */
+	void write(String service, RolloutProgress progress, Consumer<Result> result) {
+		this.caller.execute(() -> {
+			Result written = tryWrite(service, progress);
+			EventLog.state("rollout_written")
+				.with("service", service)
+				.with("order", progress.orderId())
+				.with("state", progress.state())
+				.with("stored", written.progress().map((stored) -> stored.state().name()).orElse("unknown"))
+				.write();
+			this.loop.execute(() -> result.accept(written));
+		});
+	}
+
+	private Result tryRead(String service) {
+		try {
+			return new Result(true, find(this.store.newest(StoreTopic.ROLLOUTS), service));
+		}
+		catch (StoreException ex) {
+			return Result.UNKNOWN;
+		}
+	}
+
+	private Result tryWrite(String service, RolloutProgress progress) {
+		try {
+			for (int i = 0; i < MAX_TRIES; i++) {
+				StorePage page = this.store.newest(StoreTopic.ROLLOUTS);
+				RolloutProgress known = find(page, service).orElse(progress);
+				boolean isFinal = known.orderId() == progress.orderId() && known.state().isFinal();
+				if (isFinal || this.store.putAt(StoreTopic.ROLLOUTS, service, RolloutRecords.encodeProgress(progress),
+						page.nextOffset())) {
+					RolloutProgress stored = (isFinal) ? known : progress;
+					this.store.put(StoreTopic.STATUS, RolloutRecords.KEY_PREFIX + service,
+							RolloutRecords.encodeState(stored.toVersion(), stored.state()));
+					return new Result(true, Optional.of(stored));
+				}
+			}
+		}
+		catch (StoreException ex) {
+			EventLog.state("rollout_not_written").with("service", service).with("cause", ex.getMessage()).write();
+		}
+		return Result.UNKNOWN;
+	}
+
+	private static Optional<RolloutProgress> find(StorePage page, String service) {
+		for (KeyedRecord record : page.records()) {
+			if (record.key().equals(service)) {
+				return decode(record);
+			}
+		}
+		return Optional.empty();
+	}
+
+	private static Optional<RolloutProgress> decode(KeyedRecord record) {
+		try {
+			return Optional.of(RolloutRecords.decodeProgress(record.value()));
+		}
+		catch (MalformedRecordException ex) {
+			EventLog.state("rollout_record_refused")
+				.with("service", record.key())
+				.with("offset", record.offset())
+				.with("cause", ex.getMessage())
+				.write();
+			return Optional.empty();
+		}
+	}
+
+	@Override
+	public void close() {
+		this.caller.shutdownNow();
+	}
+
+	/**
+	 * What the store has of a rollout.
+	 *
+	 * @param known whether the store answered
+	 * @param progress the progress, or empty if it has none or did not answer
+	 */
+	record Result(boolean known, Optional<RolloutProgress> progress) {
+
+		/** The store did not answer; a write may have taken effect. */
+		static final Result UNKNOWN = new Result(false, Optional.empty());
+
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -30,6 +30,7 @@
 import org.fulmargap.entry.endpoint.CallFailure;
 import org.fulmargap.entry.endpoint.EndpointCall;
 import org.fulmargap.entry.endpoint.EndpointPool;
+import org.fulmargap.entry.rollout.Rollouts;
 import org.fulmargap.placement.Endpoint;
 import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.EndpointRecord;
@@ -39,6 +40,7 @@
 import org.fulmargap.platform.MalformedRecordException;
 import org.fulmargap.platform.StageCalls;
 import org.fulmargap.platform.WorkItemResult;
+import org.fulmargap.rollout.VersionSplit;
 
 /**
  * Sends the calls to the endpoints of the stage services that this VM coordinates, with
@@ -120,6 +122,8 @@
 
 	private final SetAsideEndpoints setAside;
 
+	private final Rollouts rollouts;
+
 	private final EntryMetrics metrics;
 
 	// Only the coordinator of a service calls its endpoints.
@@ -140,10 +144,12 @@
 	 * @param retryBudget this VM's share of the retry budget
 	 * @param vmCount the number of entry VMs that share the retry budget
 	 * @param setAside the endpoints that announced that they want no new work
+	 * @param rollouts the rollouts between software versions
 	 * @param metrics counters and latencies
 	 */
 	public StageCallDispatcher(EventLoop loop, LongSupplier clockMs, StoreView view, EndpointPool pool,
-			SharedRetryBudget retryBudget, IntSupplier vmCount, SetAsideEndpoints setAside, EntryMetrics metrics) {
+			SharedRetryBudget retryBudget, IntSupplier vmCount, SetAsideEndpoints setAside, Rollouts rollouts,
+			EntryMetrics metrics) {
 		this.loop = loop;
 		this.clockMs = clockMs;
 		this.view = view;
@@ -151,6 +157,7 @@
 		this.retryBudget = retryBudget;
 		this.vmCount = vmCount;
 		this.setAside = setAside;
+		this.rollouts = rollouts;
 		this.metrics = metrics;
 	}
 
@@ -332,6 +339,8 @@
 
 		private boolean dispatchScheduled;
 
+		private long calls;
+
 		private ServiceQueue(String service, BatchScheduler scheduler) {
 			this.service = service;
 			this.scheduler = scheduler;
@@ -390,7 +399,21 @@
 		// handles. Until all VMs know of it, it makes none.
 		private Optional<StageCall> next(List<Endpoint> available, long nowMs) {
 			List<Endpoint> known = available.stream().filter((endpoint) -> !endpoint.isTakingOver(nowMs)).toList();
-			return this.scheduler.next(StageCallDispatcher.this.limits.sendable(known, CALL_PRIORITY, nowMs), nowMs);
+			List<Endpoint> usable = StageCallDispatcher.this.rollouts.usable(this.service, known, nowMs);
+			Optional<VersionSplit> split = StageCallDispatcher.this.rollouts.split(this.service);
+			return (split.isPresent()) ? next(split.get(), usable, nowMs) : nextAt(usable, nowMs);
+		}
+
+		private Optional<StageCall> next(VersionSplit split, List<Endpoint> usable, long nowMs) {
+			boolean toUpdated = split.sendsToUpdated(this.service + '#' + this.calls, nowMs);
+			Optional<StageCall> call = nextAt(split.candidates(usable, toUpdated, nowMs), nowMs);
+			return (call.isEmpty() && toUpdated && split.share(nowMs) < 1)
+					? nextAt(split.candidates(usable, false, nowMs), nowMs) : call;
+		}
+
+		private Optional<StageCall> nextAt(List<Endpoint> endpoints, long nowMs) {
+			return this.scheduler.next(StageCallDispatcher.this.limits.sendable(endpoints, CALL_PRIORITY, nowMs),
+					nowMs);
 		}
 
 		// All endpoints are leaving or rest: waiting could take until the deadline.
@@ -402,6 +425,7 @@
 
 		private void send(StageCall call, long nowMs) {
 			call.items().forEach((item) -> this.pendingItems.get(item).calls++);
+			this.calls++;
 			StageCallDispatcher.this.limits.sent(call.endpoint(), CALL_PRIORITY);
 			StageCallDispatcher.this.metrics.count("stage_calls");
 			EventLog.call("stage_call")
@@ -496,6 +520,9 @@
 
 		private final ByteBuf body = Unpooled.buffer(512);
 
+		// How a rollout divides the calls, and counts the answers; null without one.
+		private final VersionSplit split;
+
 		private EndpointPool.RunningCall poolCall;
 
 		private Future<?> timeout;
@@ -511,6 +538,18 @@
 			this.call = call;
 			this.calledRecord = call.endpoint().record();
 			this.startedAtMs = startedAtMs;
+			this.split = StageCallDispatcher.this.rollouts.split(queue.service).orElse(null);
+			if (this.split != null) {
+				this.split.sent(this.split.isUpdated(call.endpoint()));
+			}
+		}
+
+		// Calls of any size are compared by their time relative to the expected one.
+		private void recordAnswer(boolean failed, long nowMs) {
+			if (this.split != null) {
+				double relativeMs = (nowMs - this.startedAtMs) / this.call.expectedMs() * MS_PER_SECOND;
+				this.split.answered("stage", this.call.endpoint(), failed, relativeMs, nowMs);
+			}
 		}
 
 		@Override
@@ -555,6 +594,7 @@
 			else {
 				if (!this.answer.asksForRest()) {
 					this.call.endpoint().failed(true, nowMs);
+					recordAnswer(true, nowMs);
 				}
 				retryAll("status_" + this.answer.status(), true, nowMs);
 			}
@@ -578,6 +618,7 @@
 			}
 			catch (MalformedRecordException ex) {
 				this.call.endpoint().failed(true, nowMs);
+				recordAnswer(true, nowMs);
 				retryAll("malformed", true, nowMs);
 				return false;
 			}
@@ -588,6 +629,8 @@
 			}
 			StageCallDispatcher.this.setAside.accepted(this.calledRecord, this.answer, this.startedAtMs);
 			this.call.endpoint().succeeded(nowMs - this.startedAtMs, this.call.expectedMs(), nowMs);
+			recordAnswer(results.stream().anyMatch((result) -> result.failure() == WorkItemResult.Failure.ERROR),
+					nowMs);
 			StageCallDispatcher.this.metrics.time("stage_call", nowMs - this.startedAtMs);
 			for (int i = 0; i < results.size(); i++) {
 				deliver(this.call.items().get(i), results.get(i), nowMs);
@@ -638,6 +681,7 @@
 			long nowMs = close();
 			if (failure.isFault()) {
 				this.call.endpoint().failed(true, nowMs);
+				recordAnswer(true, nowMs);
 			}
 			retryAll(failure.name(), failure.mayHaveRun(), nowMs);
 			this.queue.scheduleDispatch();
@@ -669,6 +713,9 @@
 				this.memory.close();
 			}
 			this.queue.scheduler.ended(this.call);
+			if (this.split != null) {
+				this.split.ended(this.split.isUpdated(this.call.endpoint()));
+			}
 			return StageCallDispatcher.this.clockMs.getAsLong();
 		}
 
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -17,6 +18,7 @@
 import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.EndpointStandIn;
 import org.fulmargap.platform.standin.StoreStandIn;
+import org.fulmargap.rollout.RolloutLimits;
 
 /**
  * Entry VMs in this process with stand-ins of endpoints and of the store, on the loopback
@@ -61,6 +63,8 @@
 
 	private double retrySlack = 54;
 
+	private RolloutLimits rolloutLimits;
+
 	private final AtomicInteger lastAttempt = new AtomicInteger();
 
 	Installation() throws IOException {
@@ -106,8 +110,8 @@
 	private NodeSettings newSettings(String name, String storeAddress) throws IOException {
 		String ip = "127.0.0.1:";
 		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(), storeAddress,
-				CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1,
-				1_000);
+				CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1, 1_000,
+				Optional.ofNullable(this.rolloutLimits));
 	}
 
 	/**
@@ -163,6 +167,13 @@
 		this.retrySlack = slack;
 	}
 
+	/**
+	 * Sets the bounds of rollouts for VMs that are started from now on.
+	 */
+	void rolloutLimits(RolloutLimits newLimits) {
+		this.rolloutLimits = newLimits;
+	}
+
 	/**
 	 * Sets how long VMs that are started from now on may take to stop.
 	 */
--- a/entry/src/test/java/org/fulmargap/entry/StreamVersionTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StreamVersionTests.java
@@ -104,7 +104,7 @@
 		assertThat(this.installation.send(stream("begun")).statusCode()).isEqualTo(OK);
 		EndpointStandIn origin = (ran(this.newer, "begun")) ? this.newer : this.older;
 		Installation
-			.await(() -> this.installation.store().values("keyed.fulmargap-streams").toString().contains("\"begun\""));
+			.await(() -> this.installation.store().values(CallerWire.STREAMS_TOPIC).toString().contains("\"begun\""));
 		this.installation.restart(0);
 		this.installation.awaitReady();
 		assertThat(this.installation.send(continuation(0, "again", "begun")).statusCode()).isEqualTo(OK);
@@ -115,7 +115,7 @@
 	void aStreamOfAVersionThatLeftDoesNotGoOnAfterAllVmsWereKilled() throws Exception {
 		listNewer();
 		Installation
-			.await(() -> this.installation.store().values("keyed.fulmargap-versions").keySet().contains("pool/v1"));
+			.await(() -> this.installation.store().values(CallerWire.VERSIONS_TOPIC).keySet().contains("pool/v1"));
 		this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "pool-1", "");
 		this.installation.restart(0);
 		this.installation.awaitReady();
--- a/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
@@ -15,6 +16,7 @@
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.entry.rollout.Rollouts;
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.placement.LimitShares;
 import org.fulmargap.placement.SharedRetryBudget;
@@ -70,14 +72,16 @@
 		byte[] record = this.endpoint.record("stage").getBytes(StandardCharsets.UTF_8);
 		view.put(EndpointRecordDecoder.decode("raw-1", record), 0);
 		EntryMetrics metrics = new EntryMetrics();
+		FleetMember own = new FleetMember("vm-0", "127.0.0.1:1", "a", 1);
+		PeerNetwork peers = new PeerNetwork(own, 1, this.loop, System::currentTimeMillis, metrics);
+		Rollouts rollouts = new Rollouts(Optional.empty(), view.directory(), peers, null, metrics,
+				System::currentTimeMillis);
 		StageCallDispatcher dispatcher = new StageCallDispatcher(this.loop, System::currentTimeMillis, view,
 				new EndpointPool(this.loop, System::currentTimeMillis), new SharedRetryBudget(0.2, 54, 10_000), () -> 1,
 				new SetAsideEndpoints(this.loop, System::currentTimeMillis, view.directory(), LimitShares.WHOLE,
 						metrics),
-				metrics);
-		FleetMember own = new FleetMember("vm-0", "127.0.0.1:1", "a", 1);
-		this.client = new StageClient(this.loop, dispatcher,
-				new PeerNetwork(own, 1, this.loop, System::currentTimeMillis, metrics));
+				rollouts, metrics);
+		this.client = new StageClient(this.loop, dispatcher, peers);
 	}
 
 	private static void pause() {
