Bound the records about streams like those of the other topics

A batch of origins could have 256 KB, where no value of the followed topics is kept beyond 10 KB (MalformedStorePageTests failed since 0-length topics were added: it walks all topics but filled four).

--- a/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
+++ b/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
@@ -49,7 +49,13 @@
 	private static final int RECORDS = 160;
 
 	/** The number of origins in a record. */
-	private static final int MAX_ORIGINS_PER_RECORD = 1_000;
+	private static final int MAX_ORIGINS_PER_RECORD = 100;
+
+	/**
+	 * The length of the longest attempt id that is written, in characters, so that a
+	 * record keeps its bound. Longer ones are only announced.
+	 */
+	private static final int MAX_WRITTEN_LENGTH = 32;
 
 	/** Further origins are dropped while the store accepts no writes. */
 	private static final int MAX_PENDING = 10_000;
@@ -149,6 +155,11 @@
 	private void addPending(StreamOrigin origin) {
 		if (!isWriter()) {
 			this.pending.clear();
+			return;
+		}
+		int length = origin.attemptId().length() + origin.service().length() + origin.softwareVersion().length();
+		if (length > MAX_WRITTEN_LENGTH) {
+			this.metrics.count("stream_origins_too_long");
 		}
 		else if (this.pending.size() < MAX_PENDING) {
 			this.pending.add(origin);
