Keep the exposure bound for requests that are assigned together

Cause: a request was assigned to the new version when its candidates were first asked for, but counted when it was sent. Requests that wait for their stages were all assigned before the first of them counted. Change: the VM's own bound is checked again when the request is sent. Result: of 1,000 requests assigned together at a share of 0.3, the bound of 10 % plus 10 holds; the new test fails without the change.

--- a/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
+++ b/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
@@ -160,13 +160,15 @@
 
 	/**
 	 * Returns whether a request that has been assigned to a version still goes there.
+	 * Asked when it is sent, because many may be assigned before the first of them counts
+	 * in the exposure.
 	 * @param toUpdated whether it was assigned to the new version
 	 * @param nowMs the current time in milliseconds
 	 * @return whether it goes to the new version now
 	 */
 	public boolean stillToUpdated(boolean toUpdated, long nowMs) {
 		double share = share(nowMs);
-		return share >= 1 || (toUpdated && share > 0);
+		return share >= 1 || (toUpdated && share > 0 && isWithinOwnBound());
 	}
 
 	/**
--- a/core/src/test/java/org/fulmargap/rollout/VersionSplitTests.java
+++ b/core/src/test/java/org/fulmargap/rollout/VersionSplitTests.java
@@ -42,6 +42,23 @@
 		assertThat(sent(1_000, 1)).isLessThanOrEqualTo((int) (0.1 * 1_000) + 10);
 	}
 
+	@Test
+	void requestsAssignedTogetherKeepTheExposureBoundWhenTheyAreSent() {
+		this.split.follow(step(1, RolloutPhase.CANARY, 0.3), 0);
+		int assigned = 0;
+		for (int i = 0; i < 1_000; i++) {
+			assigned += this.split.sendsToUpdated("attempt-" + i, 1) ? 1 : 0;
+		}
+		int updated = 0;
+		for (int i = 0; i < assigned; i++) {
+			boolean toUpdated = this.split.stillToUpdated(true, 2);
+			this.split.sent(toUpdated);
+			updated += (toUpdated) ? 1 : 0;
+		}
+		assertThat(assigned).isGreaterThan(200);
+		assertThat(updated).isLessThanOrEqualTo((int) (0.1 * assigned) + 10);
+	}
+
 	@Nested
 	class Steps {
 
