Compare the answers of the last seconds, and scale phases to the time limit

Cause: a version that turned bad after 30 s of a 60 s rollout was compared by all answers since the order; at 2,000 requests a second its earlier good answers hid 15 % bad ones. Of 5 s, one went by before the canary and 1.5 s in the ramp, so that a good version could miss the time limit. Change: RecentAnswers keeps the sums of the last 3 s, and either comparison may revert. The waiting and the ramp take at most a tenth and a fifth of the time limit.

--- a/core/src/main/java/org/fulmargap/rollout/AnswerCounts.java
+++ b/core/src/main/java/org/fulmargap/rollout/AnswerCounts.java
@@ -21,6 +21,16 @@
 		return new AnswerCounts(this.answered + other.answered, this.failed + other.failed, this.slow + other.slow);
 	}
 
+	/**
+	 * Subtracts earlier counts.
+	 * @param earlier the earlier counts
+	 * @return the differences; 0 for counts that fell because a VM left
+	 */
+	AnswerCounts minus(AnswerCounts earlier) {
+		return new AnswerCounts(Math.max(0, this.answered - earlier.answered),
+				Math.max(0, this.failed - earlier.failed), Math.max(0, this.slow - earlier.slow));
+	}
+
 	/**
 	 * Returns the number of bad answers.
 	 * @return the number of failed and slow ones
--- a/core/src/main/java/org/fulmargap/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/fulmargap/rollout/RolloutDecision.java
@@ -1,5 +1,6 @@
 package org.fulmargap.rollout;
 
+import java.util.Collection;
 import java.util.Locale;
 
 /**
@@ -33,6 +34,9 @@
 	 */
 	private static final long RAMP_MS = 1_500;
 
+	/** The largest part of the time limit in which it does. */
+	private static final double RAMP_TIME = 0.2;
+
 	/**
 	 * The time before the time limit at which the state becomes final, in milliseconds,
 	 * for the write to the store.
@@ -48,6 +52,9 @@
 	 */
 	private static final double SAFE_PART = 0.8;
 
+	/** The largest part of the time limit in which no request goes to the new version. */
+	private static final double RATE_TIME = 0.1;
+
 	/** The shortest time over which a rate is measured, in milliseconds. */
 	private static final long MIN_RATE_TIME_MS = 1_000;
 
@@ -74,17 +81,22 @@
 	 * @param last the step in force
 	 * @param stepAtMs since when it has been in force, in milliseconds
 	 * @param sum the reports of all VMs together
+	 * @param recent the answers of the last seconds
 	 * @param service what is known of the service now
 	 * @param nowMs the current time in milliseconds
 	 * @return the step, which is the last one if nothing changes, and the reason
 	 */
-	public Decision next(RolloutStep last, long stepAtMs, RolloutReport sum, ServiceState service, long nowMs) {
+	public Decision next(RolloutStep last, long stepAtMs, RolloutReport sum, Collection<RouteCounts> recent,
+			ServiceState service, long nowMs) {
 		if (last.state().isFinal()) {
 			return new Decision(last, "final");
 		}
 		if (VersionEvidence.isWorse(sum.routes().values())) {
 			return new Decision(last.end(RolloutState.REVERTED), "worse_answers");
 		}
+		if (VersionEvidence.isWorse(recent)) {
+			return new Decision(last.end(RolloutState.REVERTED), "worse_recent_answers");
+		}
 		long leftMs = this.orderedAtMs + this.order.durationMs() - nowMs;
 		if (last.phase() == RolloutPhase.FULL && isConfirmed(last, sum, service)
 				&& (sum.oldInFlight() == 0 || leftMs <= FINAL_MS)) {
@@ -113,14 +125,18 @@
 		}
 		long ageMs = nowMs - this.orderedAtMs;
 		return switch (phase) {
-			case WAITING -> ageMs >= MIN_RATE_TIME_MS;
+			case WAITING -> ageMs >= Math.min(MIN_RATE_TIME_MS, this.order.durationMs() * RATE_TIME);
 			case CANARY -> ageMs >= this.order.durationMs() * CANARY_TIME && hasEvidence(sum, nowMs);
-			case OBSERVATION -> ageMs >= fullAtMs() - RAMP_MS && hasEvidence(sum, nowMs) && hasBudget(sum, nowMs);
-			case RAMP -> nowMs - stepAtMs >= RAMP_MS && ageMs >= fullAtMs();
+			case OBSERVATION -> ageMs >= fullAtMs() - rampMs() && hasEvidence(sum, nowMs) && hasBudget(sum, nowMs);
+			case RAMP -> nowMs - stepAtMs >= rampMs() && ageMs >= fullAtMs();
 			case FULL -> false;
 		};
 	}
 
+	private double rampMs() {
+		return Math.min(RAMP_MS, this.order.durationMs() * RAMP_TIME);
+	}
+
 	// The age of the order at which all requests go to the new version, in milliseconds.
 	private long fullAtMs() {
 		double fullMs = Math.max(MIN_FULL_MS, Math.min(MAX_FULL_MS, this.order.durationMs() * FULL_TIME));
@@ -136,7 +152,7 @@
 
 	// Whether the bound holds if a fault shows only in the next phase.
 	private boolean hasBudget(RolloutReport sum, long nowMs) {
-		double inRamp = requestsPerMs(sum, nowMs) * RAMP_MS;
+		double inRamp = requestsPerMs(sum, nowMs) * rampMs();
 		double share = RolloutPhase.RAMP.share(this.limits, expectedRequests(sum, nowMs));
 		double allowed = this.limits.exposureShare() * (sum.requests() + inRamp) + this.limits.exposureSlack();
 		return sum.updatedRequests() + share * inRamp <= SAFE_PART * allowed;
--- a/core/src/main/java/org/fulmargap/rollout/RouteCounts.java
+++ b/core/src/main/java/org/fulmargap/rollout/RouteCounts.java
@@ -69,4 +69,17 @@
 		return new RouteCounts(this.old.plus(other.old), sums);
 	}
 
+	/**
+	 * Subtracts earlier counts.
+	 * @param earlier the earlier counts
+	 * @return the differences
+	 */
+	RouteCounts minus(RouteCounts earlier) {
+		Map<String, AnswerCounts> differences = new HashMap<>();
+		this.updatedByEndpoint.forEach((endpoint, counts) -> differences.put(endpoint,
+				counts.minus(earlier.updatedByEndpoint.getOrDefault(endpoint, AnswerCounts.NONE))));
+		differences.values().removeIf((counts) -> counts.answered() == 0);
+		return new RouteCounts(this.old.minus(earlier.old), differences);
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
@@ -6,6 +6,7 @@
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.rollout.AnswerCounts;
+import org.fulmargap.rollout.RecentAnswers;
 import org.fulmargap.rollout.RolloutDecision;
 import org.fulmargap.rollout.RolloutLimits;
 import org.fulmargap.rollout.RolloutOrder;
@@ -38,6 +39,8 @@
 
 	private final Map<String, PeerReport> reports = new HashMap<>();
 
+	private final RecentAnswers recentAnswers = new RecentAnswers();
+
 	private long orderedAtMs;
 
 	private boolean coordinating;
@@ -189,7 +192,9 @@
 	private void decide(RolloutDecision.ServiceState service, long nowMs) {
 		RolloutStep last = this.split.step();
 		RolloutDecision decision = new RolloutDecision(this.split.order(), this.limits, this.orderedAtMs);
-		RolloutDecision.Decision next = decision.next(last, this.stepAtMs, sum(nowMs), service, nowMs);
+		RolloutReport sum = sum(nowMs);
+		RolloutDecision.Decision next = decision.next(last, this.stepAtMs, sum,
+				this.recentAnswers.add(sum.routes(), nowMs), service, nowMs);
 		if (next.step().equals(last)) {
 			return;
 		}
