Let the store decide between COMPLETE and REVERTED, and write states again

Cause: when the answer to the write of COMPLETE was lost, the coordinator could decide on REVERTED although the store had COMPLETE, so that all requests went to endpoints that stop at once. A coordinator whose first read failed after its start began a rollout anew that may have ended. A VM that was cut off coordinated by itself and kept its share, and nobody read a final state that another coordinator had written. While COMPLETE was being written, the coordinator's own lease ran out. A state for operators that was written late could replace a final one. The states were not written again after the store came back from an older copy, and an order that was written again left the coordinator with a step of the old id. Change: a rollout that may be complete is paused (share 0) until the store has answered. A VM that started lately waits for the store, without sending to either version for up to 1 s. Only VMs that reach half of the fleet coordinate; a coordinator reads the progress each second, other VMs while they have no lease. The state in progress is written only at the end that was read before.

--- a/core/src/main/java/org/fulmargap/rollout/RolloutStep.java
+++ b/core/src/main/java/org/fulmargap/rollout/RolloutStep.java
@@ -30,6 +30,15 @@
 		return new RolloutStep(this.orderId, this.number + 1, this.phase, finalShare, finalState);
 	}
 
+	/**
+	 * Returns a step in which the new version gets nothing, until the store has said
+	 * whether the rollout is complete.
+	 * @return the next step
+	 */
+	public RolloutStep pause() {
+		return new RolloutStep(this.orderId, this.number + 1, this.phase, 0, RolloutState.IN_PROGRESS);
+	}
+
 	/**
 	 * Returns which of two steps holds.
 	 * @param first a step
--- a/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
+++ b/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
@@ -155,7 +155,16 @@
 		if (this.step.state().isFinal()) {
 			return this.step.share();
 		}
-		return (nowMs - this.stepReceivedAtMs < STEP_LIFETIME_MS) ? this.step.share() : 0;
+		return (hasLease(nowMs)) ? this.step.share() : 0;
+	}
+
+	/**
+	 * Returns whether the step that this VM follows was confirmed lately.
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code false} if no coordinator is heard of
+	 */
+	public boolean hasLease(long nowMs) {
+		return nowMs - this.stepReceivedAtMs < STEP_LIFETIME_MS;
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -276,7 +276,10 @@
 			.write();
 		// The records of this topic may arrive later than the first answer of the store.
 		switch (topic) {
-			case OPERATOR -> this.restoredOperator.restored(this.newestHistoryAtMs);
+			case OPERATOR -> {
+				this.restoredOperator.restored(this.newestHistoryAtMs);
+				this.rollouts.storeRestored();
+			}
 			case ENDPOINTS -> this.restoredEndpoints.restored(this.newestHistoryAtMs);
 			case QUARANTINE -> this.quarantine.restored(known.position().history());
 			case MEMBERS, STATUS, VERSIONS, STREAMS, ROLLOUTS -> {
--- a/entry/src/main/java/org/fulmargap/entry/rollout/RolloutStore.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/RolloutStore.java
@@ -81,32 +81,47 @@
 
 	private Result tryRead(String service) {
 		try {
-			return new Result(true, find(this.store.newest(StoreTopic.ROLLOUTS), service));
+			return new Result(true, find(this.store.newest(StoreTopic.ROLLOUTS), service), false);
 		}
 		catch (StoreException ex) {
 			return Result.UNKNOWN;
 		}
 	}
 
+	// The state for operators is written at the end that was read before the progress, so
+	// that a writer that was overtaken doesn't replace a final state.
 	private Result tryWrite(String service, RolloutProgress progress) {
+		boolean mayBeWritten = false;
 		try {
 			for (int i = 0; i < MAX_TRIES; i++) {
+				long statusEnd = this.store.newest(StoreTopic.STATUS).nextOffset();
 				StorePage page = this.store.newest(StoreTopic.ROLLOUTS);
 				RolloutProgress known = find(page, service).orElse(progress);
 				boolean isFinal = known.orderId() == progress.orderId() && known.state().isFinal();
+				mayBeWritten = true;
 				if (isFinal || this.store.putAt(StoreTopic.ROLLOUTS, service, RolloutRecords.encodeProgress(progress),
 						page.nextOffset())) {
 					RolloutProgress stored = (isFinal) ? known : progress;
-					this.store.put(StoreTopic.STATUS, RolloutRecords.KEY_PREFIX + service,
-							RolloutRecords.encodeState(stored.toVersion(), stored.state()));
-					return new Result(true, Optional.of(stored));
+					if (putState(service, stored, statusEnd)) {
+						return new Result(true, Optional.of(stored), true);
+					}
 				}
 			}
 		}
 		catch (StoreException ex) {
 			EventLog.state("rollout_not_written").with("service", service).with("cause", ex.getMessage()).write();
 		}
-		return Result.UNKNOWN;
+		return new Result(false, Optional.empty(), mayBeWritten);
+	}
+
+	private boolean putState(String service, RolloutProgress stored, long statusEnd) throws StoreException {
+		String key = RolloutRecords.KEY_PREFIX + service;
+		byte[] value = RolloutRecords.encodeState(stored.toVersion(), stored.state());
+		if (!stored.state().isFinal()) {
+			return this.store.putAt(StoreTopic.STATUS, key, value, statusEnd);
+		}
+		this.store.put(StoreTopic.STATUS, key, value);
+		return true;
 	}
 
 	private static Optional<RolloutProgress> find(StorePage page, String service) {
@@ -142,11 +157,12 @@
 	 *
 	 * @param known whether the store answered
 	 * @param progress the progress, or empty if it has none or did not answer
+	 * @param maybeWritten whether a write may have taken effect
 	 */
-	record Result(boolean known, Optional<RolloutProgress> progress) {
+	record Result(boolean known, Optional<RolloutProgress> progress, boolean maybeWritten) {
 
-		/** The store did not answer; a write may have taken effect. */
-		static final Result UNKNOWN = new Result(false, Optional.empty());
+		/** The store could not be read. */
+		static final Result UNKNOWN = new Result(false, Optional.empty(), false);
 
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
@@ -100,7 +100,7 @@
 			}
 		}
 		else if (known != null && isRepeat(known.split(), order.get())) {
-			known.split().renumber(order.get().id());
+			known.renumber(order.get().id());
 		}
 		else {
 			replace(known, order.get(), nowMs);
@@ -155,8 +155,12 @@
 		if (this.limits.isEmpty()) {
 			return available;
 		}
+		ServiceRollout rollout = this.rollouts.get(service);
+		if (rollout != null && rollout.isUnknown(nowMs)) {
+			return List.of();
+		}
 		Set<String> excluded = this.excludedVersions.getOrDefault(service, Set.of());
-		boolean ordered = this.rollouts.containsKey(service);
+		boolean ordered = rollout != null;
 		return available.stream()
 			.filter((endpoint) -> !excluded.contains(endpoint.record().softwareVersion()))
 			.filter((endpoint) -> ordered || !isUnordered(endpoint, available, nowMs))
@@ -194,16 +198,26 @@
 			return;
 		}
 		int vmsInTouch = this.peers.aliveCount();
+		// The larger part of the fleet coordinates. Without a step, the others send
+		// nothing to the new version.
+		boolean isCutOff = 2 * vmsInTouch < this.peers.vmCount();
 		Map<String, Set<String>> versions = this.directory.softwareVersions();
 		this.rollouts.forEach((service, rollout) -> {
 			VersionSplit split = rollout.split();
 			int updated = (int) this.directory.available(service, nowMs).stream().filter(split::isUpdated).count();
 			boolean inForce = versions.getOrDefault(service, Set.of()).equals(Set.of(split.order().toVersion()));
-			rollout.update(this.peers.coordinatorOf(service).equals(this.peers.ownName()),
+			rollout.update(!isCutOff && this.peers.coordinatorOf(service).equals(this.peers.ownName()),
 					new RolloutDecision.ServiceState(vmsInTouch, updated), inForce, nowMs);
 		});
 	}
 
+	/**
+	 * Writes the states again after the store came back from an older copy.
+	 */
+	public void storeRestored() {
+		this.rollouts.values().forEach(ServiceRollout::storeRestored);
+	}
+
 	/**
 	 * Returns what this VM tells its peers.
 	 * @return its reports, and the steps of the services that it coordinates
--- a/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
@@ -10,6 +10,7 @@
 import org.fulmargap.rollout.RolloutDecision;
 import org.fulmargap.rollout.RolloutLimits;
 import org.fulmargap.rollout.RolloutOrder;
+import org.fulmargap.rollout.RolloutPhase;
 import org.fulmargap.rollout.RolloutProgress;
 import org.fulmargap.rollout.RolloutReport;
 import org.fulmargap.rollout.RolloutState;
@@ -29,6 +30,17 @@
 	/** The pause before a call to the store is repeated, in milliseconds. */
 	private static final long RETRY_DELAY_MS = 500;
 
+	/**
+	 * The interval at which a coordinator reads whether another one ended the rollout.
+	 */
+	private static final long CHECK_INTERVAL_MS = 1_000;
+
+	/**
+	 * How long requests are refused after a start for a rollout that may have ended, in
+	 * milliseconds, while the store does not answer.
+	 */
+	private static final long MAX_UNKNOWN_MS = 1_000;
+
 	private final RolloutStore store;
 
 	private final EntryMetrics metrics;
@@ -50,6 +62,16 @@
 
 	private boolean calling;
 
+	// Whether this VM has started lately and not read yet if the rollout has ended.
+	private boolean awaitsProgress;
+
+	// Whether the store may have the state COMPLETE without this coordinator knowing it.
+	private boolean mayBeComplete;
+
+	private final long receivedAtMs;
+
+	private long nextCheckAtMs;
+
 	// Whether this coordinator has tried to read what an earlier one wrote.
 	private boolean tried;
 
@@ -67,6 +89,7 @@
 		this.split = new VersionSplit(order, limits, ownSlack);
 		this.step = this.split.step();
 		this.orderedAtMs = nowMs;
+		this.receivedAtMs = nowMs;
 	}
 
 	VersionSplit split() {
@@ -78,11 +101,36 @@
 	}
 
 	/**
-	 * Follows what the store has of the rollout when this VM starts in the middle of it.
+	 * Reads what the store has of the rollout when this VM starts in the middle of it.
+	 * Until it is known, this VM doesn't coordinate the rollout.
 	 * @param nowMs the current time in milliseconds
 	 */
 	void readProgress(long nowMs) {
-		this.store.read(service(), (result) -> result.progress().ifPresent((progress) -> adopt(progress, nowMs)));
+		this.awaitsProgress = true;
+		read(nowMs);
+	}
+
+	/**
+	 * Returns whether this VM doesn't know yet if the rollout ended before it started.
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} until the store has answered, for a short time at most
+	 */
+	boolean isUnknown(long nowMs) {
+		return this.awaitsProgress && nowMs - this.receivedAtMs < MAX_UNKNOWN_MS
+				&& !this.split.step().state().isFinal();
+	}
+
+	private void read(long nowMs) {
+		if (this.calling || nowMs < this.nextCallAtMs) {
+			return;
+		}
+		this.calling = true;
+		this.store.read(service(), (result) -> {
+			this.calling = false;
+			this.nextCallAtMs = nowMs + RETRY_DELAY_MS;
+			this.awaitsProgress = this.awaitsProgress && !result.known();
+			result.progress().ifPresent((progress) -> adopt(progress, nowMs));
+		});
 	}
 
 	private void adopt(RolloutProgress progress, long nowMs) {
@@ -167,8 +215,9 @@
 	 * @param nowMs the current time in milliseconds
 	 */
 	void update(boolean isCoordinator, RolloutDecision.ServiceState service, boolean alreadyInForce, long nowMs) {
-		if (!isCoordinator) {
+		if (!isCoordinator || this.awaitsProgress) {
 			this.coordinating = false;
+			readIfAlone(nowMs);
 			return;
 		}
 		if (!this.coordinating) {
@@ -181,14 +230,24 @@
 		synchronize(alreadyInForce, nowMs);
 		// A completed rollout takes effect only once the store has it.
 		boolean completing = this.calling && this.step.state() == RolloutState.COMPLETE;
-		if (this.tried && !completing && !this.split.step().state().isFinal()) {
+		if (this.tried && !completing && !isRevertPending() && !this.split.step().state().isFinal()) {
 			decide(service, nowMs);
 		}
-		if (this.step.state() != RolloutState.COMPLETE) {
-			follow(this.step, "own", nowMs);
+		follow(this.split.step(), "own", nowMs);
+	}
+
+	// The rollout may have ended without this VM hearing of it.
+	private void readIfAlone(long nowMs) {
+		boolean alone = nowMs - this.receivedAtMs >= VersionSplit.STEP_LIFETIME_MS && !this.split.hasLease(nowMs);
+		if (!this.split.step().state().isFinal() && (alone || this.awaitsProgress)) {
+			read(nowMs);
 		}
 	}
 
+	private boolean isRevertPending() {
+		return this.mayBeComplete && this.step.state() == RolloutState.REVERTED;
+	}
+
 	private void decide(RolloutDecision.ServiceState service, long nowMs) {
 		RolloutStep last = this.split.step();
 		RolloutDecision decision = new RolloutDecision(this.split.order(), this.limits, this.orderedAtMs);
@@ -206,12 +265,23 @@
 			return;
 		}
 		this.stored = this.stored && !next.step().state().isFinal();
+		if (isRevertPending()) {
+			// Old endpoints stop when the store says COMPLETE, so the store decides.
+			this.nextCallAtMs = nowMs;
+			follow(last.pause(), next.reason(), nowMs);
+			return;
+		}
 		follow(next.step(), next.reason(), nowMs);
 	}
 
 	// Writes the state that the store lacks. Before the first write, the state that an
 	// earlier coordinator wrote is read.
 	private void synchronize(boolean alreadyInForce, long nowMs) {
+		if (this.stored && !this.split.step().state().isFinal() && nowMs >= this.nextCheckAtMs) {
+			this.nextCheckAtMs = nowMs + CHECK_INTERVAL_MS;
+			read(nowMs);
+			return;
+		}
 		if (this.stored || this.calling || nowMs < this.nextCallAtMs) {
 			return;
 		}
@@ -230,6 +300,8 @@
 	private void coordinatorRead(RolloutStore.Result result, boolean alreadyInForce, long nowMs) {
 		this.calling = false;
 		this.tried = true;
+		// An earlier coordinator may have written it and not told of it.
+		this.mayBeComplete = !result.known() && this.split.step().phase() == RolloutPhase.FULL;
 		result.progress().ifPresent((progress) -> adopt(progress, nowMs));
 		boolean isNew = result.known() && result.progress().filter((known) -> known.isOf(this.split.order())).isEmpty();
 		if (isNew && alreadyInForce && !this.step.state().isFinal()) {
@@ -241,12 +313,34 @@
 		this.calling = false;
 		this.nextCallAtMs = nowMs + RETRY_DELAY_MS;
 		this.stored = result.known() && progress.state() == this.step.state();
-		if (result.known() && result.progress().isPresent()) {
-			RolloutState state = result.progress().get().state();
-			if (state.isFinal() && !this.split.step().state().isFinal()) {
+		if (!result.known()) {
+			boolean maybeWritten = progress.state() == RolloutState.COMPLETE && result.maybeWritten();
+			this.mayBeComplete = this.mayBeComplete || maybeWritten;
+			return;
+		}
+		result.progress().map(RolloutProgress::state).filter(RolloutState::isFinal).ifPresent((state) -> {
+			this.mayBeComplete = false;
+			if (!this.split.step().state().isFinal()) {
 				follow(this.split.step().end(state), "stored", nowMs);
 			}
-		}
+		});
+	}
+
+	/**
+	 * Replaces the id of the order, which its operator has written again.
+	 * @param id the new id
+	 */
+	void renumber(long id) {
+		this.split.renumber(id);
+		this.step = new RolloutStep(id, this.step.number(), this.step.phase(), this.step.share(), this.step.state());
+		this.stored = false;
+	}
+
+	/**
+	 * Writes the state again, because the store came back from an older copy.
+	 */
+	void storeRestored() {
+		this.stored = false;
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/RolloutTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/RolloutTests.java
@@ -172,4 +172,58 @@
 		assertThat(arrivals(stopped)).isEqualTo(before);
 	}
 
+	private void awaitState(String state) throws Exception {
+		long endAtMs = System.currentTimeMillis() + (DURATION_S + 10) * 1_000L;
+		while (!status().contains(state) && System.currentTimeMillis() < endAtMs) {
+			Thread.sleep(2);
+		}
+		assertThat(status()).contains(state);
+	}
+
+	@Test
+	void aLostAnswerToTheLastWriteDoesNotSendRequestsBackToStoppedEndpoints() throws Exception {
+		AtomicBoolean lost = new AtomicBoolean();
+		this.installation.store().filterAppends((record) -> {
+			if (record.contains("\"COMPLETE\"") && !lost.getAndSet(true)) {
+				this.installation.store().loseNextAnswer();
+				this.updated.forEach((endpoint) -> endpoint.fault(EndpointStandIn.Fault.ERROR));
+			}
+			return record;
+		});
+		order();
+		awaitState("complete");
+		this.updated.forEach((endpoint) -> endpoint.fault(EndpointStandIn.Fault.NONE));
+		Thread.sleep(1_000);
+		int before = arrivals(this.old);
+		int sentBefore = this.sent.get();
+		Installation.await(() -> this.sent.get() > sentBefore + 50);
+		assertThat(arrivals(this.old)).isEqualTo(before);
+	}
+
+	@Test
+	void allVmsSendNothingToOldEndpointsAfterARestartThatFollowsTheCompletion() throws Exception {
+		order();
+		awaitState("complete");
+		int before = arrivals(this.old);
+		for (int i = 0; i < VMS; i++) {
+			this.installation.restart(i);
+		}
+		this.installation.awaitReady();
+		int updatedBefore = arrivals(this.updated);
+		Installation.await(() -> arrivals(this.updated) > updatedBefore + 50);
+		assertThat(arrivals(this.old)).isEqualTo(before);
+	}
+
+	@Test
+	void theStateIsWrittenAgainAfterTheStoreCameBackFromAnOlderCopy() throws Exception {
+		StoreStandIn.Copy copy = this.installation.store().copy();
+		order();
+		awaitState("complete");
+		this.installation.store().restore(copy);
+		assertThat(status()).isEmpty();
+		this.installation.store()
+			.put(CallerWire.OPERATOR_TOPIC, "rollout/core", CallerWire.rollout("core", "v2", DURATION_S));
+		awaitState("complete");
+	}
+
 }
