Complete orders of the version in force, end replaced rollouts, count older requests

Cause: an order of the only version that serves stopped nearly all requests until its completion was written. An invalid order had no status, and the rollout that it replaced went on. Requests that were sent before the order didn't count as in flight, nor did the end of a call whose endpoint came back with another version. Change: a version that has served alone is complete at once; an invalid order withdraws the rollout and is written as reverted; the requests in flight come from the endpoints, and the version of a call is kept from when it was sent. The counting of requests in flight has no test of its own.

--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -26,6 +26,7 @@
 import org.fulmargap.platform.NodeSettings;
 import org.fulmargap.platform.OperatorPage;
 import org.fulmargap.platform.OperatorRecord;
+import org.fulmargap.platform.RolloutRecords;
 import org.fulmargap.platform.StoreClient;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
@@ -414,6 +415,12 @@
 				.write();
 		}
 		newest.records().forEach((record) -> apply(record.content(), record.offset(), origin, nowMs));
+		newest.refused()
+			.stream()
+			.map((refused) -> refused.record().key())
+			.filter((key) -> key.startsWith(RolloutRecords.KEY_PREFIX))
+			.distinct()
+			.forEach((key) -> this.rollouts.refused(key.substring(RolloutRecords.KEY_PREFIX.length()), nowMs));
 	}
 
 	private void apply(OperatorRecord record, long offset, PageOrigin origin, long nowMs) {
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -563,6 +563,9 @@
 		// How a rollout divides the requests, and counts the answers; null without one.
 		private final VersionSplit split;
 
+		// A new process of the endpoint may have another version when the call ends.
+		private final boolean sentToUpdated;
+
 		private final PromptEvidence promptEvidence;
 
 		private final ResponseTimer timer;
@@ -592,6 +595,7 @@
 			this.calledRecord = this.endpoint.record();
 			this.sentAtMs = nowMs;
 			this.split = RequestFlow.this.candidates.split().orElse(null);
+			this.sentToUpdated = this.split != null && this.split.isUpdated(this.endpoint);
 			RequestFlow flow = RequestFlow.this;
 			this.promptEvidence = new PromptEvidence(flow.services.promptParts(), flow.sharedParts);
 			this.timer = new ResponseTimer(flow.services, flow.route, flow.runs, flow.service.name(),
@@ -606,7 +610,7 @@
 			flow.services.limits().sent(this.endpoint, flow.priority());
 			flow.calls++;
 			if (this.split != null) {
-				this.split.sent(this.split.isUpdated(this.endpoint));
+				this.split.sent(this.sentToUpdated);
 			}
 			EventLog.request("dispatched", flow.request.attemptId())
 				.with("route", flow.route.name())
@@ -935,7 +939,7 @@
 			RequestFlow.this.call = null;
 			this.endpoint.ended();
 			if (this.split != null) {
-				this.split.ended(this.split.isUpdated(this.endpoint));
+				this.split.ended(this.sentToUpdated);
 			}
 			if (!this.firstEventReceived) {
 				this.endpoint.firstEvent(this.unreadTokens);
--- a/entry/src/main/java/org/fulmargap/entry/rollout/RolloutStore.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/RolloutStore.java
@@ -15,6 +15,7 @@
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
 import org.fulmargap.rollout.RolloutProgress;
+import org.fulmargap.rollout.RolloutState;
 
 /**
  * Keeps the progress of rollouts in the platform's store, and their states for operators.
@@ -79,6 +80,22 @@
 		});
 	}
 
+	/**
+	 * Writes for operators that an invalid order has no effect.
+	 * @param service the name of the service
+	 */
+	void refuse(String service) {
+		this.caller.execute(() -> {
+			try {
+				this.store.put(StoreTopic.STATUS, RolloutRecords.KEY_PREFIX + service,
+						RolloutRecords.encodeState("", RolloutState.REVERTED));
+			}
+			catch (StoreException ex) {
+				EventLog.state("rollout_not_written").with("service", service).with("cause", ex.getMessage()).write();
+			}
+		});
+	}
+
 	private Result tryRead(String service) {
 		try {
 			return new Result(true, find(this.store.newest(StoreTopic.ROLLOUTS), service), false);
--- a/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
@@ -126,12 +126,42 @@
 		boolean atStart = nowMs - this.startedAtMs < START_MS;
 		double ownSlack = (atStart) ? 0
 				: this.limits.get().exposureSlack() / (double) Math.max(1, this.peers.vmCount());
-		ServiceRollout rollout = new ServiceRollout(order, this.limits.get(), ownSlack, this.store, this.metrics,
-				nowMs);
+		ServiceRollout rollout = new ServiceRollout(order, this.limits.get(), ownSlack, this.directory, this.store,
+				this.metrics, nowMs);
 		this.rollouts.put(order.service(), rollout);
 		if (atStart) {
 			rollout.readProgress(nowMs);
 		}
+		else if (servesAlone(order, nowMs)) {
+			rollout.alreadyInForce(nowMs);
+		}
+	}
+
+	private boolean servesAlone(RolloutOrder order, long nowMs) {
+		boolean isOnly = this.directory.softwareVersions()
+			.getOrDefault(order.service(), Set.of())
+			.equals(Set.of(order.toVersion()));
+		return isOnly && this.directory.available(order.service(), nowMs)
+			.stream()
+			.anyMatch((endpoint) -> endpoint.knownForMs(nowMs) >= HOLD_MS);
+	}
+
+	/**
+	 * Ends the rollout that an invalid order replaces.
+	 * @param service the name of the service
+	 * @param nowMs the current time in milliseconds
+	 */
+	public void refused(String service, long nowMs) {
+		if (this.limits.isEmpty()) {
+			return;
+		}
+		ServiceRollout known = this.rollouts.get(service);
+		if (known != null) {
+			known.withdraw("order_invalid", nowMs);
+		}
+		if (this.peers.coordinatorOf(service).equals(this.peers.ownName())) {
+			this.store.refuse(service);
+		}
 	}
 
 	/**
@@ -229,7 +259,7 @@
 		Map<String, RolloutReport> reports = new HashMap<>();
 		Map<String, RolloutStep> steps = new HashMap<>();
 		this.rollouts.forEach((service, rollout) -> {
-			reports.put(service, rollout.split().report());
+			reports.put(service, rollout.report());
 			if (rollout.allowed() != null) {
 				steps.put(service, rollout.allowed());
 			}
--- a/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
@@ -5,6 +5,8 @@
 
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
+import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.EndpointDirectory;
 import org.fulmargap.rollout.AnswerCounts;
 import org.fulmargap.rollout.RecentAnswers;
 import org.fulmargap.rollout.RolloutDecision;
@@ -41,6 +43,8 @@
 	 */
 	private static final long MAX_UNKNOWN_MS = 1_000;
 
+	private final EndpointDirectory directory;
+
 	private final RolloutStore store;
 
 	private final EntryMetrics metrics;
@@ -81,8 +85,9 @@
 
 	private long stepAtMs;
 
-	ServiceRollout(RolloutOrder order, RolloutLimits limits, double ownSlack, RolloutStore store, EntryMetrics metrics,
-			long nowMs) {
+	ServiceRollout(RolloutOrder order, RolloutLimits limits, double ownSlack, EndpointDirectory directory,
+			RolloutStore store, EntryMetrics metrics, long nowMs) {
+		this.directory = directory;
 		this.limits = limits;
 		this.store = store;
 		this.metrics = metrics;
@@ -110,6 +115,14 @@
 		read(nowMs);
 	}
 
+	/**
+	 * Completes the rollout to a version that has served alone before the order.
+	 * @param nowMs the current time in milliseconds
+	 */
+	void alreadyInForce(long nowMs) {
+		follow(this.split.step().end(RolloutState.COMPLETE), "already_in_force", nowMs);
+	}
+
 	/**
 	 * Returns whether this VM doesn't know yet if the rollout ended before it started.
 	 * @param nowMs the current time in milliseconds
@@ -364,8 +377,24 @@
 		return (this.coordinating) ? this.split.step() : null;
 	}
 
+	/**
+	 * Returns what this VM has seen of the rollout.
+	 * @return the report
+	 */
+	RolloutReport report() {
+		RolloutReport report = this.split.report();
+		// Those that were sent before the order count, too.
+		int oldInFlight = this.directory.all()
+			.stream()
+			.filter((endpoint) -> endpoint.record().service().equals(service()) && !this.split.isUpdated(endpoint))
+			.mapToInt(Endpoint::ownInFlight)
+			.sum();
+		return new RolloutReport(report.orderId(), report.requests(), report.updatedRequests(), report.routes(),
+				Math.max(oldInFlight, report.oldInFlight()), report.seenStep(), report.vms());
+	}
+
 	private RolloutReport sum(long nowMs) {
-		RolloutReport sum = this.split.report();
+		RolloutReport sum = report();
 		for (PeerReport peer : this.reports.values()) {
 			if (nowMs - peer.receivedAtMs() < REPORT_LIFETIME_MS) {
 				sum = sum.plus(peer.report());
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -523,6 +523,9 @@
 		// How a rollout divides the calls, and counts the answers; null without one.
 		private final VersionSplit split;
 
+		// A new process of the endpoint may have another version when the call ends.
+		private final boolean sentToUpdated;
+
 		private EndpointPool.RunningCall poolCall;
 
 		private Future<?> timeout;
@@ -539,8 +542,9 @@
 			this.calledRecord = call.endpoint().record();
 			this.startedAtMs = startedAtMs;
 			this.split = StageCallDispatcher.this.rollouts.split(queue.service).orElse(null);
+			this.sentToUpdated = this.split != null && this.split.isUpdated(call.endpoint());
 			if (this.split != null) {
-				this.split.sent(this.split.isUpdated(call.endpoint()));
+				this.split.sent(this.sentToUpdated);
 			}
 		}
 
@@ -714,7 +718,7 @@
 			}
 			this.queue.scheduler.ended(this.call);
 			if (this.split != null) {
-				this.split.ended(this.split.isUpdated(this.call.endpoint()));
+				this.split.ended(this.sentToUpdated);
 			}
 			return StageCallDispatcher.this.clockMs.getAsLong();
 		}
--- a/entry/src/test/java/org/fulmargap/entry/RolloutTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/RolloutTests.java
@@ -226,4 +226,30 @@
 		awaitState("complete");
 	}
 
+	@Test
+	void anInvalidOrderIsRevertedAndEndsTheRolloutThatItReplaces() throws Exception {
+		order();
+		Installation.await(() -> arrivals(this.updated) > 3);
+		this.installation.store().put(CallerWire.OPERATOR_TOPIC, "rollout/core", CallerWire.rollout("core", "v2", 0));
+		awaitState("reverted");
+		Thread.sleep(300);
+		int before = arrivals(this.updated);
+		int sentBefore = this.sent.get();
+		Installation.await(() -> this.sent.get() > sentBefore + 100);
+		assertThat(arrivals(this.updated)).isEqualTo(before);
+	}
+
+	@Test
+	void anOrderOfTheVersionInForceRefusesNoRequests() throws Exception {
+		// Later than the time in which a VM takes an order for one from before its start.
+		Thread.sleep(11_000);
+		int before = arrivals(this.old);
+		this.sent.set(0);
+		this.installation.store()
+			.put(CallerWire.OPERATOR_TOPIC, "rollout/core", CallerWire.rollout("core", "v1", DURATION_S));
+		awaitState("complete");
+		Installation.await(() -> this.sent.get() > 200);
+		assertThat(arrivals(this.old) - before).isGreaterThanOrEqualTo(this.sent.get() - 10);
+	}
+
 }
