--- a/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
+++ b/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
@@ -189,7 +189,7 @@
 		StreamPlacement placement = this.origins.find(attemptId)
 			.map((origin) -> StreamPlacement.at(origin.softwareVersion()))
 			.orElseGet(() -> ofUnknownOrigin(service, nowMs));
-		EventLog.state("stream_taken_up")
+		EventLog.call("stream_taken_up")
 			.with("resumed", EventLog.cut(attemptId, MAX_LOGGED_LENGTH))
 			.with("service", service)
 			.with("placement", placement)
@@ -226,16 +226,16 @@
 	private void updateMixed(String service, long nowMs) {
 		boolean mixed = this.versions.isMixed(service, nowMs);
 		if (mixed && this.mixedServices.add(service)) {
-			logVersions("versions_mixed", service, nowMs);
+			logVersions(true, service, nowMs);
 			this.origins.own(service, nowMs - ServiceVersions.LATELY_MS).forEach(this::announce);
 		}
 		else if (!mixed && this.mixedServices.remove(service)) {
-			logVersions("versions_uniform", service, nowMs);
+			logVersions(false, service, nowMs);
 		}
 	}
 
-	private void logVersions(String event, String service, long nowMs) {
-		EventLog.state(event)
+	private void logVersions(boolean mixed, String service, long nowMs) {
+		EventLog.state((mixed) ? "versions_mixed" : "versions_uniform")
 			.with("service", service)
 			.with("versions", String.join(",", this.versions.lately(service, nowMs)))
 			.write();
--- a/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
@@ -39,6 +39,9 @@
 	 */
 	private static final long START_MS = 10_000;
 
+	/** The length of the longest version that is logged whole, in characters. */
+	private static final int MAX_LOGGED_LENGTH = 100;
+
 	private final Optional<RolloutLimits> limits;
 
 	private final EndpointDirectory directory;
@@ -85,7 +88,7 @@
 	public void ordered(String service, Optional<RolloutOrder> order, long nowMs) {
 		EventLog.state("rollout_ordered")
 			.with("service", service)
-			.with("to", order.map(RolloutOrder::toVersion).orElse("none"))
+			.with("to", order.map((ordered) -> EventLog.cut(ordered.toVersion(), MAX_LOGGED_LENGTH)).orElse("none"))
 			.with("duration_ms", order.map(RolloutOrder::durationMs).orElse(0L))
 			.with("order", order.map(RolloutOrder::id).orElse(-1L))
 			.with("followed", this.limits.isPresent())
