Count calls that run much longer than usual as slow before they end

Cause: only answers were counted, so a version whose calls hang, or end at the deadline of their request, had no bad answers. Change: VersionSplit knows the calls that run; those of either version that exceed the slow limit of their route count in the report, and for good when they are given up.

--- a/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
+++ b/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -48,6 +49,8 @@
 
 	private final Map<String, UsualTime> usualTimes = new HashMap<>();
 
+	private final Map<Object, RunningCall> running = new IdentityHashMap<>();
+
 	private RolloutOrder order;
 
 	private RolloutStep step;
@@ -266,16 +269,49 @@
 		}
 	}
 
+	/**
+	 * Records that a call runs, which counts as slow before its answer is there.
+	 * @param call the call
+	 * @param route the route or stage
+	 * @param endpoint the endpoint
+	 * @param timeScale what its time is multiplied by before it is compared
+	 * @param nowMs the current time in milliseconds
+	 */
+	public void running(Object call, String route, Endpoint endpoint, double timeScale, long nowMs) {
+		this.running.put(call, new RunningCall(route, endpoint, isUpdated(endpoint), timeScale, nowMs));
+	}
+
 	/**
 	 * Records that a call has ended, whatever its outcome.
-	 * @param updated whether the endpoint has the version of the order
+	 * @param call the call
+	 * @param updated whether the endpoint had the version of the order
 	 */
-	public void ended(boolean updated) {
+	public void ended(Object call, boolean updated) {
+		this.running.remove(call);
 		if (!updated) {
 			this.oldInFlight = Math.max(0, this.oldInFlight - 1);
 		}
 	}
 
+	/**
+	 * Records that a call was given up before its answer, for example at the deadline of
+	 * its request.
+	 * @param call the call, which has not ended yet
+	 * @param nowMs the current time in milliseconds
+	 */
+	public void givenUp(Object call, long nowMs) {
+		RunningCall known = this.running.get(call);
+		if (known != null && isOverdue(known, nowMs)) {
+			add(known.route(), known.slowAnswer());
+		}
+	}
+
+	private boolean isOverdue(RunningCall call, long nowMs) {
+		UsualTime usual = this.usualTimes.get(call.route());
+		return usual != null && usual.isExceeded((nowMs - call.sentAtMs()) * call.timeScale())
+				&& !call.endpoint().isCold(nowMs) && !call.endpoint().isNew(nowMs);
+	}
+
 	/**
 	 * Records the answer of an endpoint.
 	 * @param route the route or stage
@@ -304,14 +340,32 @@
 	}
 
 	/**
-	 * Returns what this VM has seen since the order.
+	 * Returns what this VM has seen since the order. Calls of either version that take
+	 * much longer than usual count as slow answers while they run.
+	 * @param nowMs the current time in milliseconds
 	 * @return the report
 	 */
-	public RolloutReport report() {
-		return new RolloutReport(this.order.id(), this.requests, this.updatedRequests, this.routes, this.oldInFlight,
+	public RolloutReport report(long nowMs) {
+		Map<String, RouteCounts> counts = new HashMap<>(this.routes);
+		for (RunningCall call : this.running.values()) {
+			if (isOverdue(call, nowMs)) {
+				counts.merge(call.route(), call.slowAnswer(), RouteCounts::plus);
+			}
+		}
+		return new RolloutReport(this.order.id(), this.requests, this.updatedRequests, counts, this.oldInFlight,
 				this.step.number(), 1);
 	}
 
+	private record RunningCall(String route, Endpoint endpoint, boolean updated, double timeScale, long sentAtMs) {
+
+		private RouteCounts slowAnswer() {
+			AnswerCounts slow = AnswerOutcome.SLOW.counts();
+			return (this.updated) ? new RouteCounts(AnswerCounts.NONE, Map.of(this.endpoint.record().id(), slow))
+					: new RouteCounts(slow, Map.of());
+		}
+
+	}
+
 	/**
 	 * How long answers of old endpoints take on a route.
 	 */
--- a/core/src/test/java/org/fulmargap/rollout/VersionSplitTests.java
+++ b/core/src/test/java/org/fulmargap/rollout/VersionSplitTests.java
@@ -121,6 +121,23 @@
 			return endpoints;
 		}
 
+		@Test
+		void callsThatHangCountAsSlowBeforeTheyEnd() {
+			VersionSplit split = VersionSplitTests.this.split;
+			Endpoint old = endpoints("v1", 1).get(0);
+			Endpoint updated = endpoints("v2", 1).get(0);
+			for (int i = 0; i < 20; i++) {
+				split.answered("route", old, false, 100, 10_000);
+			}
+			Object hanging = new Object();
+			split.running(hanging, "route", updated, 1, 10_000);
+			assertThat(split.report(10_240).routes().get("route").updated().bad()).isZero();
+			assertThat(split.report(10_260).routes().get("route").updated().bad()).isEqualTo(1);
+			split.givenUp(hanging, 11_000);
+			split.ended(hanging, true);
+			assertThat(split.report(11_000).routes().get("route").updated().bad()).isEqualTo(1);
+		}
+
 		@Test
 		void oldEndpointsGetNothingOnceTheRolloutIsComplete() {
 			VersionSplit split = VersionSplitTests.this.split;
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -374,7 +374,7 @@
 			}
 		}
 		return new LoadReport(loads, this.admittedWork.own(), Map.of(this.settings.vm(), available),
-				this.view.directory().leaving(nowMs), this.view.directory().limits(nowMs), this.rollouts.own());
+				this.view.directory().leaving(nowMs), this.view.directory().limits(nowMs), this.rollouts.own(nowMs));
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -611,6 +611,7 @@
 			flow.calls++;
 			if (this.split != null) {
 				this.split.sent(this.sentToUpdated);
+				this.split.running(this, flow.route.name(), this.endpoint, 1, nowMs);
 			}
 			EventLog.request("dispatched", flow.request.attemptId())
 				.with("route", flow.route.name())
@@ -926,6 +927,9 @@
 
 		private void cancel() {
 			if (!this.closed) {
+				if (this.split != null) {
+					this.split.givenUp(this, RequestFlow.this.services.nowMs());
+				}
 				close();
 				this.running.cancel();
 			}
@@ -939,7 +943,7 @@
 			RequestFlow.this.call = null;
 			this.endpoint.ended();
 			if (this.split != null) {
-				this.split.ended(this.sentToUpdated);
+				this.split.ended(this, this.sentToUpdated);
 			}
 			if (!this.firstEventReceived) {
 				this.endpoint.firstEvent(this.unreadTokens);
--- a/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
@@ -253,16 +253,17 @@
 
 	/**
 	 * Returns what this VM tells its peers.
+	 * @param nowMs the current time in milliseconds
 	 * @return its reports, and the steps of the services that it coordinates
 	 */
-	public RolloutExchange own() {
+	public RolloutExchange own(long nowMs) {
 		if (this.rollouts.isEmpty()) {
 			return RolloutExchange.NONE;
 		}
 		Map<String, RolloutReport> reports = new HashMap<>();
 		Map<String, RolloutStep> steps = new HashMap<>();
 		this.rollouts.forEach((service, rollout) -> {
-			reports.put(service, rollout.report());
+			reports.put(service, rollout.report(nowMs));
 			if (rollout.allowed() != null) {
 				steps.put(service, rollout.allowed());
 			}
--- a/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
@@ -379,10 +379,11 @@
 
 	/**
 	 * Returns what this VM has seen of the rollout.
+	 * @param nowMs the current time in milliseconds
 	 * @return the report
 	 */
-	RolloutReport report() {
-		RolloutReport report = this.split.report();
+	RolloutReport report(long nowMs) {
+		RolloutReport report = this.split.report(nowMs);
 		// Those that were sent before the order count, too.
 		int oldInFlight = this.directory.all()
 			.stream()
@@ -394,7 +395,7 @@
 	}
 
 	private RolloutReport sum(long nowMs) {
-		RolloutReport sum = report();
+		RolloutReport sum = report(nowMs);
 		for (PeerReport peer : this.reports.values()) {
 			if (nowMs - peer.receivedAtMs() < REPORT_LIFETIME_MS) {
 				sum = sum.plus(peer.report());
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -545,13 +545,15 @@
 			this.sentToUpdated = this.split != null && this.split.isUpdated(call.endpoint());
 			if (this.split != null) {
 				this.split.sent(this.sentToUpdated);
+				this.split.running(this, "stage", call.endpoint(), MS_PER_SECOND / Math.max(1, call.expectedMs()),
+						startedAtMs);
 			}
 		}
 
 		// Calls of any size are compared by their time relative to the expected one.
 		private void recordAnswer(boolean failed, long nowMs) {
 			if (this.split != null) {
-				double relativeMs = (nowMs - this.startedAtMs) / this.call.expectedMs() * MS_PER_SECOND;
+				double relativeMs = (nowMs - this.startedAtMs) * MS_PER_SECOND / Math.max(1, this.call.expectedMs());
 				this.split.answered("stage", this.call.endpoint(), failed, relativeMs, nowMs);
 			}
 		}
@@ -718,7 +720,7 @@
 			}
 			this.queue.scheduler.ended(this.call);
 			if (this.split != null) {
-				this.split.ended(this.sentToUpdated);
+				this.split.ended(this, this.sentToUpdated);
 			}
 			return StageCallDispatcher.this.clockMs.getAsLong();
 		}
