Send all requests to the new version for a shorter time before the end

Cause: while requests at old endpoints ended, the new version got all requests for up to a quarter of the time limit. One that failed just then got more than the exposure bound. Change: at most 15 % of the time limit, at least 3 s (it was 25 % and 4 s). Requests at old endpoints that take longer than about 2 s of a 20 s rollout may be cut at the end, where it was about 4 s: the exposure bound takes precedence. RolloutTests pass.

--- a/core/src/main/java/org/fulmargap/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/fulmargap/rollout/RolloutDecision.java
@@ -17,13 +17,13 @@
 	private static final double CANARY_TIME = 0.15;
 
 	/** The part of the time limit in which all requests go to the new version. */
-	private static final double FULL_TIME = 0.25;
+	private static final double FULL_TIME = 0.15;
 
 	/**
 	 * The shortest time for requests at old endpoints to end before these are stopped, in
 	 * milliseconds.
 	 */
-	private static final long MIN_FULL_MS = 4_000;
+	private static final long MIN_FULL_MS = 3_000;
 
 	/** The longest time for them, in milliseconds: longer than nearly all streams. */
 	private static final long MAX_FULL_MS = 10_000;
--- a/core/src/test/java/org/fulmargap/rollout/RolloutDecisionTests.java
+++ b/core/src/test/java/org/fulmargap/rollout/RolloutDecisionTests.java
@@ -147,6 +147,19 @@
 			assertReverted(2_000, (call) -> (call.atMs() < 30_000) ? 0.01 : 0.15, 60_000);
 		}
 
+		@Test
+		void aVersionThatFailsWhileOldRequestsEndIsRevertedWithinTheExposureBound() {
+			double allowed = LIMITS.exposureShare() * 80 * DURATION_MS / 1_000 + LIMITS.exposureSlack();
+			for (int seed = 0; seed < SEEDS; seed++) {
+				Traffic traffic = new Traffic(seed, 80, 0.01, (call) -> (call.atMs() < 16_000) ? 0.01 : 0.4);
+				traffic.oldCallMs = 4_000;
+				traffic.play();
+				assertThat(traffic.step.state()).as("seed %d", seed).isEqualTo(RolloutState.REVERTED);
+				assertThat(traffic.updated).as("requests to the bad version, seed %d", seed)
+					.isLessThanOrEqualTo((long) allowed);
+			}
+		}
+
 		@Test
 		void aVersionThatFailsAtTheLargestShareIsReverted() {
 			assertReverted(80, (call) -> (call.atMs() < 15_500) ? 0.01 : 0.4);
@@ -248,6 +261,8 @@
 
 		private long stepAtMs;
 
+		private int oldCallMs = OLD_CALL_MS;
+
 		private long requests;
 
 		private long updated;
@@ -283,7 +298,7 @@
 			for (int nowMs = 0; nowMs <= this.durationMs && !this.step.state().isFinal(); nowMs += HEARTBEAT_MS) {
 				send(nowMs);
 				oldSinceMs = (this.step.share() < 1) ? nowMs : oldSinceMs;
-				this.oldInFlight = (nowMs - oldSinceMs < OLD_CALL_MS) ? this.perSecond : 0;
+				this.oldInFlight = (nowMs - oldSinceMs < this.oldCallMs) ? this.perSecond : 0;
 				RolloutStep next = this.decision
 					.next(this.step, this.stepAtMs, sum, this.recent.add(sum.routes(), nowMs),
 							new RolloutDecision.ServiceState(3, ENDPOINTS), nowMs)
