--- a/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
@@ -39,6 +39,9 @@
 	 */
 	private static final long START_MS = 10_000;
 
+	/** The length of the longest version that is logged whole, in characters. */
+	private static final int MAX_LOGGED_LENGTH = 100;
+
 	private final Optional<RolloutLimits> limits;
 
 	private final EndpointDirectory directory;
@@ -85,7 +88,7 @@
 	public void ordered(String service, Optional<RolloutOrder> order, long nowMs) {
 		EventLog.state("rollout_ordered")
 			.with("service", service)
-			.with("to", order.map(RolloutOrder::toVersion).orElse("none"))
+			.with("to", order.map((ordered) -> EventLog.cut(ordered.toVersion(), MAX_LOGGED_LENGTH)).orElse("none"))
 			.with("duration_ms", order.map(RolloutOrder::durationMs).orElse(0L))
 			.with("order", order.map(RolloutOrder::id).orElse(-1L))
 			.with("followed", this.limits.isPresent())
@@ -100,7 +103,7 @@
 			}
 		}
 		else if (known != null && isRepeat(known.split(), order.get())) {
-			known.split().renumber(order.get().id());
+			known.renumber(order.get().id());
 		}
 		else {
 			replace(known, order.get(), nowMs);
@@ -126,12 +129,42 @@
 		boolean atStart = nowMs - this.startedAtMs < START_MS;
 		double ownSlack = (atStart) ? 0
 				: this.limits.get().exposureSlack() / (double) Math.max(1, this.peers.vmCount());
-		ServiceRollout rollout = new ServiceRollout(order, this.limits.get(), ownSlack, this.store, this.metrics,
-				nowMs);
+		ServiceRollout rollout = new ServiceRollout(order, this.limits.get(), ownSlack, this.directory, this.store,
+				this.metrics, nowMs);
 		this.rollouts.put(order.service(), rollout);
 		if (atStart) {
 			rollout.readProgress(nowMs);
 		}
+		else if (servesAlone(order, nowMs)) {
+			rollout.alreadyInForce(nowMs);
+		}
+	}
+
+	private boolean servesAlone(RolloutOrder order, long nowMs) {
+		boolean isOnly = this.directory.softwareVersions()
+			.getOrDefault(order.service(), Set.of())
+			.equals(Set.of(order.toVersion()));
+		return isOnly && this.directory.available(order.service(), nowMs)
+			.stream()
+			.anyMatch((endpoint) -> endpoint.knownForMs(nowMs) >= HOLD_MS);
+	}
+
+	/**
+	 * Ends the rollout that an invalid order replaces.
+	 * @param service the name of the service
+	 * @param nowMs the current time in milliseconds
+	 */
+	public void refused(String service, long nowMs) {
+		if (this.limits.isEmpty()) {
+			return;
+		}
+		ServiceRollout known = this.rollouts.get(service);
+		if (known != null) {
+			known.withdraw("order_invalid", nowMs);
+		}
+		if (this.peers.coordinatorOf(service).equals(this.peers.ownName())) {
+			this.store.refuse(service);
+		}
 	}
 
 	/**
@@ -155,8 +188,12 @@
 		if (this.limits.isEmpty()) {
 			return available;
 		}
+		ServiceRollout rollout = this.rollouts.get(service);
+		if (rollout != null && rollout.isUnknown(nowMs)) {
+			return List.of();
+		}
 		Set<String> excluded = this.excludedVersions.getOrDefault(service, Set.of());
-		boolean ordered = this.rollouts.containsKey(service);
+		boolean ordered = rollout != null;
 		return available.stream()
 			.filter((endpoint) -> !excluded.contains(endpoint.record().softwareVersion()))
 			.filter((endpoint) -> ordered || !isUnordered(endpoint, available, nowMs))
@@ -194,28 +231,39 @@
 			return;
 		}
 		int vmsInTouch = this.peers.aliveCount();
+		// The larger part of the fleet coordinates. Without a step, the others send
+		// nothing to the new version.
+		boolean isCutOff = 2 * vmsInTouch < this.peers.vmCount();
 		Map<String, Set<String>> versions = this.directory.softwareVersions();
 		this.rollouts.forEach((service, rollout) -> {
 			VersionSplit split = rollout.split();
 			int updated = (int) this.directory.available(service, nowMs).stream().filter(split::isUpdated).count();
 			boolean inForce = versions.getOrDefault(service, Set.of()).equals(Set.of(split.order().toVersion()));
-			rollout.update(this.peers.coordinatorOf(service).equals(this.peers.ownName()),
+			rollout.update(!isCutOff && this.peers.coordinatorOf(service).equals(this.peers.ownName()),
 					new RolloutDecision.ServiceState(vmsInTouch, updated), inForce, nowMs);
 		});
 	}
 
+	/**
+	 * Writes the states again after the store came back from an older copy.
+	 */
+	public void storeRestored() {
+		this.rollouts.values().forEach(ServiceRollout::storeRestored);
+	}
+
 	/**
 	 * Returns what this VM tells its peers.
+	 * @param nowMs the current time in milliseconds
 	 * @return its reports, and the steps of the services that it coordinates
 	 */
-	public RolloutExchange own() {
+	public RolloutExchange own(long nowMs) {
 		if (this.rollouts.isEmpty()) {
 			return RolloutExchange.NONE;
 		}
 		Map<String, RolloutReport> reports = new HashMap<>();
 		Map<String, RolloutStep> steps = new HashMap<>();
 		this.rollouts.forEach((service, rollout) -> {
-			reports.put(service, rollout.split().report());
+			reports.put(service, rollout.report(nowMs));
 			if (rollout.allowed() != null) {
 				steps.put(service, rollout.allowed());
 			}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -523,6 +523,9 @@
 		// How a rollout divides the calls, and counts the answers; null without one.
 		private final VersionSplit split;
 
+		// A new process of the endpoint may have another version when the call ends.
+		private final boolean sentToUpdated;
+
 		private EndpointPool.RunningCall poolCall;
 
 		private Future<?> timeout;
@@ -539,15 +542,18 @@
 			this.calledRecord = call.endpoint().record();
 			this.startedAtMs = startedAtMs;
 			this.split = StageCallDispatcher.this.rollouts.split(queue.service).orElse(null);
+			this.sentToUpdated = this.split != null && this.split.isUpdated(call.endpoint());
 			if (this.split != null) {
-				this.split.sent(this.split.isUpdated(call.endpoint()));
+				this.split.sent(this.sentToUpdated);
+				this.split.running(this, "stage", call.endpoint(), MS_PER_SECOND / Math.max(1, call.expectedMs()),
+						startedAtMs);
 			}
 		}
 
 		// Calls of any size are compared by their time relative to the expected one.
 		private void recordAnswer(boolean failed, long nowMs) {
 			if (this.split != null) {
-				double relativeMs = (nowMs - this.startedAtMs) / this.call.expectedMs() * MS_PER_SECOND;
+				double relativeMs = (nowMs - this.startedAtMs) * MS_PER_SECOND / Math.max(1, this.call.expectedMs());
 				this.split.answered("stage", this.call.endpoint(), failed, relativeMs, nowMs);
 			}
 		}
@@ -714,7 +720,7 @@
 			}
 			this.queue.scheduler.ended(this.call);
 			if (this.split != null) {
-				this.split.ended(this.split.isUpdated(this.call.endpoint()));
+				this.split.ended(this, this.sentToUpdated);
 			}
 			return StageCallDispatcher.this.clockMs.getAsLong();
 		}
