Take no success without a length for complete while its request is written

An answer with neither a length nor chunks ends with the output of its endpoint. A process that ends in the middle of an upload ends its output in the same way, and a part of its answer was forwarded as a complete 200. Such a success now fails the call as a lost connection. A framed answer, and an error such as 413 before the request was read, are forwarded as before.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -61,6 +61,8 @@
 
 	private boolean requestWritten;
 
+	private boolean isSuccess;
+
 	private boolean skipping;
 
 	private int skippedAnswers;
@@ -223,6 +225,7 @@
 		}
 		this.closesAfterAnswer = answer.closes();
 		this.idleTimeoutMs = answer.idleTimeoutMs();
+		this.isSuccess = answer.isSuccess();
 		this.call.answered(answer, head);
 	}
 
@@ -279,7 +282,7 @@
 	private void endCall() {
 		// A body without a length is complete only if the endpoint has ended its output.
 		// The parser also ends it when the connection is closed for any other reason.
-		if (!this.channel.isActive()) {
+		if (!this.channel.isActive() || isCutBeforeRequest()) {
 			fail(CallFailure.CONNECTION_LOST);
 			return;
 		}
@@ -304,6 +307,14 @@
 		this.pool.release(this);
 	}
 
+	// The output of a process that ends while it reads a request ends like that of a
+	// complete answer without a length. A request that was not read whole can't have
+	// succeeded, but may have been rejected.
+	private boolean isCutBeforeRequest() {
+		boolean endedByConnection = ((DuplexChannel) this.channel).isInputShutdown();
+		return endedByConnection && this.isSuccess && !this.requestWritten;
+	}
+
 	private void reject(AnswerFault fault) {
 		logFault(fault);
 		fail(CallFailure.WRONG_ANSWER);
--- a/entry/src/test/java/org/fulmargap/entry/endpoint/UnframedAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/UnframedAnswerTests.java
@@ -6,11 +6,13 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -32,6 +34,9 @@
 
 	private static final long QUIET_MS = 50;
 
+	/** More than the buffers of a connection hold. */
+	private static final int UPLOAD_BYTES = 16 << 20;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = (EventLoop) this.group.next();
@@ -53,7 +58,10 @@
 	}
 
 	private void send(RawEndpointStandIn endpoint) throws Exception {
-		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		send(endpoint, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+	}
+
+	private void send(RawEndpointStandIn endpoint, FullHttpRequest request) throws Exception {
 		this.loop.execute(() -> this.pool.send(endpoint.address(), request, new Call()));
 		this.begun.get(5, TimeUnit.SECONDS);
 	}
@@ -90,6 +98,22 @@
 		}
 	}
 
+	// Calls without an attempt id are stage calls.
+	@Test
+	void aSuccessIsNotEndedByItsEndpointWhileTheRequestIsWritten() throws Exception {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/",
+				Unpooled.wrappedBuffer(new byte[UPLOAD_BYTES]));
+		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, UPLOAD_BYTES);
+		RawEndpointStandIn.Handler handler = part((socket) -> {
+			socket.shutdownOutput();
+			return this.whole.join();
+		});
+		try (RawEndpointStandIn endpoint = RawEndpointStandIn.answeringEarly(handler)) {
+			send(endpoint, request);
+			assertThat(isWhole()).isFalse();
+		}
+	}
+
 	@Test
 	void anAnswerIsNotEndedByTheEndOfTheEventLoop() throws Exception {
 		try (RawEndpointStandIn endpoint = new RawEndpointStandIn(part((socket) -> true))) {
