--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
@@ -5,7 +5,10 @@
  */
 public enum AnswerFault {
 
-	/** The bytes are not valid HTTP, or the connection ended inside a head. */
+	/**
+	 * The bytes are not valid HTTP, the status is not 100 to 599 in three digits, or the
+	 * connection ended inside a head.
+	 */
 	INVALID_HTTP,
 
 	/**
