Check the time and the caller of a request at the moment of sending

The deadline was checked, and the header with the time left computed, before a connection was awaited, and the time during which a request lay unread while the process had no CPU time counted as time left. A request could therefore reach an endpoint after its deadline or after its caller had left.

EndpointPool now takes what makes a request instead of the request. A request is made when its connection is open, and maySend is asked then and once more after it is encoded, just before its bytes are written; for requests it checks the deadline, the caller's connection and the endpoint, for stage calls the work items, which are left out if they were cancelled or have expired. The time left in requests and stage calls is that of this moment. What is read after a stall counts as so much older: requests of callers, also on connections that waited to be accepted, and messages of peers. The time since the head of a request was read is also taken off its stated time. After a stall, calls are sent only after the loop has polled, so that ends of connections are noticed first. A call that was not sent no longer counts as one that may have run, so its request is refused with 503.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -99,6 +99,8 @@
 
 	private final LongSupplier clockMs = () -> System.nanoTime() / NANOS_PER_MS;
 
+	private final LoopStalls stalls = new LoopStalls(this.loop, this.clockMs);
+
 	private final StoreView view = new StoreView();
 
 	private final EntryMetrics metrics = new EntryMetrics();
@@ -147,8 +149,8 @@
 		this.settings = settings;
 		this.metricsPort = metricsPort;
 		this.peers = new PeerNetwork(ownMember(settings), System.currentTimeMillis(), this.loop, this.clockMs,
-				this.metrics);
-		EndpointPool pool = new EndpointPool(this.loop, this.clockMs);
+				this.stalls, this.metrics);
+		EndpointPool pool = new EndpointPool(this.loop, this.clockMs, this.stalls);
 		SharedRetryBudget retries = new SharedRetryBudget(settings.retryRatio(), settings.retrySlack(),
 				settings.retryWindowMs());
 		this.store = new StoreClient(settings.storeAddress());
@@ -169,7 +171,7 @@
 				new EndpointLimits(this::limitShare), this.metrics);
 		this.view.onEndpointChange((record) -> openRequests.endpointChanged());
 		RequestRouter router = new RequestRouter(services);
-		this.callers = new CallerServer(this.loop, this.clockMs, this.view::limits, router);
+		this.callers = new CallerServer(this.loop, this.clockMs, this.stalls, this.view::limits, router);
 		this.drain = new Drain(settings, this.loop, this.clockMs, this.callers, this.peers, router, openRequests,
 				this.dispatcher, this.store::calls);
 		this.quarantineSync = new QuarantineSync(this.store, this.loop, this.clockMs, this.promptParts, this.peers);
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -112,6 +112,12 @@
 
 	private boolean readingStopped;
 
+	private final long acceptedAtMs;
+
+	// How long the connection may have waited to be accepted because of a stall; 0 when
+	// what arrived meanwhile was read.
+	private long unacceptedMs;
+
 	private long idleSinceMs;
 
 	// At the last check of the idle timeout.
@@ -127,7 +133,13 @@
 
 	CallerConnection(CallerServer server) {
 		this.server = server;
-		this.idleSinceMs = server.nowMs();
+		this.acceptedAtMs = server.nowMs();
+		this.unacceptedMs = server.stalls().unreadMs();
+		if (this.unacceptedMs > 0) {
+			// The connection may be read from the turn of the loop after the next one on.
+			server.stalls().afterPoll(() -> server.stalls().afterPoll(() -> this.unacceptedMs = 0));
+		}
+		this.idleSinceMs = this.acceptedAtMs;
 	}
 
 	@Override
@@ -144,11 +156,17 @@
 		String account = head.headers().get(HttpHeaderNames.AUTHORIZATION, "");
 		// The length in a head that can't be accepted may be no number.
 		long statedBytes = (head.decoderResult().isSuccess()) ? HttpUtil.getContentLength(head, 0L) : 0;
-		this.receiving = new OpenRequest(head, this.server.nowMs(),
+		this.receiving = new OpenRequest(head, this.server.nowMs(), unreadMs(),
 				this.server.memory().share(account, statedBytes, this::memoryAvailable));
 		this.memoryWaitedMs = 0;
 	}
 
+	// What is read first may have arrived while the connection waited to be accepted.
+	private long unreadMs() {
+		return (this.unacceptedMs > 0) ? this.unacceptedMs + this.server.nowMs() - this.acceptedAtMs
+				: this.server.stalls().unreadMs();
+	}
+
 	/**
 	 * Records that a part of the body of the request that is being received was read.
 	 * @param bytes the size of the part in bytes
@@ -559,6 +577,16 @@
 			CallerConnection.this.context.write(response);
 		}
 
+		@Override
+		public long waitedMs() {
+			return CallerConnection.this.server.nowMs() - this.open.sinceMs() + this.open.unreadMs();
+		}
+
+		@Override
+		public boolean isConnected() {
+			return CallerConnection.this.context.channel().isActive();
+		}
+
 		@Override
 		public boolean isWritable() {
 			return CallerConnection.this.context.channel().isWritable();
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerExchange.java
@@ -28,6 +28,20 @@
 	 */
 	void begin(int status, HttpHeaders headers);
 
+	/**
+	 * Returns how long ago the request arrived: the time since its head was read, and how
+	 * long it may have lain unread before.
+	 * @return the time in milliseconds
+	 */
+	long waitedMs();
+
+	/**
+	 * Returns whether the caller is connected, as far as is known. The listener hears of
+	 * the end of the connection a little later.
+	 * @return {@code false} if the connection is closed
+	 */
+	boolean isConnected();
+
 	/**
 	 * Returns whether the caller's connection takes bytes. The listener hears of changes.
 	 * @return {@code false} if what is written now is kept in memory
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -14,11 +14,13 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.fulmargap.catalog.RequestLimits;
 import org.fulmargap.entry.ListeningPort;
+import org.fulmargap.entry.LoopStalls;
 
 /**
  * Accepts the connections of callers. Confined to its event loop.
@@ -42,6 +44,8 @@
 
 	private final LongSupplier clockMs;
 
+	private final LoopStalls stalls;
+
 	private final Supplier<RequestLimits> limits;
 
 	private final Set<CallerConnection> connections = new HashSet<>();
@@ -58,12 +62,15 @@
 	 * Creates a server that does not listen yet.
 	 * @param loop the event loop of all connections
 	 * @param clockMs the current time in milliseconds
+	 * @param stalls the stalls of the event loop
 	 * @param limits supplies the limits of requests; new connections use the current ones
 	 * @param handler handles the requests
 	 */
-	public CallerServer(EventLoop loop, LongSupplier clockMs, Supplier<RequestLimits> limits, CallerHandler handler) {
+	public CallerServer(EventLoop loop, LongSupplier clockMs, LoopStalls stalls, Supplier<RequestLimits> limits,
+			CallerHandler handler) {
 		this.loop = loop;
 		this.clockMs = clockMs;
+		this.stalls = stalls;
 		this.limits = limits;
 		this.handler = handler;
 	}
@@ -79,6 +86,10 @@
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			// All connections that wait after a stall are accepted at once, so that the
+			// stall counts for each.
+			.option(ChannelOption.RECVBUF_ALLOCATOR,
+					new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.RECVBUF_ALLOCATOR,
 					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
@@ -159,6 +170,10 @@
 		return this.handler;
 	}
 
+	LoopStalls stalls() {
+		return this.stalls;
+	}
+
 	RequestMemory memory() {
 		return this.memory;
 	}
--- a/entry/src/main/java/org/fulmargap/entry/caller/OpenRequest.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/OpenRequest.java
@@ -8,9 +8,10 @@
  *
  * @param head the head of the request
  * @param sinceMs when its head was read, in milliseconds
+ * @param unreadMs how long it may have lain unread before, in milliseconds
  * @param body the memory that its body holds
  */
-record OpenRequest(HttpRequest head, long sinceMs, RequestMemory.Share body) {
+record OpenRequest(HttpRequest head, long sinceMs, long unreadMs, RequestMemory.Share body) {
 
 	/**
 	 * Returns the id of the caller's attempt.
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
@@ -8,7 +8,10 @@
 	/** The connection could not be opened, so nothing was sent. */
 	NOT_CONNECTED(false),
 
-	/** The endpoint was set aside before the request was sent. */
+	/**
+	 * The endpoint was set aside, the connection was closed, or the time or the caller of
+	 * the request was gone, before it was sent.
+	 */
 	WITHDRAWN(false),
 
 	/** The endpoint answered that it has not run the request. */
@@ -47,7 +50,7 @@
 
 	/**
 	 * Returns whether the endpoint is at fault.
-	 * @return {@code false} if it was set aside meanwhile or refused the call
+	 * @return {@code false} if it was not sent the request or refused it
 	 */
 	public boolean isFault() {
 		return this != WITHDRAWN && this != REFUSED;
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointCall.java
@@ -19,7 +19,8 @@
 	String attemptId();
 
 	/**
-	 * Returns whether the request may still be sent, asked when its connection is open.
+	 * Returns whether the request may still be sent. It is asked when the connection is
+	 * open, and once more when the request is encoded, just before its bytes are written.
 	 * @return {@code false} if it must not be sent any more; the call then fails as
 	 * {@link CallFailure#WITHDRAWN}
 	 */
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry.endpoint;
 
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -61,6 +62,8 @@
 
 	private boolean requestWritten;
 
+	private boolean withdrawn;
+
 	private boolean isSuccess;
 
 	private boolean skipping;
@@ -125,23 +128,35 @@
 		}
 	}
 
-	void send(FullHttpRequest request, EndpointCall newCall) {
+	/**
+	 * Sends a request, unless it is withdrawn while it is encoded. The call fails after
+	 * this method has returned.
+	 * @param request makes the request
+	 * @param newCall receives the answer or the failure
+	 */
+	void send(Supplier<FullHttpRequest> request, EndpointCall newCall) {
+		FullHttpRequest http = request.get();
 		this.call = newCall;
-		this.isHead = request.method().equals(HttpMethod.HEAD);
+		this.isHead = http.method().equals(HttpMethod.HEAD);
 		this.calls++;
 		this.newestAnswer = null;
 		this.requestWritten = false;
 		this.skipping = false;
 		this.skippedAnswers = 0;
 		this.skippedBytes = 0;
-		this.channel.writeAndFlush(request).addListener((future) -> {
+		this.channel.write(http).addListener((future) -> {
 			this.requestWritten = future.isSuccess();
 			if (!future.isSuccess()) {
-				// A write may fail at once; the call fails after this method has
-				// returned.
+				// A write may fail at once.
 				this.channel.eventLoop().execute(() -> writeFailed(newCall));
 			}
 		});
+		if (newCall.maySend()) {
+			this.channel.flush();
+			return;
+		}
+		this.withdrawn = true;
+		this.channel.close();
 	}
 
 	private void writeFailed(EndpointCall failed) {
@@ -170,7 +185,7 @@
 		this.call = null;
 		this.channel.close();
 		if (failed != null) {
-			failed.failed(failure);
+			failed.failed((this.withdrawn) ? CallFailure.WITHDRAWN : failure);
 		}
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -20,6 +21,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import org.fulmargap.entry.LoopStalls;
 
 /**
  * A pool of keep-alive connections to endpoints. Confined to its event loop.
@@ -42,6 +44,8 @@
 
 	private final LongSupplier clockMs;
 
+	private final LoopStalls stalls;
+
 	private final Bootstrap bootstrap;
 
 	private final Map<String, Deque<EndpointConnection>> idleByAddress = new HashMap<>();
@@ -56,10 +60,12 @@
 	 * Creates a pool.
 	 * @param loop the event loop of all connections
 	 * @param clockMs the current time in milliseconds
+	 * @param stalls the stalls of the event loop
 	 */
-	public EndpointPool(EventLoop loop, LongSupplier clockMs) {
+	public EndpointPool(EventLoop loop, LongSupplier clockMs, LoopStalls stalls) {
 		this.loop = loop;
 		this.clockMs = clockMs;
+		this.stalls = stalls;
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -77,19 +83,40 @@
 	}
 
 	/**
-	 * Sends a request to an endpoint, on an idle connection or a new one.
+	 * Sends a request to an endpoint, on an idle connection or a new one. After a stall
+	 * of the event loop, it first reads what has arrived, such as the end of the caller's
+	 * connection.
 	 * @param address the address as {@code IP:port}
-	 * @param request the request; the pool releases it
+	 * @param request makes the request at the moment of sending; the pool releases it
 	 * @param call receives the answer or the failure
 	 * @return the call
 	 */
-	public RunningCall send(String address, FullHttpRequest request, EndpointCall call) {
+	public RunningCall send(String address, Supplier<FullHttpRequest> request, EndpointCall call) {
+		PendingCall pending = new PendingCall(request, call);
+		if (this.stalls.isRecent()) {
+			this.stalls.afterPoll(() -> sendPending(address, pending));
+			return pending;
+		}
 		EndpointConnection idle = takeIdle(address);
 		if (idle != null) {
 			idle.send(request, call);
 			return idle;
 		}
-		return connect(address, request, call);
+		connect(address, pending);
+		return pending;
+	}
+
+	private void sendPending(String address, PendingCall pending) {
+		if (pending.cancelled) {
+			return;
+		}
+		EndpointConnection idle = takeIdle(address);
+		if (idle != null) {
+			pending.sendOn(idle);
+		}
+		else {
+			connect(address, pending);
+		}
 	}
 
 	/**
@@ -97,40 +124,42 @@
 	 * the same attempt id was made to its address before: on a connection that has
 	 * carried both calls, the answer to one could be taken for the answer to the other.
 	 * @param address the address as {@code IP:port}
-	 * @param request the request; the pool releases it
+	 * @param request makes the request at the moment of sending; the pool releases it
 	 * @param call receives the answer or the failure
 	 * @return the call
 	 */
-	public RunningCall sendOnNewConnection(String address, FullHttpRequest request, EndpointCall call) {
-		return connect(address, request, call);
+	public RunningCall sendOnNewConnection(String address, Supplier<FullHttpRequest> request, EndpointCall call) {
+		PendingCall pending = new PendingCall(request, call);
+		connect(address, pending);
+		return pending;
 	}
 
-	private RunningCall connect(String address, FullHttpRequest request, EndpointCall call) {
+	private void connect(String address, PendingCall pending) {
 		this.connects++;
 		ChannelFuture future = this.bootstrap.connect(socketAddress(address));
-		PendingCall pending = new PendingCall(future.channel());
+		pending.channel = future.channel();
 		future.addListener((connected) -> {
 			if (pending.cancelled) {
-				request.release();
 				future.channel().close();
 			}
 			else if (!connected.isSuccess()) {
-				request.release();
-				call.failed(CallFailure.NOT_CONNECTED);
-			}
-			else if (!call.maySend()) {
-				request.release();
-				future.channel().close();
-				call.failed(CallFailure.WITHDRAWN);
+				pending.call.failed(CallFailure.NOT_CONNECTED);
 			}
 			else {
-				pending.connection = new EndpointConnection(this, address, future.channel());
-				future.channel().pipeline().addLast(pending.connection.decoder(), pending.connection);
-				pending.connection.reading(pending.reading);
-				pending.connection.send(request, call);
+				connected(address, pending);
 			}
 		});
-		return pending;
+	}
+
+	private void connected(String address, PendingCall pending) {
+		EndpointConnection connection = new EndpointConnection(this, address, pending.channel);
+		pending.channel.pipeline().addLast(connection.decoder(), connection);
+		if (this.stalls.isRecent()) {
+			this.stalls.afterPoll(() -> pending.sendOn(connection));
+		}
+		else {
+			pending.sendOn(connection);
+		}
 	}
 
 	/**
@@ -250,18 +279,43 @@
 
 	}
 
+	/**
+	 * A call that waits for its connection, or has one.
+	 */
 	private static final class PendingCall implements RunningCall {
 
-		private final Channel channel;
+		private final Supplier<FullHttpRequest> request;
+
+		private final EndpointCall call;
+
+		// Null until a new connection is opened.
+		private Channel channel;
 
+		// Null until the request is sent.
 		private EndpointConnection connection;
 
 		private boolean cancelled;
 
 		private boolean reading = true;
 
-		private PendingCall(Channel channel) {
-			this.channel = channel;
+		private PendingCall(Supplier<FullHttpRequest> request, EndpointCall call) {
+			this.request = request;
+			this.call = call;
+		}
+
+		private void sendOn(EndpointConnection opened) {
+			if (this.cancelled) {
+				opened.close();
+			}
+			else if (!opened.isOpen() || !this.call.maySend()) {
+				opened.close();
+				this.call.failed(CallFailure.WITHDRAWN);
+			}
+			else {
+				this.connection = opened;
+				opened.reading(this.reading);
+				opened.send(this.request, this.call);
+			}
 		}
 
 		@Override
@@ -270,7 +324,7 @@
 			if (this.connection != null) {
 				this.connection.cancel();
 			}
-			else {
+			else if (this.channel != null) {
 				this.channel.close();
 			}
 		}
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -15,6 +15,7 @@
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.ListeningPort;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.Hubs;
@@ -53,6 +54,8 @@
 
 	private final LongSupplier clockMs;
 
+	private final LoopStalls stalls;
+
 	private final EntryMetrics metrics;
 
 	private final Map<String, Peer> peers = new TreeMap<>();
@@ -79,13 +82,16 @@
 	 * @param startedAtMs when this process started, in milliseconds since the epoch
 	 * @param loop the event loop
 	 * @param clockMs the current time in milliseconds
+	 * @param stalls the stalls of the event loop
 	 * @param metrics counts messages and bytes
 	 */
-	public PeerNetwork(FleetMember own, long startedAtMs, EventLoop loop, LongSupplier clockMs, EntryMetrics metrics) {
+	public PeerNetwork(FleetMember own, long startedAtMs, EventLoop loop, LongSupplier clockMs, LoopStalls stalls,
+			EntryMetrics metrics) {
 		this.fleet = new FleetView(own);
 		this.startedAtMs = startedAtMs;
 		this.loop = loop;
 		this.clockMs = clockMs;
+		this.stalls = stalls;
 		this.metrics = metrics;
 		this.hubs = this.fleet.hubs(clockMs.getAsLong());
 	}
@@ -99,7 +105,7 @@
 	 */
 	public void start(String ip, int port, PeerListener newListener) throws InterruptedException {
 		this.listener = newListener;
-		this.port = new PeerServer(this.loop, this.clockMs, new Inbox()).listen(ip, port);
+		this.port = new PeerServer(this.loop, this.clockMs, this.stalls, new Inbox()).listen(ip, port);
 		this.loop.scheduleWithFixedDelay(this::safeTick, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.ListeningPort;
+import org.fulmargap.entry.LoopStalls;
 
 /**
  * Accepts the connections on which other VMs send. Confined to the event loop.
@@ -29,11 +30,14 @@
 
 	private final LongSupplier clockMs;
 
+	private final LoopStalls stalls;
+
 	private final Listener listener;
 
-	PeerServer(EventLoop loop, LongSupplier clockMs, Listener listener) {
+	PeerServer(EventLoop loop, LongSupplier clockMs, LoopStalls stalls, Listener listener) {
 		this.loop = loop;
 		this.clockMs = clockMs;
+		this.stalls = stalls;
 		this.listener = listener;
 	}
 
@@ -118,7 +122,9 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
 			byte[] bytes = ByteBufUtil.getBytes(frame);
-			PeerMessage message = PeerCodec.decode(bytes, PeerServer.this.clockMs.getAsLong());
+			// The times in a message count from when it was sent.
+			PeerMessage message = PeerCodec.decode(bytes,
+					PeerServer.this.clockMs.getAsLong() - PeerServer.this.stalls.unreadMs());
 			PeerServer.this.listener.received(this, message, bytes.length);
 		}
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -89,7 +89,10 @@
 
 	private final long arrivedAtMs;
 
-	private final long deadlineAtMs;
+	private final Deadline deadline;
+
+	// How long the request had waited when it was handled.
+	private final long waitedMs;
 
 	// The estimated time since the caller's first attempt.
 	private final long elapsedMs;
@@ -135,15 +138,14 @@
 		this.fingerprint = fingerprint;
 		this.sharedParts = request.prompt().sharedParts();
 		this.arrivedAtMs = services.nowMs();
-		long timeMs = (request.timeLeftMs() >= 0) ? Math.min(request.timeLeftMs(), route.timeoutMs())
-				: route.timeoutMs();
-		this.deadlineAtMs = this.arrivedAtMs + timeMs;
+		this.waitedMs = exchange.waitedMs();
+		this.deadline = Deadline.of(request.timeLeftMs(), route.timeoutMs(), this.waitedMs, this.arrivedAtMs);
 		this.elapsedMs = services.callerTimes().elapsedMs(route.name(), request.timeLeftMs());
 		Optional<Choice> engine = expectedEngine();
 		this.stageRun = new StageRun(services.clockMs(), services.stages(), services.admittedWork(), route, request,
 				engine.map((choice) -> choice.endpoint().record().failureDomain()).orElse(""), promptMs(engine),
 				priority(), this.arrivedAtMs - this.elapsedMs + route.objectiveMs(),
-				this.arrivedAtMs + Math.min(timeMs, route.maxWaitMs()), this);
+				Math.min(this.deadline.atMs(), this.arrivedAtMs + route.maxWaitMs()), this);
 	}
 
 	// The engine that would be chosen for the request if its stages were done now.
@@ -171,9 +173,13 @@
 
 	void start() {
 		this.deadlineTimer = this.services.loop()
-			.schedule(this::deadlinePassed, this.deadlineAtMs - this.arrivedAtMs, TimeUnit.MILLISECONDS);
+			.schedule(this::deadlinePassed, this.deadline.leftMs(this.arrivedAtMs), TimeUnit.MILLISECONDS);
 		this.services.openRequests().add(this);
 		this.services.retryBudget().firstRequest(this.service.name(), this.arrivedAtMs);
+		if (this.deadline.isPassed(this.arrivedAtMs)) {
+			deadlinePassed();
+			return;
+		}
 		if (isSetAside(this.arrivedAtMs) || this.candidates.limitWaitMs(this.arrivedAtMs) > 0) {
 			refuseWithoutEndpoint();
 			return;
@@ -260,11 +266,11 @@
 	}
 
 	private boolean mayHaveRun() {
-		return this.runs > 0 || this.call != null;
+		return this.runs > 0 || (this.call != null && this.call.requestMade);
 	}
 
 	private boolean isAdmitted(PipelineAdmission.ExpectedTimes expected) {
-		long maxWaitMs = Math.min(this.deadlineAtMs - this.arrivedAtMs, this.route.maxWaitMs());
+		long maxWaitMs = Math.min(this.deadline.leftMs(this.arrivedAtMs), this.route.maxWaitMs());
 		PipelineAdmission.Decision decision = PipelineAdmission.decide(expected, this.route.objectiveMs(), maxWaitMs);
 		if (!decision.admitted()) {
 			EventLog.request("not_admitted", this.request.attemptId())
@@ -322,11 +328,12 @@
 
 	private void dispatch() {
 		// Stages whose results are made again dispatch the request when they are done.
-		if (this.finished || !this.stageRun.isFinished() || this.stageRun.remakesLost()) {
+		if (this.finished || !this.exchange.isConnected() || !this.stageRun.isFinished()
+				|| this.stageRun.remakesLost()) {
 			return;
 		}
 		long nowMs = this.services.nowMs();
-		if (this.deadlineAtMs - nowMs < 1) {
+		if (this.deadline.isPassed(nowMs)) {
 			deadlinePassed();
 			return;
 		}
@@ -438,11 +445,12 @@
 			return;
 		}
 		long nowMs = this.services.nowMs();
-		long leftMs = Math.max(0, this.deadlineAtMs - nowMs);
+		long leftMs = Math.max(0, this.deadline.leftMs(nowMs));
 		EventLog.request("refused", this.request.attemptId())
 			.with("reason", refusal)
 			.with("route", this.route.name())
 			.with("age_ms", nowMs - this.arrivedAtMs)
+			.with("waited_ms", this.waitedMs)
 			.with("left_ms", leftMs)
 			.with("calls", this.calls)
 			.with("runs", this.runs)
@@ -575,6 +583,8 @@
 
 		private AnswerBody body;
 
+		private boolean requestMade;
+
 		private boolean callerWritable = true;
 
 		private boolean memoryAvailable = true;
@@ -625,13 +635,12 @@
 				flow.services.peers().announce(new PeerMessage.PromptSent(this.endpoint.record().id(), prompt));
 			}
 			String address = this.endpoint.record().address();
-			FullHttpRequest http = httpRequest(nowMs);
 			EndpointPool pool = flow.services.pool();
 			// A late answer to an earlier call of the connection would fit a request
 			// without an id.
 			boolean onAnyConnection = flow.calledAddresses.add(address) && !attemptId().isEmpty();
-			this.running = (onAnyConnection) ? pool.send(address, http, this)
-					: pool.sendOnNewConnection(address, http, this);
+			this.running = (onAnyConnection) ? pool.send(address, this::httpRequest, this)
+					: pool.sendOnNewConnection(address, this::httpRequest, this);
 			this.timer.start();
 			if (!flow.exchange.isWritable()) {
 				callerWritable(false);
@@ -690,12 +699,15 @@
 			failed(CallFailure.TIMED_OUT);
 		}
 
-		private FullHttpRequest httpRequest(long nowMs) {
+		// Called at the moment of sending.
+		private FullHttpRequest httpRequest() {
 			RequestFlow flow = RequestFlow.this;
+			this.requestMade = true;
+			long leftMs = flow.deadline.leftMs(flow.services.nowMs());
 			String accountName = (flow.account != null) ? flow.account.name() : null;
 			int priority = (flow.service.engine() != null) ? Math.min(LOWEST_PRIORITY, flow.priority()) : -1;
-			EndpointRequest sent = new EndpointRequest(this.endpoint.record().id(), flow.deadlineAtMs - nowMs,
-					accountName, priority, flow.stageRun.finalHandles(), flow.stream.lastEventId());
+			EndpointRequest sent = new EndpointRequest(this.endpoint.record().id(), leftMs, accountName, priority,
+					flow.stageRun.finalHandles(), flow.stream.lastEventId());
 			return flow.message.toEndpoint(EndpointHeaders.encode(sent));
 		}
 
@@ -706,7 +718,9 @@
 
 		@Override
 		public boolean maySend() {
-			return !this.endpoint.isSetAside(RequestFlow.this.services.nowMs());
+			RequestFlow flow = RequestFlow.this;
+			long nowMs = flow.services.nowMs();
+			return flow.exchange.isConnected() && !flow.deadline.isPassed(nowMs) && !this.endpoint.isSetAside(nowMs);
 		}
 
 		@Override
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -14,6 +14,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.BatchScheduler;
@@ -446,9 +447,24 @@
 			running.timeout = StageCallDispatcher.this.loop.schedule(running::timedOut, (long) timeoutMs,
 					TimeUnit.MILLISECONDS);
 			String address = call.endpoint().record().address();
-			running.poolCall = StageCallDispatcher.this.pool.send(address, StageRequests.post(address,
-					StageCalls.RUN_PATH, StageCalls.encode(call.items(), nowMs), call.endpoint().record().id()),
-					running);
+			running.poolCall = StageCallDispatcher.this.pool.send(address, running::request, running);
+		}
+
+		private boolean isWanted(WorkItem item, long nowMs) {
+			return this.pendingItems.containsKey(item) && item.expiresAtMs() > nowMs;
+		}
+
+		// A work item of a call that was about to be sent.
+		private void expire(WorkItem item) {
+			if (this.pendingItems.containsKey(item)) {
+				StageCallDispatcher.this.metrics.count("pieces_expired");
+				EventLog.request("piece_expired", item.attemptId())
+					.with("service", this.service)
+					.with("stage", item.stage())
+					.with("left_ms", item.expiresAtMs() - StageCallDispatcher.this.clockMs.getAsLong())
+					.write();
+				finish(item, WorkItemOutcome.failed(item.itemId()));
+			}
 		}
 
 		private void cancel(WorkItem item) {
@@ -525,6 +541,11 @@
 
 		private EndpointPool.RunningCall poolCall;
 
+		// The work items that were not cancelled and had not expired when they were sent.
+		private List<WorkItem> items;
+
+		private boolean encoded;
+
 		private Future<?> timeout;
 
 		private EndpointAnswer answer;
@@ -536,6 +557,7 @@
 		private RunningCall(ServiceQueue queue, StageCall call, long startedAtMs) {
 			this.queue = queue;
 			this.call = call;
+			this.items = call.items();
 			this.calledRecord = call.endpoint().record();
 			this.startedAtMs = startedAtMs;
 			this.split = StageCallDispatcher.this.rollouts.split(queue.service).orElse(null);
@@ -557,9 +579,23 @@
 			return "";
 		}
 
+		// Called at the moment of sending.
+		private FullHttpRequest request() {
+			long nowMs = StageCallDispatcher.this.clockMs.getAsLong();
+			this.call.items().stream().filter((item) -> item.expiresAtMs() <= nowMs).forEach(this.queue::expire);
+			this.items = this.call.items().stream().filter((item) -> this.queue.isWanted(item, nowMs)).toList();
+			this.encoded = true;
+			EndpointRecord record = this.call.endpoint().record();
+			return StageRequests.post(record.address(), StageCalls.RUN_PATH, StageCalls.encode(this.items, nowMs),
+					record.id());
+		}
+
 		@Override
 		public boolean maySend() {
-			return !this.call.endpoint().isSetAside(StageCallDispatcher.this.clockMs.getAsLong());
+			long nowMs = StageCallDispatcher.this.clockMs.getAsLong();
+			long wanted = this.items.stream().filter((item) -> this.queue.isWanted(item, nowMs)).count();
+			boolean allWanted = !this.encoded || wanted == this.items.size();
+			return wanted > 0 && allWanted && !this.call.endpoint().isSetAside(nowMs);
 		}
 
 		@Override
@@ -614,7 +650,7 @@
 		private boolean deliver(long nowMs) {
 			List<WorkItemResult> results;
 			try {
-				results = StageCalls.decode(ByteBufUtil.getBytes(this.body), this.call.items().size());
+				results = StageCalls.decode(ByteBufUtil.getBytes(this.body), this.items.size());
 			}
 			catch (MalformedRecordException ex) {
 				this.call.endpoint().failed(true, nowMs);
@@ -633,7 +669,7 @@
 					nowMs);
 			StageCallDispatcher.this.metrics.time("stage_call", nowMs - this.startedAtMs);
 			for (int i = 0; i < results.size(); i++) {
-				deliver(this.call.items().get(i), results.get(i), nowMs);
+				deliver(this.items.get(i), results.get(i), nowMs);
 			}
 			return !handles.isEmpty();
 		}
@@ -693,7 +729,7 @@
 			if (this.finished || this.call.endpoint().slowdownFactor() > MAX_RELIABLE_SLOWDOWN_FACTOR) {
 				return;
 			}
-			for (WorkItem item : this.call.items()) {
+			for (WorkItem item : this.items) {
 				PendingItem pending = this.queue.pendingItems.get(item);
 				if (pending != null && !item.inputs().isEmpty()) {
 					pending.outcome.accept(WorkItemOutcome.inputsRead(item.itemId()));
@@ -723,10 +759,10 @@
 			EventLog.state("stage_call_failed")
 				.with("service", this.queue.service)
 				.with("endpoint", this.call.endpoint())
-				.with("pieces", this.call.items().size())
+				.with("pieces", this.items.size())
 				.with("reason", reason)
 				.write();
-			this.call.items().forEach((item) -> this.queue.retry(item, mayHaveRun, nowMs));
+			this.items.forEach((item) -> this.queue.retry(item, mayHaveRun, nowMs));
 		}
 
 	}
@@ -760,9 +796,8 @@
 			// The timeout exists before the call can end.
 			this.timeout = StageCallDispatcher.this.loop.schedule(this::timedOut, FREE_TIMEOUT_MS,
 					TimeUnit.MILLISECONDS);
-			this.poolCall = StageCallDispatcher.this.pool.send(this.address,
-					StageRequests.post(this.address, StageCalls.FREE_PATH, StageCalls.encodeFree(this.handles), null),
-					this);
+			this.poolCall = StageCallDispatcher.this.pool.send(this.address, () -> StageRequests.post(this.address,
+					StageCalls.FREE_PATH, StageCalls.encodeFree(this.handles), null), this);
 		}
 
 		private void timedOut() {
@@ -775,6 +810,15 @@
 			return "";
 		}
 
+		@Override
+		public boolean maySend() {
+			long nowMs = StageCallDispatcher.this.clockMs.getAsLong();
+			return StageCallDispatcher.this.view.directory()
+				.findByAddress(this.address)
+				.filter((endpoint) -> endpoint.isSetAside(nowMs))
+				.isEmpty();
+		}
+
 		@Override
 		public void headRead(EndpointAnswer newAnswer) {
 			StageCallDispatcher.this.setAside.headRead(this.address, newAnswer);
--- a/entry/src/test/java/org/fulmargap/entry/caller/BodyMemoryTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/BodyMemoryTests.java
@@ -19,6 +19,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import org.fulmargap.catalog.RequestLimits;
+import org.fulmargap.entry.LoopStalls;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -58,7 +59,8 @@
 			this.port = free.getLocalPort();
 		}
 		this.server = new CallerServer((EventLoop) this.group.next(), System::currentTimeMillis,
-				() -> RequestLimits.DEFAULT, (request, exchange) -> {
+				new LoopStalls((EventLoop) this.group.next(), System::currentTimeMillis), () -> RequestLimits.DEFAULT,
+				(request, exchange) -> {
 					request.release();
 					exchange.answer(204, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
 					return null;
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerFramingTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerFramingTests.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import org.fulmargap.catalog.RequestLimits;
+import org.fulmargap.entry.LoopStalls;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -66,7 +67,8 @@
 			this.port = free.getLocalPort();
 		}
 		RequestLimits limits = new RequestLimits(16_384, MAX_BODY_BYTES, 3_000, 15_000);
-		new CallerServer(this.loop, System::currentTimeMillis, () -> limits, this::handle)
+		new CallerServer(this.loop, System::currentTimeMillis, new LoopStalls(this.loop, System::currentTimeMillis),
+				() -> limits, this::handle)
 			.listen("127.0.0.1:" + this.port);
 	}
 
--- a/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/caller/CallerServerTests.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import org.fulmargap.catalog.RequestLimits;
 import org.fulmargap.entry.LogLines;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.platform.standin.CallerWire;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -66,7 +67,7 @@
 			this.port = free.getLocalPort();
 		}
 		this.server = new CallerServer(this.loop, () -> System.currentTimeMillis() + this.clockOffsetMs.get(),
-				() -> this.limits, (request, exchange) -> {
+				new LoopStalls(this.loop, System::currentTimeMillis), () -> this.limits, (request, exchange) -> {
 					request.release();
 					this.handled.incrementAndGet();
 					if (request.uri().equals("/begun")) {
--- a/entry/src/test/java/org/fulmargap/entry/endpoint/EndpointPoolTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/EndpointPoolTests.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -52,7 +53,8 @@
 			this.callsByConnection.merge(connection, 1, Integer::sum);
 			out.write(ANSWER);
 		});
-		this.pool = new EndpointPool(this.loop, System::currentTimeMillis);
+		this.pool = new EndpointPool(this.loop, System::currentTimeMillis,
+				new LoopStalls(this.loop, System::currentTimeMillis));
 	}
 
 	@AfterEach
@@ -88,14 +90,14 @@
 		};
 		try (RawEndpointStandIn resetting = new RawEndpointStandIn(handler)) {
 			CompletableFuture<Void> first = new CompletableFuture<>();
-			this.loop.execute(() -> this.pool.send(resetting.address(), get(), new Call(true, first)));
+			this.loop.execute(() -> this.pool.send(resetting.address(), EndpointPoolTests::get, new Call(true, first)));
 			first.get(5, TimeUnit.SECONDS);
 			CompletableFuture<Void> second = new CompletableFuture<>();
 			CompletableFuture<Boolean> failedTooEarly = new CompletableFuture<>();
 			this.loop.execute(() -> {
 				unused.countDown();
 				awaitQuietly(reset);
-				this.pool.send(resetting.address(), get(), new Call(true, second));
+				this.pool.send(resetting.address(), EndpointPoolTests::get, new Call(true, second));
 				failedTooEarly.complete(second.isDone());
 			});
 			assertThat(failedTooEarly.get(5, TimeUnit.SECONDS)).isFalse();
@@ -119,7 +121,8 @@
 	private void callAll(boolean attributed) {
 		for (int i = 0; i < CALLS; i++) {
 			CompletableFuture<Void> ended = new CompletableFuture<>();
-			this.loop.execute(() -> this.pool.send(this.endpoint.address(), get(), new Call(attributed, ended)));
+			this.loop.execute(
+					() -> this.pool.send(this.endpoint.address(), EndpointPoolTests::get, new Call(attributed, ended)));
 			ended.join();
 		}
 	}
--- a/entry/src/test/java/org/fulmargap/entry/endpoint/HalfClosedConnectionTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/HalfClosedConnectionTests.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -44,7 +45,8 @@
 
 	@BeforeEach
 	void start() {
-		this.pool = new EndpointPool(this.loop, System::currentTimeMillis);
+		this.pool = new EndpointPool(this.loop, System::currentTimeMillis,
+				new LoopStalls(this.loop, System::currentTimeMillis));
 	}
 
 	@AfterEach
@@ -63,7 +65,7 @@
 			for (int i = 0; i < CALLS; i++) {
 				Call call = new Call(end.pauses);
 				FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-				this.loop.execute(() -> call.running = this.pool.send(endpoint.address(), request, call));
+				this.loop.execute(() -> call.running = this.pool.send(endpoint.address(), () -> request, call));
 				if (end.pauses) {
 					call.begun.get(10, TimeUnit.SECONDS);
 					Thread.sleep(1);
--- a/entry/src/test/java/org/fulmargap/entry/endpoint/UnframedAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/UnframedAnswerTests.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -49,7 +50,8 @@
 
 	@BeforeEach
 	void start() {
-		this.pool = new EndpointPool(this.loop, System::currentTimeMillis);
+		this.pool = new EndpointPool(this.loop, System::currentTimeMillis,
+				new LoopStalls(this.loop, System::currentTimeMillis));
 	}
 
 	@AfterEach
@@ -62,7 +64,7 @@
 	}
 
 	private void send(RawEndpointStandIn endpoint, FullHttpRequest request) throws Exception {
-		this.loop.execute(() -> this.pool.send(endpoint.address(), request, new Call()));
+		this.loop.execute(() -> this.pool.send(endpoint.address(), () -> request, new Call()));
 		this.begun.get(5, TimeUnit.SECONDS);
 	}
 
--- a/entry/src/test/java/org/fulmargap/entry/endpoint/WithdrawnCallTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/WithdrawnCallTests.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.platform.EndpointAnswer;
 import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -50,12 +52,17 @@
 
 	@Test
 	void aRequestIsNotSentIfItsCallIsWithdrawnBeforeTheConnectionIsOpen() throws Exception {
-		EndpointPool pool = new EndpointPool(this.loop, System::currentTimeMillis);
-		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		EndpointPool pool = new EndpointPool(this.loop, System::currentTimeMillis,
+				new LoopStalls(this.loop, System::currentTimeMillis));
+		AtomicInteger made = new AtomicInteger();
+		Supplier<FullHttpRequest> request = () -> {
+			made.incrementAndGet();
+			return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		};
 		CompletableFuture<CallFailure> failure = new CompletableFuture<>();
 		this.loop.execute(() -> pool.send(this.endpoint.address(), request, new WithdrawnCall(failure)));
 		assertThat(failure.get()).isEqualTo(CallFailure.WITHDRAWN);
-		assertThat(request.refCnt()).isZero();
+		assertThat(made).hasValue(0);
 		assertThat(this.arrivals).hasValue(0);
 	}
 
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerNetworkTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerNetworkTests.java
@@ -14,6 +14,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.fulmargap.entry.EntryMetrics;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.fleet.StorePosition;
@@ -46,8 +47,9 @@
 			this.port = free.getLocalPort();
 		}
 		FleetMember own = new FleetMember("vm-0", LOOPBACK + ':' + this.port, "a", 1);
-		new PeerNetwork(own, 1, this.loop, System::currentTimeMillis, new EntryMetrics()).start(LOOPBACK, this.port,
-				new Recorder());
+		new PeerNetwork(own, 1, this.loop, System::currentTimeMillis,
+				new LoopStalls(this.loop, System::currentTimeMillis), new EntryMetrics())
+			.start(LOOPBACK, this.port, new Recorder());
 	}
 
 	@AfterEach
--- a/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -11,6 +11,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.entry.EntryMetrics;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.entry.SetAsideEndpoints;
 import org.fulmargap.entry.StoreView;
 import org.fulmargap.entry.endpoint.EndpointPool;
@@ -73,13 +74,15 @@
 		view.put(EndpointRecordDecoder.decode("raw-1", record), 0);
 		EntryMetrics metrics = new EntryMetrics();
 		FleetMember own = new FleetMember("vm-0", "127.0.0.1:1", "a", 1);
-		PeerNetwork peers = new PeerNetwork(own, 1, this.loop, System::currentTimeMillis, metrics);
+		PeerNetwork peers = new PeerNetwork(own, 1, this.loop, System::currentTimeMillis,
+				new LoopStalls(this.loop, System::currentTimeMillis), metrics);
 		Rollouts rollouts = new Rollouts(Optional.empty(), view.directory(), peers, null, metrics,
 				System::currentTimeMillis);
 		StageCallDispatcher dispatcher = new StageCallDispatcher(this.loop, System::currentTimeMillis, view,
-				new EndpointPool(this.loop, System::currentTimeMillis), new SharedRetryBudget(0.2, 54, 10_000), () -> 1,
-				new SetAsideEndpoints(this.loop, System::currentTimeMillis, view.directory(), LimitShares.WHOLE,
-						metrics),
+				new EndpointPool(this.loop, System::currentTimeMillis,
+						new LoopStalls(this.loop, System::currentTimeMillis)),
+				new SharedRetryBudget(0.2, 54, 10_000), () -> 1, new SetAsideEndpoints(this.loop,
+						System::currentTimeMillis, view.directory(), LimitShares.WHOLE, metrics),
 				rollouts, metrics);
 		this.client = new StageClient(this.loop, dispatcher, peers);
 	}
