Test calls that are withdrawn while they are encoded and work items that end before their call is sent

Each guards the check at the moment of sending. The test of work items fails if StageCallDispatcher sends all items of a call: a cancelled and an expired one reach the endpoint.

--- a/entry/src/test/java/org/fulmargap/entry/endpoint/WithdrawnCallTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/WithdrawnCallTests.java
@@ -60,13 +60,29 @@
 			return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
 		};
 		CompletableFuture<CallFailure> failure = new CompletableFuture<>();
-		this.loop.execute(() -> pool.send(this.endpoint.address(), request, new WithdrawnCall(failure)));
+		this.loop.execute(
+				() -> pool.send(this.endpoint.address(), request, new WithdrawnCall(failure, new AtomicInteger())));
 		assertThat(failure.get()).isEqualTo(CallFailure.WITHDRAWN);
 		assertThat(made).hasValue(0);
 		assertThat(this.arrivals).hasValue(0);
 	}
 
-	private record WithdrawnCall(CompletableFuture<CallFailure> failure) implements EndpointCall {
+	@Test
+	void aRequestIsNotSentIfItsCallIsWithdrawnWhileItIsEncoded() throws Exception {
+		EndpointPool pool = new EndpointPool(this.loop, System::currentTimeMillis,
+				new LoopStalls(this.loop, System::currentTimeMillis));
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		CompletableFuture<CallFailure> failure = new CompletableFuture<>();
+		this.loop.execute(() -> pool.send(this.endpoint.address(), () -> request,
+				new WithdrawnCall(failure, new AtomicInteger(1))));
+		assertThat(failure.get()).isEqualTo(CallFailure.WITHDRAWN);
+		assertThat(request.refCnt()).isZero();
+		Thread.sleep(100);
+		assertThat(this.arrivals).hasValue(0);
+	}
+
+	private record WithdrawnCall(CompletableFuture<CallFailure> failure,
+			AtomicInteger permissions) implements EndpointCall {
 
 		@Override
 		public String attemptId() {
@@ -75,7 +91,7 @@
 
 		@Override
 		public boolean maySend() {
-			return false;
+			return this.permissions.getAndDecrement() > 0;
 		}
 
 		@Override
--- a/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +44,11 @@
 
 	private static final long WORK_MS = 100;
 
+	private static final long STALL_MS = 300;
+
+	/** Less than the timeout of a call. */
+	private static final long LONGER_STALL_MS = 400;
+
 	private static final long TIMEOUT_MS = 5_000;
 
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -51,6 +57,8 @@
 
 	private final Semaphore calls = new Semaphore(0);
 
+	private final List<String> bodies = new CopyOnWriteArrayList<>();
+
 	private int handles;
 
 	private RawEndpointStandIn endpoint;
@@ -60,8 +68,9 @@
 	@BeforeEach
 	void start() throws Exception {
 		this.endpoint = new RawEndpointStandIn((connection, path, body, out) -> {
+			this.bodies.add(body);
 			this.calls.release();
-			pause();
+			pause(WORK_MS);
 			this.handles++;
 			String answer = ANSWER.formatted(this.handles);
 			out.write(HEAD.formatted(answer.length()) + answer);
@@ -87,9 +96,9 @@
 		this.client = new StageClient(this.loop, dispatcher, peers);
 	}
 
-	private static void pause() {
+	private static void pause(long durationMs) {
 		try {
-			Thread.sleep(WORK_MS);
+			Thread.sleep(durationMs);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -113,6 +122,25 @@
 		awaitCall();
 	}
 
+	@Test
+	void workItemsThatAreCancelledOrExpireBeforeTheirCallIsSentAreLeftOut() throws Exception {
+		long nowMs = System.currentTimeMillis();
+		WorkItem expiring = item(2, "expiring", nowMs).expiringBy(nowMs + STALL_MS + LONGER_STALL_MS / 2);
+		List<WorkItem> items = List.of(item(1, "cancelled", nowMs), expiring, item(3, "kept", nowMs));
+		// The call is formed after the first stall, and sent after the second one.
+		this.loop.execute(() -> {
+			this.client.receive("vm-1", new PeerMessage.WorkItems("stage", items));
+			this.loop.execute(() -> {
+				this.client.receive("vm-1", new PeerMessage.Cancellation(1));
+				pause(LONGER_STALL_MS);
+			});
+			pause(STALL_MS);
+		});
+		awaitCall();
+		assertThat(this.bodies.get(0)).contains("kept").doesNotContain("cancelled", "expiring");
+		assertThat(this.calls.tryAcquire(2 * WORK_MS, TimeUnit.MILLISECONDS)).isFalse();
+	}
+
 	@Test
 	void itemIdsOfTwoProcessesOfAVmDiffer() {
 		StageClient previous = new StageClient(this.loop, null, null);
