Don't blame an endpoint for a stage call that timed out before it was sent

A call that waits for its turn after a stall of the event loop may reach its timeout unsent. It counted as timed out, which is a fault of the endpoint and uses up the retry budget. Such a call now counts as withdrawn. Seen in a run of StageClientTests with a stall of 1.5 s (stage_call_failed with TIMED_OUT of a call that was not sent); StageClientTests passes, no test covers the case itself.

--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -737,9 +737,10 @@
 			}
 		}
 
+		// The endpoint can't be blamed for a call that was not sent yet.
 		private void timedOut() {
 			this.poolCall.cancel();
-			failed(CallFailure.TIMED_OUT);
+			failed((this.encoded) ? CallFailure.TIMED_OUT : CallFailure.WITHDRAWN);
 		}
 
 		private long close() {
