--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry.endpoint;
 
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -61,6 +62,10 @@
 
 	private boolean requestWritten;
 
+	private boolean withdrawn;
+
+	private boolean isSuccess;
+
 	private boolean skipping;
 
 	private int skippedAnswers;
@@ -123,23 +128,35 @@
 		}
 	}
 
-	void send(FullHttpRequest request, EndpointCall newCall) {
+	/**
+	 * Sends a request, unless it is withdrawn while it is encoded. The call fails after
+	 * this method has returned.
+	 * @param request makes the request
+	 * @param newCall receives the answer or the failure
+	 */
+	void send(Supplier<FullHttpRequest> request, EndpointCall newCall) {
+		FullHttpRequest http = request.get();
 		this.call = newCall;
-		this.isHead = request.method().equals(HttpMethod.HEAD);
+		this.isHead = http.method().equals(HttpMethod.HEAD);
 		this.calls++;
 		this.newestAnswer = null;
 		this.requestWritten = false;
 		this.skipping = false;
 		this.skippedAnswers = 0;
 		this.skippedBytes = 0;
-		this.channel.writeAndFlush(request).addListener((future) -> {
+		this.channel.write(http).addListener((future) -> {
 			this.requestWritten = future.isSuccess();
 			if (!future.isSuccess()) {
-				// A write may fail at once; the call fails after this method has
-				// returned.
+				// A write may fail at once.
 				this.channel.eventLoop().execute(() -> writeFailed(newCall));
 			}
 		});
+		if (newCall.maySend()) {
+			this.channel.flush();
+			return;
+		}
+		this.withdrawn = true;
+		this.channel.close();
 	}
 
 	private void writeFailed(EndpointCall failed) {
@@ -168,7 +185,7 @@
 		this.call = null;
 		this.channel.close();
 		if (failed != null) {
-			failed.failed(failure);
+			failed.failed((this.withdrawn) ? CallFailure.WITHDRAWN : failure);
 		}
 	}
 
@@ -223,6 +240,7 @@
 		}
 		this.closesAfterAnswer = answer.closes();
 		this.idleTimeoutMs = answer.idleTimeoutMs();
+		this.isSuccess = answer.isSuccess();
 		this.call.answered(answer, head);
 	}
 
@@ -279,7 +297,7 @@
 	private void endCall() {
 		// A body without a length is complete only if the endpoint has ended its output.
 		// The parser also ends it when the connection is closed for any other reason.
-		if (!this.channel.isActive()) {
+		if (!this.channel.isActive() || isCutBeforeRequest()) {
 			fail(CallFailure.CONNECTION_LOST);
 			return;
 		}
@@ -304,6 +322,14 @@
 		this.pool.release(this);
 	}
 
+	// The output of a process that ends while it reads a request ends like that of a
+	// complete answer without a length. A request that was not read whole can't have
+	// succeeded, but may have been rejected.
+	private boolean isCutBeforeRequest() {
+		boolean endedByConnection = ((DuplexChannel) this.channel).isInputShutdown();
+		return endedByConnection && this.isSuccess && !this.requestWritten;
+	}
+
 	private void reject(AnswerFault fault) {
 		logFault(fault);
 		fail(CallFailure.WRONG_ANSWER);
