--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -65,6 +65,8 @@
 
 	private long busyUntilMs = Long.MIN_VALUE;
 
+	private AgedLoadNotice loadNotice;
+
 	Endpoint(EndpointRecord record, long nowMs) {
 		this(record, EndpointNotice.NONE, nowMs);
 	}
@@ -87,6 +89,7 @@
 		if (this.record != null && !this.record.isSameProcess(record)) {
 			this.prefixCache.clear();
 			this.slowdownFactor = 1;
+			this.loadNotice = null;
 			this.knownSinceMs = nowMs;
 		}
 		this.record = record;
@@ -369,6 +372,28 @@
 		return this.slowdownFactor;
 	}
 
+	/**
+	 * Records the load that a process stated in a response.
+	 * @param startedAtMs when the process started, in milliseconds since the epoch; the
+	 * notice is ignored if this is not the process of the current record
+	 * @param load the load
+	 * @param nowMs the current time in milliseconds
+	 */
+	void recordLoad(long startedAtMs, EndpointLoadNotice load, long nowMs) {
+		if (startedAtMs == this.record.startedAtMs()) {
+			this.loadNotice = new AgedLoadNotice(load, nowMs);
+		}
+	}
+
+	/**
+	 * Returns the newest load that the process stated.
+	 * @return the notice with its time, or empty if there is none; an endpoint without
+	 * one is not known to be idle
+	 */
+	public Optional<AgedLoadNotice> loadNotice() {
+		return Optional.ofNullable(this.loadNotice);
+	}
+
 	int cachedTokens(Prompt prompt) {
 		return this.prefixCache.cachedTokens(prompt);
 	}
--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -312,6 +312,17 @@
 		return limits;
 	}
 
+	/**
+	 * Records the load that a process of an endpoint stated in a response. Ignored if the
+	 * endpoint is not listed or has another process by now.
+	 * @param process the process
+	 * @param load the load
+	 * @param nowMs the current time in milliseconds
+	 */
+	public void recordLoad(EndpointProcess process, EndpointLoadNotice load, long nowMs) {
+		find(process.endpoint()).ifPresent((endpoint) -> endpoint.recordLoad(process.startedAtMs(), load, nowMs));
+	}
+
 	private boolean add(String id, EndpointNotice notice) {
 		Endpoint known = this.byId.get(id);
 		EndpointNotice earlier = (known != null) ? known.notice() : this.notices.getOrDefault(id, EndpointNotice.NONE);
--- a/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
+++ b/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
@@ -68,6 +68,9 @@
 	 */
 	public void headRead(EndpointRecord called, EndpointAnswer answer) {
 		sender(called, answer).ifPresent((process) -> this.limited.headRead(process, answer));
+		answer.loadNotice()
+			.ifPresent((load) -> sender(called, answer)
+				.ifPresent((process) -> this.directory.recordLoad(process, load, this.clockMs.getAsLong())));
 		if (!answer.leaving() && answer.restMs() <= 0) {
 			return;
 		}
