Send work items where they end first when endpoints differ in speed

The scheduler of stage calls compared rounded learned factors, so that 1.4 counted as usual, and an idle endpoint got work that a busy faster one would have ended earlier. The speed that endpoints state was not used. Endpoint now combines the learned factor with the stated one, which loses its weight within 600 ms; what is stated is not learned as well. Where the factors of a service differ by EndTimes.CLEAR_DIFFERENCE (1.38), or an endpoint states as much, EndTimes compares expected end times: work items may wait for a faster endpoint, a slow one gets only what it can do in time, and a learned factor fades without calls, so that a recovered endpoint is tried again. Locality decides as before within one class of speed. Timeouts use the newest stated speed whatever its age.

--- a/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
@@ -22,6 +22,10 @@
  * as a later deadline. In an overload that order alone would make every request late, so
  * work items that can no longer be in time wait behind those that still can.
  * <p>
+ * Where the speeds of the endpoints differ clearly, work items go where they end first.
+ * They may wait for a faster endpoint, and the calls of a slow one hold only as many as
+ * their deadlines allow.
+ * <p>
  * The space for results limits the throughput more than the time of the endpoints does.
  * The work items of one stage of one request are put into the same call if possible,
  * because the results of the first ones occupy space until the last one is done. Results
@@ -205,7 +209,10 @@
 		if (waitingCount() == 0 || free.isEmpty()) {
 			return Optional.empty();
 		}
-		List<WorkItemGroup> groups = candidates();
+		if (EndTimes.matter(endpoints, nowMs)) {
+			return nextBySpeed(free, endpoints, nowMs);
+		}
+		List<WorkItemGroup> groups = candidates(1);
 		for (WorkItemGroup group : groups) {
 			Optional<Endpoint> best = best(group, free, nowMs);
 			if (best.isPresent() && !waitsForLocal(group, best.get(), endpoints, nowMs)) {
@@ -215,6 +222,115 @@
 		return Optional.empty();
 	}
 
+	private Optional<StageCall> nextBySpeed(List<Endpoint> free, List<Endpoint> endpoints, long nowMs) {
+		EndTimes endTimes = endTimes(endpoints, nowMs);
+		// The more endpoints are busy, the more groups may wait for them.
+		List<WorkItemGroup> groups = candidates(endpoints.size());
+		Endpoint lateEndpoint = null;
+		int lateFrom = 0;
+		for (int i = 0; i < groups.size(); i++) {
+			WorkItemGroup group = groups.get(i);
+			Endpoint best = best(group, free, endTimes, nowMs);
+			boolean waits = best == null || waitsForLocal(group, best, endpoints, endTimes, nowMs)
+					|| endTimes.waitsForFaster(group, best, 0, (busy) -> freeBytes(busy, nowMs));
+			if (waits) {
+				continue;
+			}
+			boolean inTime = endTimes.endMs(best, group.items().size()) <= group.first().dueAtMs();
+			if (inTime || endTimes.speedClass(best) == 0) {
+				return Optional.of(createCall(best, groups, i, endpoints, endTimes, nowMs));
+			}
+			if (lateEndpoint == null) {
+				lateEndpoint = best;
+				lateFrom = i;
+			}
+		}
+		return (lateEndpoint != null)
+				? Optional.of(createCall(lateEndpoint, groups, lateFrom, endpoints, endTimes, nowMs))
+				: Optional.empty();
+	}
+
+	private EndTimes endTimes(List<Endpoint> endpoints, long nowMs) {
+		EndTimes endTimes = new EndTimes(endpoints, this::expectedMs, this.capacity.batch(), nowMs);
+		for (Endpoint endpoint : endpoints) {
+			if (!isFree(endpoint, nowMs) && !endpoint.isSuspended(nowMs)) {
+				endTimes.busy(endpoint, resultSpace(endpoint).callEndsAtMs());
+			}
+		}
+		return endTimes;
+	}
+
+	private Endpoint best(WorkItemGroup group, List<Endpoint> free, EndTimes endTimes, long nowMs) {
+		return free.stream()
+			.filter((endpoint) -> freeBytes(endpoint, nowMs) >= group.resultBytes())
+			.min(Comparator.comparingInt(endTimes::speedClass)
+				.thenComparing((endpoint) -> !group.isLocal(endpoint))
+				.thenComparing((endpoint) -> -freeBytes(endpoint, nowMs)))
+			.orElse(null);
+	}
+
+	private boolean waitsForLocal(WorkItemGroup group, Endpoint endpoint, List<Endpoint> endpoints, EndTimes endTimes,
+			long nowMs) {
+		if (group.isLocal(endpoint) || waitingCount() > this.capacity.batch() * MAX_BATCHES_FOR_LOCALITY) {
+			return false;
+		}
+		return endpoints.stream()
+			.anyMatch((local) -> group.isLocal(local) && !local.isSuspended(nowMs)
+					&& endTimes.speedClass(local) <= endTimes.speedClass(endpoint) && resultSpace(local)
+						.callEndsAtMs() <= group.first().dueAtMs() - fullCallMs() * endTimes.factor(local));
+	}
+
+	// A call of one of the fastest endpoints is formed as usual. Otherwise, it gets no
+	// group that ends first elsewhere or that makes another one late.
+	private StageCall createCall(Endpoint endpoint, List<WorkItemGroup> groups, int from, List<Endpoint> endpoints,
+			EndTimes endTimes, long nowMs) {
+		WorkItemGroup first = groups.get(from);
+		int maxItems = (int) (this.capacity.batch() * CANDIDATE_BATCHES);
+		boolean slow = endTimes.isSlow(endpoint);
+		long remainingBytes = freeBytes(endpoint, nowMs) - first.resultBytes();
+		List<WorkItem> items = new ArrayList<>(first.items());
+		List<WorkItemGroup> considered = urgent(groups.subList((slow) ? from : 0, groups.size()), maxItems);
+		for (boolean local : new boolean[] { true, false }) {
+			for (WorkItemGroup group : considered) {
+				boolean fits = items.size() + group.items().size() <= this.capacity.batch()
+						&& group.resultBytes() <= remainingBytes;
+				if (fits && group != first && group.isLocal(endpoint) == local
+						&& !waitsForLocal(group, endpoint, endpoints, endTimes, nowMs)
+						&& !(slow && isWorseFor(items, group, endpoint, endTimes, nowMs))) {
+					items.addAll(group.items());
+					remainingBytes -= group.resultBytes();
+				}
+			}
+		}
+		if (!slow && waitingCount() - items.size() >= this.capacity.batch()) {
+			remainingBytes = addPartialGroups(items, considered, remainingBytes);
+		}
+		return started(endpoint, items, remainingBytes, endTimes.factor(endpoint), nowMs);
+	}
+
+	private static List<WorkItemGroup> urgent(List<WorkItemGroup> groups, int maxItems) {
+		int items = 0;
+		int count = 0;
+		while (count < groups.size() && items < maxItems) {
+			items += groups.get(count).items().size();
+			count++;
+		}
+		return groups.subList(0, count);
+	}
+
+	// Whether a group would make a work item of a call late, would be late itself
+	// although
+	// another call could still be in time, or ends first at a faster endpoint.
+	private boolean isWorseFor(List<WorkItem> items, WorkItemGroup group, Endpoint endpoint, EndTimes endTimes,
+			long nowMs) {
+		double endMs = endTimes.endMs(endpoint, items.size());
+		double laterMs = endTimes.endMs(endpoint, items.size() + group.items().size());
+		long dueAtMs = group.first().dueAtMs();
+		boolean avoidablyLate = laterMs > dueAtMs && endTimes.earliestEndMs(group.items().size()) <= dueAtMs;
+		return avoidablyLate || items.stream().anyMatch((item) -> endMs <= item.dueAtMs() && laterMs > item.dueAtMs())
+				|| endTimes.waitsForFaster(group, endpoint, items.size(), (busy) -> freeBytes(busy, nowMs));
+	}
+
 	private boolean isFree(Endpoint endpoint, long nowMs) {
 		return !endpoint.isSuspended(nowMs) && resultSpace(endpoint).callsInFlight() < this.capacity.slots();
 	}
@@ -253,9 +369,8 @@
 
 	private StageCall createCall(Endpoint endpoint, WorkItemGroup first, List<WorkItemGroup> groups,
 			List<Endpoint> endpoints, long nowMs) {
-		long freeBytes = freeBytes(endpoint, nowMs);
 		List<WorkItem> items = new ArrayList<>(first.items());
-		long remainingBytes = freeBytes - first.resultBytes();
+		long remainingBytes = freeBytes(endpoint, nowMs) - first.resultBytes();
 		// Among the most urgent groups, those local to the endpoint are added first.
 		for (boolean local : new boolean[] { true, false }) {
 			for (WorkItemGroup group : groups) {
@@ -271,9 +386,13 @@
 		if (waitingCount() - items.size() >= this.capacity.batch()) {
 			remainingBytes = addPartialGroups(items, groups, remainingBytes);
 		}
+		return started(endpoint, items, remainingBytes, endpoint.slowdownFactor(), nowMs);
+	}
+
+	private StageCall started(Endpoint endpoint, List<WorkItem> items, long remainingBytes, double factor, long nowMs) {
 		items.forEach(this::remove);
 		double expectedMs = expectedMs(items.size());
-		resultSpace(endpoint).callStarted(freeBytes - remainingBytes, nowMs + expectedMs * endpoint.slowdownFactor());
+		resultSpace(endpoint).callStarted(freeBytes(endpoint, nowMs) - remainingBytes, nowMs + expectedMs * factor);
 		return new StageCall(endpoint, List.copyOf(items), expectedMs);
 	}
 
@@ -295,8 +414,8 @@
 		return remainingBytes;
 	}
 
-	private List<WorkItemGroup> candidates() {
-		int maxCandidates = (int) (this.capacity.batch() * CANDIDATE_BATCHES);
+	private List<WorkItemGroup> candidates(int calls) {
+		int maxCandidates = (int) (this.capacity.batch() * CANDIDATE_BATCHES * calls);
 		List<WorkItem> candidates = new ArrayList<>(maxCandidates);
 		for (Iterator<WorkItem> i = this.waiting.iterator(); i.hasNext() && candidates.size() < maxCandidates;) {
 			candidates.add(i.next());
@@ -391,7 +510,7 @@
 	public List<String> evict(long nowMs) {
 		List<String> handles = new ArrayList<>();
 		if (waitingCount() > 0) {
-			WorkItem first = candidates().get(0).first();
+			WorkItem first = candidates(1).get(0).first();
 			long batchBytes = first.resultBytes() * this.capacity.batch();
 			for (ResultSpace resultSpace : this.resultSpaces.values()) {
 				long freeBytes = usableBytes() - resultSpace.usedBytes(nowMs);
--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -24,6 +24,13 @@
 	/** The upper bound of a call's ratio, to limit the effect of outliers. */
 	private static final double MAX_SLOWDOWN_FACTOR = 20;
 
+	/**
+	 * The time in which the difference of the learned slowdown factor from 1 halves
+	 * without measurements, in milliseconds. An endpoint that was 2.5 times slower gets
+	 * its share of the calls again 7 s after its last call.
+	 */
+	private static final double SLOWDOWN_HALF_LIFE_MS = 3_000;
+
 	/**
 	 * How long other VMs may not know that a process has taken over an address, in
 	 * milliseconds.
@@ -63,6 +70,8 @@
 
 	private double slowdownFactor = 1;
 
+	private long slowdownMeasuredAtMs;
+
 	private long busyUntilMs = Long.MIN_VALUE;
 
 	private AgedLoadNotice loadNotice;
@@ -273,7 +282,10 @@
 	public void succeeded(double measuredMs, double expectedMs, long nowMs) {
 		this.health.succeeded(nowMs);
 		if (expectedMs > 0) {
-			double ratio = Math.max(MIN_SLOWDOWN_FACTOR, Math.min(MAX_SLOWDOWN_FACTOR, measuredMs / expectedMs));
+			// What the endpoint states needs not be learned.
+			double relative = measuredMs / (expectedMs * statedFactor(nowMs));
+			double ratio = Math.max(MIN_SLOWDOWN_FACTOR, Math.min(MAX_SLOWDOWN_FACTOR, relative));
+			this.slowdownMeasuredAtMs = nowMs;
 			this.slowdownFactor += SLOWDOWN_WEIGHT * (ratio - this.slowdownFactor);
 		}
 	}
@@ -365,13 +377,53 @@
 	}
 
 	/**
-	 * Returns the moving average of the ratio of measured to expected call time.
+	 * Returns the moving average of the ratio of measured to expected call time. Where
+	 * the endpoint states its speed, the expected time includes it.
 	 * @return the ratio; 1 if the endpoint is as fast as expected, more if it is slower
 	 */
 	public double slowdownFactor() {
 		return this.slowdownFactor;
 	}
 
+	/**
+	 * Returns the slowdown factor that the endpoint stated, weighted by its age.
+	 * @param nowMs the current time in milliseconds
+	 * @return the factor; 1 if none was stated lately
+	 */
+	public double statedFactor(long nowMs) {
+		return (this.loadNotice != null) ? this.loadNotice.statedFactor(nowMs) : 1;
+	}
+
+	/**
+	 * Returns the slowdown factor at present: the learned one and the stated one
+	 * together.
+	 * @param nowMs the current time in milliseconds
+	 * @return the factor; the learned one if none was stated lately
+	 */
+	public double slowdownFactor(long nowMs) {
+		return this.slowdownFactor * statedFactor(nowMs);
+	}
+
+	/**
+	 * Returns the slowdown factor to expect of the next call. It approaches 1 while no
+	 * call is measured, so that an endpoint that may have recovered is tried again.
+	 * @param nowMs the current time in milliseconds
+	 * @return the factor
+	 */
+	public double expectedFactor(long nowMs) {
+		double weight = Math.pow(0.5, Math.max(0, nowMs - this.slowdownMeasuredAtMs) / SLOWDOWN_HALF_LIFE_MS);
+		return (1 + (this.slowdownFactor - 1) * weight) * statedFactor(nowMs);
+	}
+
+	/**
+	 * Returns the slowdown factor for timeouts: the learned one and the newest stated
+	 * one, however old it is, because the endpoint may still be as slow.
+	 * @return the factor
+	 */
+	public double longestFactor() {
+		return this.slowdownFactor * ((this.loadNotice != null) ? Math.max(1, this.loadNotice.statedFactor()) : 1);
+	}
+
 	/**
 	 * Records the load that a process stated in a response.
 	 * @param startedAtMs when the process started, in milliseconds since the epoch; the
--- a/core/src/main/java/org/fulmargap/placement/Placement.java
+++ b/core/src/main/java/org/fulmargap/placement/Placement.java
@@ -106,7 +106,7 @@
 	private double costMs(Endpoint endpoint, ServiceSpec service, Demand demand, long nowMs) {
 		double workMs = (service.engine() != null) ? engineMs(endpoint, demand.prompt(), nowMs)
 				: (1 + endpoint.inFlight(nowMs)) * PLAIN_MS_PER_REQUEST;
-		double costMs = workMs * endpoint.slowdownFactor() + endpoint.failureShare(nowMs) * FAILURE_MS;
+		double costMs = workMs * endpoint.slowdownFactor(nowMs) + endpoint.failureShare(nowMs) * FAILURE_MS;
 		if (!endpoint.record().failureDomain().equals(this.ownDomain)) {
 			costMs += REMOTE_DOMAIN_MS;
 		}
--- a/core/src/test/java/org/fulmargap/placement/Endpoints.java
+++ b/core/src/test/java/org/fulmargap/placement/Endpoints.java
@@ -28,6 +28,16 @@
 		return new Endpoint(record(id, "a", false, coldForMs), 0);
 	}
 
+	/**
+	 * Lets an endpoint state its load.
+	 * @param endpoint the endpoint
+	 * @param load the load
+	 * @param nowMs the current time in milliseconds
+	 */
+	public static void states(Endpoint endpoint, EndpointLoadNotice load, long nowMs) {
+		endpoint.recordLoad(endpoint.record().startedAtMs(), load, nowMs);
+	}
+
 	static EndpointRecord record(String id, String domain, boolean draining, long coldForMs) {
 		return new EndpointRecord(id, "service", "10.0.0.1:80", domain, 8, draining, coldForMs, 1);
 	}
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -85,6 +85,8 @@
 
 	private static final double MS_PER_SECOND = 1_000;
 
+	private static final double PERCENT = 100;
+
 	/**
 	 * The priority of all calls: the scheduler has put their work items in order.
 	 */
@@ -350,7 +352,7 @@
 			double callSeconds = this.scheduler.fullCallMs() / MS_PER_SECOND;
 			return endpoints.stream()
 				.filter((endpoint) -> !endpoint.isSuspended(nowMs))
-				.mapToDouble((endpoint) -> Math.min(1 / Math.max(1, endpoint.slowdownFactor()),
+				.mapToDouble((endpoint) -> Math.min(1 / Math.max(1, endpoint.slowdownFactor(nowMs)),
 						StageCallDispatcher.this.limits.perSecond(endpoint, nowMs) * callSeconds))
 				.sum();
 		}
@@ -434,13 +436,14 @@
 				.with("pieces", call.items().size())
 				.with("near", this.scheduler.localCount(call))
 				.with("expected_ms", Math.round(call.expectedMs()))
+				.with("factor", Math.round(call.endpoint().slowdownFactor(nowMs) * PERCENT) / PERCENT)
 				.with("waiting", this.scheduler.waitingCount())
 				.with("late", this.scheduler.lateCount())
 				.with("free_kb", this.scheduler.freeBytes(call.endpoint(), nowMs) / BYTES_PER_KB)
 				.write();
 			RunningCall running = new RunningCall(this, call, nowMs);
 			double timeoutMs = Math.max(MIN_CALL_TIMEOUT_MS,
-					call.expectedMs() * CALL_TIMEOUT_FACTOR * Math.max(1, call.endpoint().slowdownFactor()));
+					call.expectedMs() * CALL_TIMEOUT_FACTOR * Math.max(1, call.endpoint().longestFactor()));
 			StageCallDispatcher.this.loop.schedule(running::inputsRead, INPUT_READ_TIME_MS, TimeUnit.MILLISECONDS);
 			// The timeout exists before the call can end.
 			running.timeout = StageCallDispatcher.this.loop.schedule(running::timedOut, (long) timeoutMs,
@@ -690,7 +693,7 @@
 		// The endpoint had a free slot, so it started the call at once and has read the
 		// inputs by now.
 		private void inputsRead() {
-			if (this.finished || this.call.endpoint().slowdownFactor() > MAX_RELIABLE_SLOWDOWN_FACTOR) {
+			if (this.finished || this.call.endpoint().longestFactor() > MAX_RELIABLE_SLOWDOWN_FACTOR) {
 				return;
 			}
 			for (WorkItem item : this.call.items()) {
