Learn the speed of engines from the times to first events

Engines differ by up to 2.4 times and nothing reports it; Placement took all for equally fast. Each VM now keeps the ratio of the measured to the expected time to the first event of each engine, for requests with at least 500 unread tokens, not while the engine is cold or new, and forgets it with the process. Where an engine differs by EngineSpeeds.CLEAR_DIFFERENCE (1.5) from the median of its service, the extra time to the first event is part of its cost; otherwise placement is as before.

--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -50,6 +50,8 @@
 
 	private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter();
 
+	private final EngineSpeed engineSpeed = new EngineSpeed();
+
 	private final TokenBucket tokens = new TokenBucket();
 
 	private EndpointRecord record;
@@ -99,6 +101,7 @@
 			this.prefixCache.clear();
 			this.slowdownFactor = 1;
 			this.loadNotice = null;
+			this.engineSpeed.clear();
 			this.knownSinceMs = nowMs;
 		}
 		this.record = record;
@@ -266,6 +269,26 @@
 		this.prefillTokens = Math.max(0, this.prefillTokens - unreadTokens);
 	}
 
+	/**
+	 * Records how long the first event of an engine took. Ignored while the engine is
+	 * cold or new, and if the call was made to an earlier process.
+	 * @param called the record of the endpoint when it was called
+	 * @param measuredMs the time since the request was sent, in milliseconds
+	 * @param expectedMs the value of {@link Placement#firstEventMs} before it was sent
+	 * @param unreadTokens the number returned by {@link #started}
+	 * @param nowMs the current time in milliseconds
+	 */
+	public void firstEventTook(EndpointRecord called, double measuredMs, double expectedMs, int unreadTokens,
+			long nowMs) {
+		if (called.isSameProcess(this.record) && !isCold(nowMs) && !isNew(nowMs)) {
+			this.engineSpeed.firstEvent(measuredMs, expectedMs, unreadTokens, nowMs);
+		}
+	}
+
+	EngineSpeed engineSpeed() {
+		return this.engineSpeed;
+	}
+
 	/**
 	 * Records that a request of this VM is no longer in flight.
 	 */
--- a/core/src/main/java/org/fulmargap/placement/Placement.java
+++ b/core/src/main/java/org/fulmargap/placement/Placement.java
@@ -22,6 +22,12 @@
 	/** The delay by the decoding of each request in flight, in milliseconds. */
 	private static final double DECODE_MS_PER_REQUEST = 3;
 
+	/**
+	 * The time of a request at an idle engine that has its prompt in the cache, in
+	 * milliseconds.
+	 */
+	private static final double ENGINE_BASE_MS = 20;
+
 	/** The cost of each request at a plain endpoint, in milliseconds. */
 	private static final double PLAIN_MS_PER_REQUEST = 20;
 
@@ -79,6 +85,7 @@
 			int vmCount, boolean includeSuspended, long nowMs) {
 		Endpoint best = null;
 		double bestMs = Double.MAX_VALUE;
+		EngineSpeeds speeds = new EngineSpeeds((service.engine() != null) ? available : List.of(), nowMs);
 		double coldShare = service.coldPerSecond() / Math.max(1, vmCount);
 		int candidates = 0;
 		for (Endpoint endpoint : available) {
@@ -89,7 +96,7 @@
 				continue;
 			}
 			candidates++;
-			double costMs = costMs(endpoint, service, demand, nowMs);
+			double costMs = costMs(endpoint, service, demand, speeds, nowMs);
 			if (costMs < bestMs) {
 				best = endpoint;
 				bestMs = costMs;
@@ -103,8 +110,8 @@
 		return Optional.of(new Choice(best, bestMs, candidates, best.cachedTokens(demand.prompt())));
 	}
 
-	private double costMs(Endpoint endpoint, ServiceSpec service, Demand demand, long nowMs) {
-		double workMs = (service.engine() != null) ? engineMs(endpoint, demand.prompt(), nowMs)
+	private double costMs(Endpoint endpoint, ServiceSpec service, Demand demand, EngineSpeeds speeds, long nowMs) {
+		double workMs = (service.engine() != null) ? engineMs(endpoint, demand.prompt(), speeds, nowMs)
 				: (1 + endpoint.inFlight(nowMs)) * PLAIN_MS_PER_REQUEST;
 		double costMs = workMs * endpoint.slowdownFactor(nowMs) + endpoint.failureShare(nowMs) * FAILURE_MS;
 		if (!endpoint.record().failureDomain().equals(this.ownDomain)) {
@@ -113,11 +120,32 @@
 		return costMs + demand.remoteBytes(endpoint.record().failureDomain()) / REMOTE_BYTES_PER_MS;
 	}
 
-	private static double engineMs(Endpoint endpoint, Prompt prompt, long nowMs) {
-		int unread = prompt.promptTokens() - Math.min(prompt.promptTokens(), endpoint.cachedTokens(prompt));
+	/**
+	 * Returns the time to the first event to expect of an engine of usual speed, with the
+	 * load before the request is sent.
+	 * @param endpoint the engine
+	 * @param prompt the prompt
+	 * @param nowMs the current time in milliseconds
+	 * @return the time in milliseconds
+	 */
+	public static double firstEventMs(Endpoint endpoint, Prompt prompt, long nowMs) {
+		double tokens = unread(endpoint, prompt) + endpoint.prefillTokens(nowMs);
+		return ENGINE_BASE_MS + tokens / PREFILL_TOKENS_PER_MS + endpoint.inFlight(nowMs) * DECODE_MS_PER_REQUEST;
+	}
+
+	private static int unread(Endpoint endpoint, Prompt prompt) {
+		return prompt.promptTokens() - Math.min(prompt.promptTokens(), endpoint.cachedTokens(prompt));
+	}
+
+	private static double engineMs(Endpoint endpoint, Prompt prompt, EngineSpeeds speeds, long nowMs) {
+		int unread = unread(endpoint, prompt);
 		double prefillMs = (unread * UNREAD_WEIGHT + endpoint.prefillTokens(nowMs)) / PREFILL_TOKENS_PER_MS;
 		double spread = hash(prompt.affinityKey() + '@' + endpoint.record().id());
-		return prefillMs + endpoint.inFlight(nowMs) * DECODE_MS_PER_REQUEST + spread * HASH_SPREAD_MS;
+		double decodeMs = endpoint.inFlight(nowMs) * DECODE_MS_PER_REQUEST;
+		// The weight of unread tokens stands for other requests, which wait elsewhere
+		// too.
+		double slowMs = (speeds.factor(endpoint) - 1) * firstEventMs(endpoint, prompt, nowMs);
+		return prefillMs + decodeMs + slowMs + spread * HASH_SPREAD_MS;
 	}
 
 	private static double hash(String text) {
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -569,6 +569,9 @@
 
 		private int unreadTokens;
 
+		// The time to the first event at an engine of usual speed.
+		private double expectedFirstEventMs;
+
 		private EndpointPool.RunningCall running;
 
 		private EndpointAnswer answer;
@@ -602,6 +605,7 @@
 			RequestFlow flow = RequestFlow.this;
 			Prompt prompt = flow.request.prompt();
 			long cacheTokens = (flow.service.engine() != null) ? flow.service.engine().cacheTokens() : 0;
+			this.expectedFirstEventMs = Placement.firstEventMs(this.endpoint, prompt, nowMs);
 			this.unreadTokens = this.endpoint.started(prompt, cacheTokens, nowMs);
 			flow.services.limits().sent(this.endpoint, flow.priority());
 			flow.calls++;
@@ -763,6 +767,10 @@
 				RequestFlow flow = RequestFlow.this;
 				long nowMs = flow.services.nowMs();
 				this.endpoint.firstEvent(this.unreadTokens);
+				if (flow.service.engine() != null) {
+					this.endpoint.firstEventTook(this.calledRecord, nowMs - this.sentAtMs, this.expectedFirstEventMs,
+							this.unreadTokens, nowMs);
+				}
 				flow.services.metrics().time("first_event", nowMs - flow.arrivedAtMs);
 				flow.stageRun.close();
 				flow.streamBegun(this.calledRecord);
