--- a/core/src/test/java/org/fulmargap/batch/BatchSchedulerTests.java
+++ b/core/src/test/java/org/fulmargap/batch/BatchSchedulerTests.java
@@ -39,6 +39,15 @@
 		return item;
 	}
 
+	@Test
+	void aResultThatNobodyNeedsCountsAsWasted() {
+		WorkItem item = item("one", 0, 1_000, 10, "");
+		assertThat(WastedWork.ofResult(item, false, EXPIRES_AT_MS)).isEmpty();
+		assertThat(WastedWork.ofResult(item, true, EXPIRES_AT_MS)).contains(WastedWork.UNUSED);
+		assertThat(WastedWork.ofResult(item, false, EXPIRES_AT_MS + 1)).contains(WastedWork.LATE);
+		assertThat(WastedWork.NO_ROOM.counter()).isEqualTo("stage_work_wasted_no_room");
+	}
+
 	@Nested
 	class SharedCalls {
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.PipelineAdmission;
+import org.fulmargap.batch.WastedWork;
 import org.fulmargap.catalog.ClientAccount;
 import org.fulmargap.catalog.Route;
 import org.fulmargap.catalog.ServiceSpec;
@@ -450,6 +451,7 @@
 			.with("config_age_ms", this.config.ageMs(nowMs))
 			.write();
 		this.services.metrics().count("refused_" + refusal.name().toLowerCase(Locale.ROOT));
+		countUnused();
 		if (this.stream.hasBegun()) {
 			finish();
 			this.exchange.abort();
@@ -473,10 +475,15 @@
 				.with("age_ms", this.services.nowMs() - this.arrivedAtMs)
 				.write();
 			this.services.metrics().count("caller_left");
+			countUnused();
 			finish();
 		}
 	}
 
+	private void countUnused() {
+		this.services.metrics().add(WastedWork.UNUSED.counter(), this.stageRun.keptResults());
+	}
+
 	private void finish() {
 		this.finished = true;
 		this.services.openRequests().remove(this);
--- a/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/StageRun.java
@@ -78,6 +78,9 @@
 
 	private boolean closed;
 
+	// The results that were kept when a stage failed.
+	private int resultsOfFailure;
+
 	/**
 	 * Creates a run.
 	 * @param clockMs the current time in milliseconds
@@ -303,6 +306,7 @@
 
 	private void failed(StageProgress stage) {
 		this.finished = true;
+		this.resultsOfFailure = keptResults();
 		close();
 		this.listener.stageFailed(stage.service());
 	}
@@ -419,6 +423,19 @@
 		}
 	}
 
+	/**
+	 * Returns the number of results that are kept for the request.
+	 * @return the number of results; after {@link #close}, 0 or those that were kept when
+	 * a stage failed
+	 */
+	int keptResults() {
+		return (this.closed) ? this.resultsOfFailure
+				: this.stages.stream()
+					.filter((stage) -> !stage.isReleased())
+					.mapToInt((stage) -> stage.results().size())
+					.sum();
+	}
+
 	/**
 	 * Returns whether the stages are done or have failed.
 	 * @return {@code false} while stages run
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -19,6 +19,7 @@
 import org.fulmargap.batch.BatchScheduler;
 import org.fulmargap.batch.RecentHandles;
 import org.fulmargap.batch.StageCall;
+import org.fulmargap.batch.WastedWork;
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.catalog.AddressFormat;
 import org.fulmargap.catalog.ServiceSpec;
@@ -297,6 +298,10 @@
 		});
 	}
 
+	private void count(WastedWork cause) {
+		this.metrics.count(cause.counter());
+	}
+
 	private static void logFreeFailed(String address, List<String> handles, CallFailure failure) {
 		EventLog.state("free_failed")
 			.with("address", address)
@@ -654,6 +659,8 @@
 			Endpoint endpoint = this.call.endpoint();
 			if (result.failure() == null) {
 				this.queue.scheduler.recordResult(endpoint, result.handle(), item.resultBytes(), nowMs);
+				WastedWork.ofResult(item, !this.queue.pendingItems.containsKey(item), nowMs)
+					.ifPresent(StageCallDispatcher.this::count);
 				this.queue.finish(item, WorkItemOutcome.done(item.itemId(), result.handle(),
 						endpoint.record().failureDomain(), this.calledRecord.startedAtMs()));
 				return;
@@ -665,12 +672,15 @@
 				.with("reason", result.failure())
 				.write();
 			if (result.failure() == WorkItemResult.Failure.LATE) {
+				count(WastedWork.LATE);
 				this.queue.finish(item, WorkItemOutcome.failed(item.itemId()));
 			}
 			else if (result.failure() == WorkItemResult.Failure.INPUT_GONE) {
+				count(WastedWork.INPUT_GONE);
 				this.queue.finish(item, WorkItemOutcome.inputGone(item.itemId()));
 			}
 			else if (result.failure() == WorkItemResult.Failure.NO_ROOM) {
+				count(WastedWork.NO_ROOM);
 				this.queue.scheduler.recordOutOfSpace(endpoint, nowMs);
 				this.queue.requeue(item);
 			}
