--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import org.fulmargap.batch.PipelineAdmission;
+import org.fulmargap.batch.WastedWork;
 import org.fulmargap.catalog.ClientAccount;
 import org.fulmargap.catalog.Route;
 import org.fulmargap.catalog.ServiceSpec;
@@ -458,6 +459,7 @@
 			.with("config_age_ms", this.config.ageMs(nowMs))
 			.write();
 		this.services.metrics().count("refused_" + refusal.name().toLowerCase(Locale.ROOT));
+		countUnused();
 		if (this.stream.hasBegun()) {
 			finish();
 			this.exchange.abort();
@@ -481,10 +483,15 @@
 				.with("age_ms", this.services.nowMs() - this.arrivedAtMs)
 				.write();
 			this.services.metrics().count("caller_left");
+			countUnused();
 			finish();
 		}
 	}
 
+	private void countUnused() {
+		this.services.metrics().add(WastedWork.UNUSED.counter(), this.stageRun.keptResults());
+	}
+
 	private void finish() {
 		this.finished = true;
 		this.services.openRequests().remove(this);
@@ -580,6 +587,9 @@
 
 		private int unreadTokens;
 
+		// The time to the first event at an engine of usual speed.
+		private double expectedFirstEventMs;
+
 		private EndpointPool.RunningCall running;
 
 		private EndpointAnswer answer;
@@ -616,6 +626,7 @@
 			RequestFlow flow = RequestFlow.this;
 			Prompt prompt = flow.request.prompt();
 			long cacheTokens = (flow.service.engine() != null) ? flow.service.engine().cacheTokens() : 0;
+			this.expectedFirstEventMs = Placement.firstEventMs(this.endpoint, prompt, nowMs);
 			this.unreadTokens = this.endpoint.started(prompt, cacheTokens, nowMs);
 			flow.services.limits().sent(this.endpoint, flow.priority());
 			flow.calls++;
@@ -782,6 +793,10 @@
 				RequestFlow flow = RequestFlow.this;
 				long nowMs = flow.services.nowMs();
 				this.endpoint.firstEvent(this.unreadTokens);
+				if (flow.service.engine() != null) {
+					this.endpoint.firstEventTook(this.calledRecord, nowMs - this.sentAtMs, this.expectedFirstEventMs,
+							this.unreadTokens, nowMs);
+				}
 				flow.services.metrics().time("first_event", nowMs - flow.arrivedAtMs);
 				flow.stageRun.close();
 				flow.streamBegun(this.calledRecord);
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -20,6 +20,7 @@
 import org.fulmargap.batch.BatchScheduler;
 import org.fulmargap.batch.RecentHandles;
 import org.fulmargap.batch.StageCall;
+import org.fulmargap.batch.WastedWork;
 import org.fulmargap.batch.WorkItem;
 import org.fulmargap.catalog.AddressFormat;
 import org.fulmargap.catalog.ServiceSpec;
@@ -86,6 +87,8 @@
 
 	private static final double MS_PER_SECOND = 1_000;
 
+	private static final double PERCENT = 100;
+
 	/**
 	 * The priority of all calls: the scheduler has put their work items in order.
 	 */
@@ -296,6 +299,10 @@
 		});
 	}
 
+	private void count(WastedWork cause) {
+		this.metrics.count(cause.counter());
+	}
+
 	private static void logFreeFailed(String address, List<String> handles, CallFailure failure) {
 		EventLog.state("free_failed")
 			.with("address", address)
@@ -351,7 +358,7 @@
 			double callSeconds = this.scheduler.fullCallMs() / MS_PER_SECOND;
 			return endpoints.stream()
 				.filter((endpoint) -> !endpoint.isSuspended(nowMs))
-				.mapToDouble((endpoint) -> Math.min(1 / Math.max(1, endpoint.slowdownFactor()),
+				.mapToDouble((endpoint) -> Math.min(1 / Math.max(1, endpoint.slowdownFactor(nowMs)),
 						StageCallDispatcher.this.limits.perSecond(endpoint, nowMs) * callSeconds))
 				.sum();
 		}
@@ -435,13 +442,14 @@
 				.with("pieces", call.items().size())
 				.with("near", this.scheduler.localCount(call))
 				.with("expected_ms", Math.round(call.expectedMs()))
+				.with("factor", Math.round(call.endpoint().slowdownFactor(nowMs) * PERCENT) / PERCENT)
 				.with("waiting", this.scheduler.waitingCount())
 				.with("late", this.scheduler.lateCount())
 				.with("free_kb", this.scheduler.freeBytes(call.endpoint(), nowMs) / BYTES_PER_KB)
 				.write();
 			RunningCall running = new RunningCall(this, call, nowMs);
 			double timeoutMs = Math.max(MIN_CALL_TIMEOUT_MS,
-					call.expectedMs() * CALL_TIMEOUT_FACTOR * Math.max(1, call.endpoint().slowdownFactor()));
+					call.expectedMs() * CALL_TIMEOUT_FACTOR * Math.max(1, call.endpoint().longestFactor()));
 			StageCallDispatcher.this.loop.schedule(running::inputsRead, INPUT_READ_TIME_MS, TimeUnit.MILLISECONDS);
 			// The timeout exists before the call can end.
 			running.timeout = StageCallDispatcher.this.loop.schedule(running::timedOut, (long) timeoutMs,
@@ -693,6 +701,8 @@
 			Endpoint endpoint = this.call.endpoint();
 			if (result.failure() == null) {
 				this.queue.scheduler.recordResult(endpoint, result.handle(), item.resultBytes(), nowMs);
+				WastedWork.ofResult(item, !this.queue.pendingItems.containsKey(item), nowMs)
+					.ifPresent(StageCallDispatcher.this::count);
 				this.queue.finish(item, WorkItemOutcome.done(item.itemId(), result.handle(),
 						endpoint.record().failureDomain(), this.calledRecord.startedAtMs()));
 				return;
@@ -704,12 +714,15 @@
 				.with("reason", result.failure())
 				.write();
 			if (result.failure() == WorkItemResult.Failure.LATE) {
+				count(WastedWork.LATE);
 				this.queue.finish(item, WorkItemOutcome.failed(item.itemId()));
 			}
 			else if (result.failure() == WorkItemResult.Failure.INPUT_GONE) {
+				count(WastedWork.INPUT_GONE);
 				this.queue.finish(item, WorkItemOutcome.inputGone(item.itemId()));
 			}
 			else if (result.failure() == WorkItemResult.Failure.NO_ROOM) {
+				count(WastedWork.NO_ROOM);
 				this.queue.scheduler.recordOutOfSpace(endpoint, nowMs);
 				this.queue.requeue(item);
 			}
@@ -732,7 +745,7 @@
 		// The endpoint had a free slot, so it started the call at once and has read the
 		// inputs by now.
 		private void inputsRead() {
-			if (this.finished || this.call.endpoint().slowdownFactor() > MAX_RELIABLE_SLOWDOWN_FACTOR) {
+			if (this.finished || this.call.endpoint().longestFactor() > MAX_RELIABLE_SLOWDOWN_FACTOR) {
 				return;
 			}
 			for (WorkItem item : this.items) {
