Decide on leaving the failure domain by one share for all of its VMs

Requests leave the failure domain of their VM as soon as a remote endpoint is 2 ms cheaper, each VM by itself. With spill.enabled in the settings, the VMs of a domain decide on the same reports which share of a service's requests may leave, with hysteresis; the others stay unless no endpoint at home takes them. Off, requests are placed as before.

--- a/core/src/main/java/org/fulmargap/placement/Placement.java
+++ b/core/src/main/java/org/fulmargap/placement/Placement.java
@@ -20,26 +20,26 @@
 	public static final double PREFILL_TOKENS_PER_MS = 38;
 
 	/** The delay by the decoding of each request in flight, in milliseconds. */
-	private static final double DECODE_MS_PER_REQUEST = 3;
+	static final double DECODE_MS_PER_REQUEST = 3;
 
 	/** The cost of each request at a plain endpoint, in milliseconds. */
-	private static final double PLAIN_MS_PER_REQUEST = 20;
+	static final double PLAIN_MS_PER_REQUEST = 20;
 
 	/** The round-trip time to another failure domain, in milliseconds. */
-	private static final double REMOTE_DOMAIN_MS = 2;
+	static final double REMOTE_DOMAIN_MS = 2;
 
 	/** The cost of a failed call, in milliseconds: about that of a caller's retry. */
 	private static final double FAILURE_MS = 1_000;
 
 	/** The input bytes from other failure domains that cost one millisecond. */
-	private static final double REMOTE_BYTES_PER_MS = 20_000;
+	static final double REMOTE_BYTES_PER_MS = 20_000;
 
 	/**
 	 * The weight of a prompt token of this request that needs prefill, relative to one
 	 * already waiting. It is higher because the prefill also delays the other requests of
 	 * the engine.
 	 */
-	private static final double UNREAD_WEIGHT = 3;
+	static final double UNREAD_WEIGHT = 3;
 
 	/**
 	 * The highest cost added by the hash of the shared prompt part, in milliseconds. It
@@ -75,6 +75,30 @@
 		return (healthy.isPresent()) ? healthy : best(available, excluded, service, demand, vmCount, true, nowMs);
 	}
 
+	/**
+	 * Chooses one of the preferred endpoints, or another one if none of them takes the
+	 * request now.
+	 * @param preferred the available endpoints that are tried first
+	 * @param available the endpoints that may get new work
+	 * @param excluded the names of endpoints that this request must not use again
+	 * @param service the service of the endpoints
+	 * @param demand what the request needs
+	 * @param vmCount the number of entry VMs that share the rate limit of cold endpoints
+	 * @param nowMs the current time in milliseconds
+	 * @return the choice, or empty if all endpoints are excluded or at their cold-start
+	 * limit
+	 */
+	public Optional<Choice> choose(List<Endpoint> preferred, List<Endpoint> available, Set<String> excluded,
+			ServiceSpec service, Demand demand, int vmCount, long nowMs) {
+		if (preferred.size() == available.size()) {
+			return choose(available, excluded, service, demand, vmCount, nowMs);
+		}
+		// A healthy endpoint that is not preferred is better than a suspended one that
+		// is.
+		Optional<Choice> choice = best(preferred, excluded, service, demand, vmCount, false, nowMs);
+		return (choice.isPresent()) ? choice : choose(available, excluded, service, demand, vmCount, nowMs);
+	}
+
 	private Optional<Choice> best(List<Endpoint> available, Set<String> excluded, ServiceSpec service, Demand demand,
 			int vmCount, boolean includeSuspended, long nowMs) {
 		Endpoint best = null;
@@ -120,7 +144,7 @@
 		return prefillMs + endpoint.inFlight(nowMs) * DECODE_MS_PER_REQUEST + spread * HASH_SPREAD_MS;
 	}
 
-	private static double hash(String text) {
+	static double hash(String text) {
 		int hash = text.hashCode() * 0x9E3779B9;
 		hash ^= hash >>> 15;
 		hash *= 0x85EBCA6B;
@@ -136,7 +160,7 @@
 	 */
 	public record Demand(Prompt prompt, Collection<Input> inputs) {
 
-		private double remoteBytes(String domain) {
+		double remoteBytes(String domain) {
 			double bytes = 0;
 			for (Input input : this.inputs) {
 				bytes += (input.failureDomain().equals(domain)) ? 0 : input.sizeBytes();
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -132,6 +132,8 @@
 
 	private final Rollouts rollouts;
 
+	private final DomainSpills spills;
+
 	private final StoreWatch watch;
 
 	private final Drain drain;
@@ -160,12 +162,14 @@
 		this.dispatcher = new StageCallDispatcher(this.loop, this.clockMs, this.view, pool, retries,
 				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.setAside, this.rollouts, this.metrics);
 		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
+		this.spills = new DomainSpills(settings.spillEnabled(), settings.failureDomain(), this.view, this.peers,
+				this.rollouts, this.metrics);
 		OpenRequests openRequests = new OpenRequests();
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
 				new Placement(settings.failureDomain()), retries, this.quarantine,
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
-				new CallerTimes(), openRequests, this.setAside, this.streamVersions, this.rollouts,
+				new CallerTimes(), openRequests, this.setAside, this.streamVersions, this.rollouts, this.spills,
 				new EndpointLimits(this::limitShare), this.metrics);
 		this.view.onEndpointChange((record) -> openRequests.endpointChanged());
 		RequestRouter router = new RequestRouter(services);
@@ -349,6 +353,7 @@
 		this.quarantineSync.update(nowMs);
 		this.streamVersions.update(nowMs);
 		this.rollouts.update(nowMs);
+		this.spills.update(nowMs);
 	}
 
 	@Override
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestCandidates.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestCandidates.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import org.fulmargap.placement.Endpoint;
+import org.fulmargap.placement.Placement;
 import org.fulmargap.rollout.VersionSplit;
 
 /**
@@ -27,6 +28,9 @@
 	// Whether a rollout sends the request to the new version; null if not decided yet.
 	private Boolean toUpdated;
 
+	// Whether the request may leave the failure domain; null if not decided yet.
+	private Boolean mayLeave;
+
 	// The only version that may get the request; null if all may.
 	private String softwareVersion;
 
@@ -113,6 +117,20 @@
 		return this.services.limits().sendable(available(nowMs), this.priority, nowMs);
 	}
 
+	/**
+	 * Returns those of the endpoints to which the request should be sent if one of them
+	 * takes it: those of the failure domain of this VM if the request stays there.
+	 * @param endpoints the endpoints
+	 * @param demand what the request needs
+	 * @return the endpoints that are tried first
+	 */
+	List<Endpoint> preferred(List<Endpoint> endpoints, Placement.Demand demand) {
+		if (this.mayLeave == null) {
+			this.mayLeave = this.services.spills().mayLeave(this.service, this.attemptId);
+		}
+		return this.services.spills().preferred(endpoints, this.mayLeave, demand);
+	}
+
 	/**
 	 * Returns the available endpoints that the request has not tried.
 	 * @param nowMs the current time in milliseconds
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -153,9 +153,14 @@
 		}
 		long nowMs = this.arrivedAtMs;
 		Placement.Demand demand = new Placement.Demand(this.request.prompt(), List.of());
+		return choose(this.candidates.available(nowMs), Set.of(), demand, nowMs);
+	}
+
+	private Optional<Choice> choose(List<Endpoint> endpoints, Set<String> excluded, Placement.Demand demand,
+			long nowMs) {
 		return this.services.placement()
-			.choose(this.candidates.available(nowMs), Set.of(), this.service, demand, this.services.peers().vmCount(),
-					nowMs);
+			.choose(this.candidates.preferred(endpoints, demand), endpoints, excluded, this.service, demand,
+					this.services.peers().vmCount(), nowMs);
 	}
 
 	private long promptMs(Optional<Choice> engine) {
@@ -335,9 +340,9 @@
 			return;
 		}
 		Placement.Demand demand = new Placement.Demand(this.request.prompt(), this.stageRun.finalInputs());
-		Optional<Choice> choice = this.services.placement()
-			.choose(this.candidates.sendable(nowMs), this.candidates.tried(), this.service, demand,
-					this.services.peers().vmCount(), nowMs);
+		List<Endpoint> sendable = this.candidates.sendable(nowMs);
+		this.services.spills().record(this.service.name(), sendable, demand);
+		Optional<Choice> choice = choose(sendable, this.candidates.tried(), demand, nowMs);
 		if (choice.isEmpty()) {
 			if (this.candidates.reassignToOld(nowMs)) {
 				dispatch();
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import org.fulmargap.batch.AdmittedWork;
 import org.fulmargap.batch.AvailableEndpoints;
+import org.fulmargap.entry.DomainSpills;
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
 import org.fulmargap.entry.SetAsideEndpoints;
@@ -43,6 +44,7 @@
  * @param setAside the endpoints that announced that they want no new work
  * @param streamVersions finds where streams that are taken up may go on
  * @param rollouts the rollouts between software versions
+ * @param spills the shares of requests that may leave the failure domain
  * @param limits the shares of this VM in the limits that endpoints named
  * @param metrics counters and latencies
  */
@@ -50,8 +52,8 @@
 		SharedRetryBudget retryBudget, CrashQuarantine quarantine, PromptPartWatch promptParts, EndpointPool pool,
 		StageClient stages, AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers,
 		ServiceTimes serviceTimes, RunTimes runTimes, CallerTimes callerTimes, OpenRequests openRequests,
-		SetAsideEndpoints setAside, StreamVersions streamVersions, Rollouts rollouts, EndpointLimits limits,
-		EntryMetrics metrics) {
+		SetAsideEndpoints setAside, StreamVersions streamVersions, Rollouts rollouts, DomainSpills spills,
+		EndpointLimits limits, EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and probes the endpoint to find out
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -65,6 +65,8 @@
 
 	private RolloutLimits rolloutLimits;
 
+	private boolean spillEnabled;
+
 	private final AtomicInteger lastAttempt = new AtomicInteger();
 
 	Installation() throws IOException {
@@ -76,9 +78,13 @@
 	}
 
 	EndpointStandIn endpoint(String id, String service) throws IOException {
+		return endpoint(id, service, "a");
+	}
+
+	EndpointStandIn endpoint(String id, String service, String failureDomain) throws IOException {
 		EndpointStandIn endpoint = new EndpointStandIn(id);
 		this.endpoints.add(endpoint);
-		this.store.put(CallerWire.ENDPOINT_TOPIC, id, endpoint.record(service, "a", "ready"));
+		this.store.put(CallerWire.ENDPOINT_TOPIC, id, endpoint.record(service, failureDomain, "ready"));
 		return endpoint;
 	}
 
@@ -111,7 +117,7 @@
 		String ip = "127.0.0.1:";
 		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(), storeAddress,
 				CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1, 1_000,
-				Optional.ofNullable(this.rolloutLimits));
+				Optional.ofNullable(this.rolloutLimits), this.spillEnabled);
 	}
 
 	/**
@@ -174,6 +180,13 @@
 		this.rolloutLimits = newLimits;
 	}
 
+	/**
+	 * Makes VMs that are started from now on decide about leaving their failure domain.
+	 */
+	void withSpill() {
+		this.spillEnabled = true;
+	}
+
 	/**
 	 * Sets how long VMs that are started from now on may take to stop.
 	 */
