Let the VMs of both domains decide in the trials of leaving the domain

The trials played only one deciding domain, so that traffic sent back by the other one would not have been seen.

--- a/core/src/test/java/org/fulmargap/placement/DomainSpillTests.java
+++ b/core/src/test/java/org/fulmargap/placement/DomainSpillTests.java
@@ -9,7 +9,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Plays seeded load against {@link DomainSpill}: 20 VMs, 40 slots at home, 80 elsewhere.
+ * Plays seeded load against {@link DomainSpill}: 20 VMs in each domain, 40 slots at home,
+ * 80 elsewhere.
  */
 class DomainSpillTests {
 
@@ -93,6 +94,7 @@
 		}
 		System.out.printf("load %.1f: mean share %.2f to %.2f, largest difference of VMs %.2f%n", homeLoad, low, high,
 				spread);
+		assertThat(traffic.highestReturn()).isZero();
 		assertThat(high - low).isLessThan(0.2);
 		assertThat(spread).isLessThan(0.25);
 	}
--- a/core/src/test/java/org/fulmargap/placement/DomainTraffic.java
+++ b/core/src/test/java/org/fulmargap/placement/DomainTraffic.java
@@ -22,7 +22,8 @@
 
 	private final Random random;
 
-	private final DomainSpill[] vms;
+	// By domain.
+	private final DomainSpill[][] vms;
 
 	private final int[] reportDelays;
 
@@ -37,19 +38,22 @@
 
 	private double highestShare;
 
+	private double highestReturn;
+
 	DomainTraffic(long seed, int vmCount, int homeSlots, int remoteSlots) {
 		this.random = new Random(seed);
-		this.vms = new DomainSpill[vmCount];
+		this.vms = new DomainSpill[2][vmCount];
 		this.reportDelays = new int[vmCount];
 		for (int i = 0; i < vmCount; i++) {
-			restart(i);
+			this.vms[0][i] = new DomainSpill(false);
+			this.vms[1][i] = new DomainSpill(false);
 			this.reportDelays[i] = 1 + this.random.nextInt(3);
 		}
 		this.domains = new Domain[] { new Domain(homeSlots), new Domain(remoteSlots) };
 	}
 
 	void restart(int vm) {
-		this.vms[vm] = new DomainSpill(false);
+		this.vms[0][vm] = new DomainSpill(false);
 	}
 
 	void reports(boolean arrive) {
@@ -82,20 +86,24 @@
 	}
 
 	private Domain place(int domain, boolean spill) {
-		DomainSpill vm = this.vms[this.random.nextInt(this.vms.length)];
-		boolean leaves = domain == 0 && spill && vm.mayLeave("attempt" + this.random.nextLong());
-		return this.domains[(leaves) ? 1 : domain];
+		DomainSpill vm = this.vms[domain][this.random.nextInt(this.reportDelays.length)];
+		boolean leaves = spill && vm.mayLeave("attempt" + this.random.nextLong());
+		return this.domains[(leaves) ? 1 - domain : domain];
 	}
 
 	private void decide() {
-		for (int i = 0; i < this.vms.length; i++) {
+		for (int i = 0; i < this.reportDelays.length; i++) {
 			if ((this.nowMs + i * STEP_MS) % HEARTBEAT_MS == 0) {
 				int[] seen = this.history
 					.get(Math.max(0, this.history.size() - 1 - this.reportDelays[i] * HEARTBEAT_MS / STEP_MS));
 				// Without reports, a VM knows only its own requests.
-				int part = (this.reports) ? 1 : this.vms.length;
-				this.vms[i].update(load(0, seen[0] / part), List.of(load(1, seen[1] / part)), this.reports, this.nowMs);
-				this.highestShare = Math.max(this.highestShare, this.vms[i].share());
+				int part = (this.reports) ? 1 : this.reportDelays.length;
+				DomainLoad zero = load(0, seen[0] / part);
+				DomainLoad one = load(1, seen[1] / part);
+				this.vms[0][i].update(zero, List.of(one), this.reports, this.nowMs);
+				this.vms[1][i].update(one, List.of(zero), this.reports, this.nowMs);
+				this.highestShare = Math.max(this.highestShare, this.vms[0][i].share());
+				this.highestReturn = Math.max(this.highestReturn, this.vms[1][i].share());
 			}
 		}
 	}
@@ -116,10 +124,10 @@
 
 	double meanShare() {
 		double sum = 0;
-		for (DomainSpill vm : this.vms) {
+		for (DomainSpill vm : this.vms[0]) {
 			sum += vm.share();
 		}
-		return sum / this.vms.length;
+		return sum / this.vms[0].length;
 	}
 
 	/**
@@ -129,10 +137,17 @@
 		return this.highestShare;
 	}
 
+	/**
+	 * Returns the highest share of a VM of domain 1 at any time.
+	 */
+	double highestReturn() {
+		return this.highestReturn;
+	}
+
 	double spread() {
 		double low = 1;
 		double high = 0;
-		for (DomainSpill vm : this.vms) {
+		for (DomainSpill vm : this.vms[0]) {
 			low = Math.min(low, vm.share());
 			high = Math.max(high, vm.share());
 		}
