--- a/core/src/main/java/org/fulmargap/placement/DomainSpill.java
+++ b/core/src/main/java/org/fulmargap/placement/DomainSpill.java
@@ -183,7 +183,7 @@
 			startIfPaying(gainMs, home.capacity(this.engine) / elsewhere.capacity(this.engine), nowMs);
 		}
 		round();
-		return decision((this.leaving) ? Reason.WAITS_AT_HOME : Reason.STAYS);
+		return decision((this.share > 0) ? Reason.WAITS_AT_HOME : Reason.STAYS);
 	}
 
 	// The domains where a request would wait less, or the one with the shortest wait.
--- a/entry/src/test/java/org/fulmargap/entry/DomainSpillVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/DomainSpillVmTests.java
@@ -22,6 +22,12 @@
 
 	private static final int REQUESTS = 6;
 
+	/** Five times the slots of an endpoint. */
+	private static final int BURST_REQUESTS = 40;
+
+	/** Several seconds of work. */
+	private static final int BURSTS = 10;
+
 	/** Longer than it takes to send all requests, in milliseconds. */
 	private static final long WORK_MS = 400;
 
@@ -98,7 +104,7 @@
 	void requestsLeaveIfNoEndpointAtHomeTakesThem() throws IOException, InterruptedException {
 		this.installation.withSpill();
 		startVm();
-		Installation.await(() -> isStaying());
+		Installation.await(this::isStaying);
 		this.home.close();
 		for (int i = 0; i < REQUESTS; i++) {
 			HttpResponse<String> answer = this.installation.send(this.installation.attempt(0, "/read/x"));
@@ -111,6 +117,24 @@
 		assertThat(this.remote.arrivals()).isEqualTo(2 * REQUESTS);
 	}
 
+	/** Guards against a share that is decided but has no effect on the requests. */
+	@Test
+	void partOfABurstLeavesAndTheChangeIsLogged() throws IOException, InterruptedException {
+		this.installation.withSpill();
+		startVm();
+		Installation.await(this::isStaying);
+		try (LogLines log = new LogLines()) {
+			for (int i = 0; i < BURSTS; i++) {
+				sendAtOnce(BURST_REQUESTS);
+			}
+			assertThat(this.home.arrivals()).isGreaterThan(2 * BURST_REQUESTS);
+			assertThat(this.remote.arrivals()).isPositive();
+			assertThat(log.contain("domain_spill", "service=core domain=a share=0.[0-9]+ home_ms=[0-9]+ .*"
+					+ "reason=waits_at_home"))
+				.isTrue();
+		}
+	}
+
 	private boolean isStaying() {
 		return isShare(0);
 	}
