--- a/entry/src/test/java/org/fulmargap/entry/DomainSpillVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/DomainSpillVmTests.java
@@ -129,8 +129,8 @@
 			}
 			assertThat(this.home.arrivals()).isGreaterThan(2 * BURST_REQUESTS);
 			assertThat(this.remote.arrivals()).isPositive();
-			assertThat(log.contain("domain_spill", "service=core domain=a share=0.[0-9]+ home_ms=[0-9]+ .*"
-					+ "reason=waits_at_home"))
+			assertThat(log.contain("domain_spill",
+					"service=core domain=a share=0.[0-9]+ home_ms=[0-9]+ .*" + "reason=waits_at_home"))
 				.isTrue();
 		}
 	}
