Let the store decide when an order is removed in the last phase

Cause: a VM that read the removal of the order before it had heard of COMPLETE reverted, while the other VMs and the store had COMPLETE, and sent its requests to stopped endpoints. A completed rollout whose order was removed kept all later versions from getting requests. Change: in the phase FULL, a withdrawn rollout is paused, and the coordinator's write of REVERTED or the stored state decides. A completed rollout without an order is dropped once only its version is listed.

--- a/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/Rollouts.java
@@ -59,6 +59,9 @@
 	// The versions of orders that were reverted or replaced.
 	private final Map<String, Set<String>> excludedVersions = new HashMap<>();
 
+	// The services whose rollouts ended by the removal of the order, or before it.
+	private final Set<String> removedOrders = new HashSet<>();
+
 	/**
 	 * Creates the rollouts of a VM.
 	 * @param limits the bounds of what a bad version may get, or empty if there are no
@@ -100,6 +103,7 @@
 		if (order.isEmpty()) {
 			if (known != null) {
 				known.withdraw("order_removed", nowMs);
+				this.removedOrders.add(service);
 			}
 		}
 		else if (known != null && isRepeat(known.split(), order.get())) {
@@ -118,6 +122,7 @@
 	}
 
 	private void replace(ServiceRollout known, RolloutOrder order, long nowMs) {
+		this.removedOrders.remove(order.service());
 		Set<String> excluded = this.excludedVersions.computeIfAbsent(order.service(), (name) -> new HashSet<>());
 		if (known != null) {
 			known.withdraw("order_replaced", nowMs);
@@ -235,6 +240,9 @@
 		// nothing to the new version.
 		boolean isCutOff = 2 * vmsInTouch < this.peers.vmCount();
 		Map<String, Set<String>> versions = this.directory.softwareVersions();
+		// Once the old endpoints are gone, a completed rollout without an order must not
+		// keep later versions from getting requests.
+		this.rollouts.values().removeIf((rollout) -> isOver(rollout.split(), versions));
 		this.rollouts.forEach((service, rollout) -> {
 			VersionSplit split = rollout.split();
 			int updated = (int) this.directory.available(service, nowMs).stream().filter(split::isUpdated).count();
@@ -244,6 +252,12 @@
 		});
 	}
 
+	private boolean isOver(VersionSplit split, Map<String, Set<String>> versions) {
+		RolloutOrder order = split.order();
+		return split.isComplete() && this.removedOrders.contains(order.service())
+				&& versions.getOrDefault(order.service(), Set.of()).equals(Set.of(order.toVersion()));
+	}
+
 	/**
 	 * Writes the states again after the store came back from an older copy.
 	 */
--- a/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
@@ -76,6 +76,9 @@
 
 	private long nextCheckAtMs;
 
+	// Whether the order was removed or replaced before the rollout ended.
+	private boolean withdrawn;
+
 	// Whether this coordinator has tried to read what an earlier one wrote.
 	private boolean tried;
 
@@ -237,13 +240,15 @@
 			this.coordinating = true;
 			this.stored = false;
 			this.tried = false;
-			this.step = this.split.step();
+			this.step = (this.withdrawn && !this.split.step().state().isFinal())
+					? this.split.step().end(RolloutState.REVERTED) : this.split.step();
 			this.stepAtMs = nowMs;
 		}
 		synchronize(alreadyInForce, nowMs);
 		// A completed rollout takes effect only once the store has it.
 		boolean completing = this.calling && this.step.state() == RolloutState.COMPLETE;
-		if (this.tried && !completing && !isRevertPending() && !this.split.step().state().isFinal()) {
+		if (this.tried && !completing && !this.withdrawn && !isRevertPending()
+				&& !this.split.step().state().isFinal()) {
 			decide(service, nowMs);
 		}
 		follow(this.split.step(), "own", nowMs);
@@ -252,7 +257,7 @@
 	// The rollout may have ended without this VM hearing of it.
 	private void readIfAlone(long nowMs) {
 		boolean alone = nowMs - this.receivedAtMs >= VersionSplit.STEP_LIFETIME_MS && !this.split.hasLease(nowMs);
-		if (!this.split.step().state().isFinal() && (alone || this.awaitsProgress)) {
+		if (!this.split.step().state().isFinal() && (alone || this.awaitsProgress || this.withdrawn)) {
 			read(nowMs);
 		}
 	}
@@ -362,11 +367,20 @@
 	 * @param nowMs the current time in milliseconds
 	 */
 	void withdraw(String reason, long nowMs) {
-		if (!this.split.step().state().isFinal()) {
-			this.stored = false;
-			follow(this.split.step().end(RolloutState.REVERTED), reason, nowMs);
-			this.step = this.split.step();
+		if (this.split.step().state().isFinal()) {
+			return;
 		}
+		this.stored = false;
+		this.withdrawn = true;
+		if (this.split.step().phase() == RolloutPhase.FULL) {
+			// The store may have COMPLETE already, so it decides.
+			this.mayBeComplete = true;
+			follow(this.split.step().pause(), reason, nowMs);
+			this.step = this.split.step().end(RolloutState.REVERTED);
+			return;
+		}
+		follow(this.split.step().end(RolloutState.REVERTED), reason, nowMs);
+		this.step = this.split.step();
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/RolloutTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/RolloutTests.java
@@ -252,4 +252,34 @@
 		assertThat(arrivals(this.old) - before).isGreaterThanOrEqualTo(this.sent.get() - 10);
 	}
 
+	@Test
+	void anOrderThatIsRemovedAtItsCompletionSendsNoRequestsBackToStoppedEndpoints() throws Exception {
+		order();
+		awaitState("complete");
+		this.installation.store().put(CallerWire.OPERATOR_TOPIC, "rollout/core", "");
+		Thread.sleep(2_000);
+		int before = arrivals(this.old);
+		int sentBefore = this.sent.get();
+		Installation.await(() -> this.sent.get() > sentBefore + 50);
+		assertThat(arrivals(this.old)).isEqualTo(before);
+	}
+
+	@Test
+	void aCompletedRolloutWhoseOrderWasRemovedDoesNotKeepLaterVersionsFromServing() throws Exception {
+		order();
+		awaitState("complete");
+		StoreStandIn store = this.installation.store();
+		for (int i = 0; i < ENDPOINTS; i++) {
+			store.put(CallerWire.ENDPOINT_TOPIC, "old-" + i, "");
+		}
+		store.put(CallerWire.OPERATOR_TOPIC, "rollout/core", "");
+		// Removed endpoints stay known for the grace period.
+		Thread.sleep(12_000);
+		try (EndpointStandIn later = new EndpointStandIn("later")) {
+			store.put(CallerWire.ENDPOINT_TOPIC, "later",
+					later.record("core", "a", "ready").replace("\"v1\"", "\"v3\""));
+			Installation.await(() -> later.arrivals() > 0);
+		}
+	}
+
 }
