Write the state of a rollout again if the store was restored during the write

A write whose answer was handled after the notice of the restored store counted as stored, so the store lacked the state for good. RolloutTests.theStateIsWrittenAgainAfterTheStoreCameBackFromAnOlderCopy failed so once, beside other runs (its log: restored at 21:49:27.402, the answer at 27.402), and passed alone. A write now counts only if no restore was noticed meanwhile.

--- a/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/ServiceRollout.java
@@ -84,6 +84,9 @@
 
 	private long nextCallAtMs;
 
+	// How often the store came back from an older copy.
+	private int restoredCopies;
+
 	private RolloutStep step;
 
 	private long stepAtMs;
@@ -312,7 +315,12 @@
 		RolloutOrder order = this.split.order();
 		RolloutProgress progress = new RolloutProgress(order.toVersion(), order.durationMs(), order.id(),
 				System.currentTimeMillis() - ageMs, this.step.state());
-		this.store.write(service(), progress, (result) -> written(progress, result, nowMs));
+		int copies = this.restoredCopies;
+		this.store.write(service(), progress, (result) -> {
+			written(progress, result, nowMs);
+			// The store may have lost the write when it came back from an older copy.
+			this.stored = this.stored && copies == this.restoredCopies;
+		});
 	}
 
 	private void coordinatorRead(RolloutStore.Result result, boolean alreadyInForce, long nowMs) {
@@ -351,13 +359,14 @@
 	void renumber(long id) {
 		this.split.renumber(id);
 		this.step = new RolloutStep(id, this.step.number(), this.step.phase(), this.step.share(), this.step.state());
-		this.stored = false;
+		storeRestored();
 	}
 
 	/**
 	 * Writes the state again, because the store came back from an older copy.
 	 */
 	void storeRestored() {
+		this.restoredCopies++;
 		this.stored = false;
 	}
 
