Consider fewer work items when stage endpoints differ in speed

With endpoints of different speeds the coordinator grouped the candidates of as many calls as there are endpoints, for each call. Three are considered now, and the class of a speed is computed once.

--- a/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
@@ -50,6 +50,12 @@
 	 */
 	private static final double CANDIDATE_BATCHES = 2.5;
 
+	/**
+	 * The number of calls whose candidates are considered when endpoints differ in speed.
+	 * Each of them costs the coordinator processor time, at every free endpoint.
+	 */
+	private static final int MAX_CANDIDATE_CALLS = 3;
+
 	/**
 	 * With more work items waiting than this multiple of the batch size, no endpoint is
 	 * left idle for the sake of locality.
@@ -224,8 +230,8 @@
 
 	private Optional<StageCall> nextBySpeed(List<Endpoint> free, List<Endpoint> endpoints, long nowMs) {
 		EndTimes endTimes = endTimes(endpoints, nowMs);
-		// The more endpoints are busy, the more groups may wait for them.
-		List<WorkItemGroup> groups = candidates(endpoints.size());
+		// Groups that wait for busy endpoints must not hide those that don't.
+		List<WorkItemGroup> groups = candidates(Math.min(MAX_CANDIDATE_CALLS, endpoints.size()));
 		Endpoint lateEndpoint = null;
 		int lateFrom = 0;
 		for (int i = 0; i < groups.size(); i++) {
--- a/core/src/main/java/org/fulmargap/batch/EndTimes.java
+++ b/core/src/main/java/org/fulmargap/batch/EndTimes.java
@@ -25,6 +25,8 @@
 
 	private final Map<Endpoint, Double> factors = new HashMap<>();
 
+	private final Map<Endpoint, Integer> speedClasses = new HashMap<>();
+
 	private final Map<Endpoint, NextCall> nextCalls = new HashMap<>();
 
 	private final IntToDoubleFunction callMs;
@@ -97,7 +99,8 @@
 	 * @return 0 for the fastest endpoints, more for slower ones
 	 */
 	int speedClass(Endpoint endpoint) {
-		return (int) (Math.log(factor(endpoint) / this.fastest) / Math.log(CLEAR_DIFFERENCE));
+		return this.speedClasses.computeIfAbsent(endpoint,
+				(key) -> (int) (Math.log(factor(key) / this.fastest) / Math.log(CLEAR_DIFFERENCE)));
 	}
 
 	/**
