Place work by the speeds of endpoints only where a setting asks for it

Without the setting, stage calls and engines are chosen as before, and the stated load isn't recorded.

--- a/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
+++ b/core/src/main/java/org/fulmargap/batch/BatchScheduler.java
@@ -75,14 +75,27 @@
 
 	private long newestResultBytes;
 
+	private final boolean bySpeed;
+
 	private StageCapacity capacity;
 
 	/**
-	 * Creates a scheduler.
+	 * Creates a scheduler that takes the speeds of endpoints into account.
 	 * @param capacity the capacity of one endpoint
 	 */
 	public BatchScheduler(StageCapacity capacity) {
+		this(capacity, true);
+	}
+
+	/**
+	 * Creates a scheduler.
+	 * @param capacity the capacity of one endpoint
+	 * @param bySpeed whether work items go where they end first when endpoints differ
+	 * clearly in speed
+	 */
+	public BatchScheduler(StageCapacity capacity, boolean bySpeed) {
 		this.capacity = capacity;
+		this.bySpeed = bySpeed;
 	}
 
 	private static long urgencyMs(WorkItem item) {
@@ -215,7 +228,7 @@
 		if (waitingCount() == 0 || free.isEmpty()) {
 			return Optional.empty();
 		}
-		if (EndTimes.matter(endpoints, nowMs)) {
+		if (this.bySpeed && EndTimes.matter(endpoints, nowMs)) {
 			return nextBySpeed(free, endpoints, nowMs);
 		}
 		List<WorkItemGroup> groups = candidates(1);
--- a/core/src/main/java/org/fulmargap/placement/Placement.java
+++ b/core/src/main/java/org/fulmargap/placement/Placement.java
@@ -55,12 +55,25 @@
 
 	private final String ownDomain;
 
+	private final boolean bySpeed;
+
 	/**
-	 * Creates the placement for one entry VM.
+	 * Creates the placement for one entry VM, which takes the speeds of engines into
+	 * account.
 	 * @param ownDomain the failure domain of the VM
 	 */
 	public Placement(String ownDomain) {
+		this(ownDomain, true);
+	}
+
+	/**
+	 * Creates the placement for one entry VM.
+	 * @param ownDomain the failure domain of the VM
+	 * @param bySpeed whether the speeds of engines count that differ clearly
+	 */
+	public Placement(String ownDomain, boolean bySpeed) {
 		this.ownDomain = ownDomain;
+		this.bySpeed = bySpeed;
 	}
 
 	/**
@@ -109,7 +122,8 @@
 			int vmCount, boolean includeSuspended, long nowMs) {
 		Endpoint best = null;
 		double bestMs = Double.MAX_VALUE;
-		EngineSpeeds speeds = new EngineSpeeds((service.engine() != null) ? available : List.of(), nowMs);
+		EngineSpeeds speeds = new EngineSpeeds((this.bySpeed && service.engine() != null) ? available : List.of(),
+				nowMs);
 		double coldShare = service.coldPerSecond() / Math.max(1, vmCount);
 		int candidates = 0;
 		for (Endpoint endpoint : available) {
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -150,6 +150,7 @@
 	public EntryVm(NodeSettings settings, int metricsPort) {
 		this.settings = settings;
 		this.metricsPort = metricsPort;
+		this.setAside.recordsLoad(settings.speedsEnabled());
 		this.peers = new PeerNetwork(ownMember(settings), System.currentTimeMillis(), this.loop, this.clockMs,
 				this.stalls, this.metrics);
 		EndpointPool pool = new EndpointPool(this.loop, this.clockMs, this.stalls);
@@ -162,13 +163,14 @@
 		this.rollouts = new Rollouts(settings.rolloutLimits(), this.view.directory(), this.peers, this.rolloutStore,
 				this.metrics, this.clockMs);
 		this.dispatcher = new StageCallDispatcher(this.loop, this.clockMs, this.view, pool, retries,
-				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.setAside, this.rollouts, this.metrics);
+				() -> Math.min(this.peers.vmCount(), MAX_COORDINATORS), this.setAside, this.rollouts,
+				settings.speedsEnabled(), this.metrics);
 		this.stages = new StageClient(this.loop, this.dispatcher, this.peers);
 		this.spills = new DomainSpills(settings.spillEnabled(), settings.failureDomain(), this.view, this.peers,
 				this.rollouts, this.metrics);
 		OpenRequests openRequests = new OpenRequests();
 		RequestServices services = new RequestServices(this.loop, this.clockMs, this.view,
-				new Placement(settings.failureDomain()), retries, this.quarantine,
+				new Placement(settings.failureDomain(), settings.speedsEnabled()), retries, this.quarantine,
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
 				new CallerTimes(), openRequests, this.setAside, this.streamVersions, this.rollouts, this.spills,
--- a/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
+++ b/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
@@ -42,6 +42,8 @@
 
 	private final Map<Endpoint, Unavailability> logged = new HashMap<>();
 
+	private boolean recordsLoad = true;
+
 	/**
 	 * Creates an instance without any announcements.
 	 * @param loop the event loop
@@ -60,6 +62,14 @@
 		loop.scheduleWithFixedDelay(this::checkAgain, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Sets whether the load that endpoints state is recorded.
+	 * @param newRecordsLoad {@code false} if work does not go by the speeds of endpoints
+	 */
+	void recordsLoad(boolean newRecordsLoad) {
+		this.recordsLoad = newRecordsLoad;
+	}
+
 	/**
 	 * Records what an answer says about its endpoint.
 	 * @param called the record of the endpoint when it was called
@@ -69,6 +79,7 @@
 	public void headRead(EndpointRecord called, EndpointAnswer answer) {
 		sender(called, answer).ifPresent((process) -> this.limited.headRead(process, answer));
 		answer.loadNotice()
+			.filter((load) -> this.recordsLoad)
 			.ifPresent((load) -> sender(called, answer)
 				.ifPresent((process) -> this.directory.recordLoad(process, load, this.clockMs.getAsLong())));
 		if (!answer.leaving() && answer.restMs() <= 0) {
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -128,6 +128,8 @@
 
 	private final Rollouts rollouts;
 
+	private final boolean bySpeed;
+
 	private final EntryMetrics metrics;
 
 	// Only the coordinator of a service calls its endpoints.
@@ -149,11 +151,12 @@
 	 * @param vmCount the number of entry VMs that share the retry budget
 	 * @param setAside the endpoints that announced that they want no new work
 	 * @param rollouts the rollouts between software versions
+	 * @param bySpeed whether work items go by the speeds of endpoints that differ clearly
 	 * @param metrics counters and latencies
 	 */
 	public StageCallDispatcher(EventLoop loop, LongSupplier clockMs, StoreView view, EndpointPool pool,
 			SharedRetryBudget retryBudget, IntSupplier vmCount, SetAsideEndpoints setAside, Rollouts rollouts,
-			EntryMetrics metrics) {
+			boolean bySpeed, EntryMetrics metrics) {
 		this.loop = loop;
 		this.clockMs = clockMs;
 		this.view = view;
@@ -162,6 +165,7 @@
 		this.vmCount = vmCount;
 		this.setAside = setAside;
 		this.rollouts = rollouts;
+		this.bySpeed = bySpeed;
 		this.metrics = metrics;
 	}
 
@@ -182,7 +186,7 @@
 			};
 		}
 		ServiceQueue queue = this.queues.computeIfAbsent(service,
-				(name) -> new ServiceQueue(name, new BatchScheduler(spec.stage())));
+				(name) -> new ServiceQueue(name, new BatchScheduler(spec.stage(), this.bySpeed)));
 		queue.scheduler.capacity(spec.stage());
 		PendingItem pending = new PendingItem(outcome);
 		queue.pendingItems.put(item, pending);
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -117,7 +117,7 @@
 		String ip = "127.0.0.1:";
 		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(), storeAddress,
 				CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1, 1_000,
-				Optional.ofNullable(this.rolloutLimits), this.spillEnabled);
+				Optional.ofNullable(this.rolloutLimits), this.spillEnabled, true);
 	}
 
 	/**
--- a/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/stage/StageClientTests.java
@@ -92,7 +92,7 @@
 						new LoopStalls(this.loop, System::currentTimeMillis)),
 				new SharedRetryBudget(0.2, 54, 10_000), () -> 1, new SetAsideEndpoints(this.loop,
 						System::currentTimeMillis, view.directory(), LimitShares.WHOLE, metrics),
-				rollouts, metrics);
+				rollouts, true, metrics);
 		this.client = new StageClient(this.loop, dispatcher, peers);
 	}
 
