Write the final progress of a rollout if the store has none

If the store had no record, a final progress was compared with itself and counted as stored, so it was not written: after a restore of the store, or for an order of the version in force. Found in a review by reading. RolloutTests checks the record after a restore now.

--- a/entry/src/main/java/org/fulmargap/entry/rollout/RolloutStore.java
+++ b/entry/src/main/java/org/fulmargap/entry/rollout/RolloutStore.java
@@ -113,12 +113,12 @@
 			for (int i = 0; i < MAX_TRIES; i++) {
 				long statusEnd = this.store.newest(StoreTopic.STATUS).nextOffset();
 				StorePage page = this.store.newest(StoreTopic.ROLLOUTS);
-				RolloutProgress known = find(page, service).orElse(progress);
-				boolean isFinal = known.orderId() == progress.orderId() && known.state().isFinal();
+				Optional<RolloutProgress> ended = find(page, service)
+					.filter((known) -> known.orderId() == progress.orderId() && known.state().isFinal());
 				mayBeWritten = true;
-				if (isFinal || this.store.putAt(StoreTopic.ROLLOUTS, service, RolloutRecords.encodeProgress(progress),
-						page.nextOffset())) {
-					RolloutProgress stored = (isFinal) ? known : progress;
+				if (ended.isPresent() || this.store.putAt(StoreTopic.ROLLOUTS, service,
+						RolloutRecords.encodeProgress(progress), page.nextOffset())) {
+					RolloutProgress stored = ended.orElse(progress);
 					if (putState(service, stored, statusEnd)) {
 						return new Result(true, Optional.of(stored), true);
 					}
--- a/entry/src/test/java/org/fulmargap/entry/RolloutTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/RolloutTests.java
@@ -224,6 +224,10 @@
 		this.installation.store()
 			.put(CallerWire.OPERATOR_TOPIC, "rollout/core", CallerWire.rollout("core", "v2", DURATION_S));
 		awaitState("complete");
+		Installation.await(() -> this.installation.store()
+			.values(CallerWire.ROLLOUTS_TOPIC)
+			.getOrDefault("core", "")
+			.contains("COMPLETE"));
 	}
 
 	@Test
