Divide requests without an id between the versions of a rollout

All of them had the same place among the shares, so each went to the new version as soon as it got any. Found in a review by reading; VersionSplitTests has a case for it.

--- a/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
+++ b/core/src/main/java/org/fulmargap/rollout/VersionSplit.java
@@ -145,10 +145,15 @@
 		return switch (this.step.state()) {
 			case COMPLETE -> true;
 			case REVERTED -> false;
-			case IN_PROGRESS -> fraction(attemptId) < share(nowMs) && isWithinOwnBound();
+			case IN_PROGRESS -> fraction(identity(attemptId)) < share(nowMs) && isWithinOwnBound();
 		};
 	}
 
+	// Requests without an id must not all go to the same version.
+	private String identity(String attemptId) {
+		return (attemptId.isEmpty()) ? "request-" + this.requests : attemptId;
+	}
+
 	/**
 	 * Returns the share of the requests that may go to the new version.
 	 * @param nowMs the current time in milliseconds
--- a/core/src/test/java/org/fulmargap/rollout/VersionSplitTests.java
+++ b/core/src/test/java/org/fulmargap/rollout/VersionSplitTests.java
@@ -59,6 +59,18 @@
 		assertThat(updated).isLessThanOrEqualTo((int) (0.1 * assigned) + 10);
 	}
 
+	@Test
+	void requestsWithoutAnIdDoNotAllGoToTheNewVersion() {
+		this.split.follow(step(1, RolloutPhase.RAMP, 0.3), 0);
+		int updated = 0;
+		for (int i = 0; i < 100; i++) {
+			boolean toUpdated = this.split.sendsToUpdated("", 1);
+			this.split.sent(toUpdated);
+			updated += (toUpdated) ? 1 : 0;
+		}
+		assertThat(updated).isBetween(10, 50);
+	}
+
 	@Nested
 	class Steps {
 
