Complete a rollout only while all requests go to the new version

A paused step keeps its phase, so a rollout whose answers were bad could be confirmed near its time limit. Found in a review by reading; RolloutDecisionTests has a case for it.

--- a/core/src/main/java/org/fulmargap/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/fulmargap/rollout/RolloutDecision.java
@@ -98,8 +98,8 @@
 			return new Decision(last.end(RolloutState.REVERTED), "worse_recent_answers");
 		}
 		long leftMs = this.orderedAtMs + this.order.durationMs() - nowMs;
-		if (last.phase() == RolloutPhase.FULL && isConfirmed(last, sum, service)
-				&& (sum.oldInFlight() == 0 || leftMs <= FINAL_MS)) {
+		boolean sendsAll = last.phase() == RolloutPhase.FULL && last.share() >= 1;
+		if (sendsAll && isConfirmed(last, sum, service) && (sum.oldInFlight() == 0 || leftMs <= FINAL_MS)) {
 			return new Decision(last.end(RolloutState.COMPLETE), "confirmed");
 		}
 		if (leftMs <= FINAL_MS / 2) {
--- a/core/src/test/java/org/fulmargap/rollout/RolloutDecisionTests.java
+++ b/core/src/test/java/org/fulmargap/rollout/RolloutDecisionTests.java
@@ -216,6 +216,14 @@
 			assertThat(next(full, confirmed, service, 17_000).state()).isEqualTo(RolloutState.COMPLETE);
 		}
 
+		@Test
+		void aPausedRolloutIsNotCompleted() {
+			RolloutStep paused = new RolloutStep(7, 5, RolloutPhase.FULL, 1, RolloutState.IN_PROGRESS).pause();
+			RolloutReport confirmed = new RolloutReport(7, 400, 90, Map.of(), 0, 6, 3);
+			RolloutStep next = next(paused, confirmed, new RolloutDecision.ServiceState(3, 4), 17_000);
+			assertThat(next.state()).isEqualTo(RolloutState.IN_PROGRESS);
+		}
+
 		@Test
 		void aFinalStateIsNotLeft() {
 			RolloutStep reverted = new RolloutStep(7, 3, RolloutPhase.CANARY, 0, RolloutState.REVERTED);
