Write origins of streams with long names; read the history again after a failure

Attempt id, service and version together were bounded at 32 characters, so an attempt id of 36 was never written. After one failed read the history of streams was not read again for 30 s. Found in a review by reading; StreamVersionTests passes, no case for these two.

--- a/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
+++ b/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
@@ -52,10 +52,11 @@
 	private static final int MAX_ORIGINS_PER_RECORD = 100;
 
 	/**
-	 * The length of the longest attempt id that is written, in characters, so that a
-	 * record keeps its bound. Longer ones are only announced.
+	 * The length of the longest attempt id, service and version together that are
+	 * written, in characters, so that a record keeps its bound. Longer ones are only
+	 * announced.
 	 */
-	private static final int MAX_WRITTEN_LENGTH = 32;
+	private static final int MAX_WRITTEN_LENGTH = 70;
 
 	/** Further origins are dropped while the store accepts no writes. */
 	private static final int MAX_PENDING = 10_000;
@@ -184,7 +185,7 @@
 	public void resolve(String attemptId, String service, Consumer<StreamPlacement> result) {
 		long nowMs = this.clockMs.getAsLong();
 		update(nowMs);
-		boolean lacksHistory = nowMs - this.startedAtMs < ServiceVersions.LATELY_MS && this.history == History.UNREAD;
+		boolean lacksHistory = nowMs - this.startedAtMs < ServiceVersions.LATELY_MS && this.history != History.READ;
 		if (this.origins.find(attemptId).isPresent() || !lacksHistory) {
 			result.accept(placement(attemptId, service));
 			return;
