Log and measure what answers and requests hold of the heap

Callers saw requests end with a VM that ran out of memory, and its log said nothing before the end.

Change: a thread of its own looks at the heap each 100 ms, because an event loop that fills it runs nothing else meanwhile: three gauges, and a line memory_short from 85% of the heap on, written past the queue of the log.

--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -140,6 +140,8 @@
 
 	private final Drain drain;
 
+	private final MemoryWatch memoryWatch;
+
 	private ListeningPort readinessPort;
 
 	/**
@@ -178,6 +180,8 @@
 		this.view.onEndpointChange((record) -> openRequests.endpointChanged());
 		RequestRouter router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.stalls, this.view::limits, router);
+		this.memoryWatch = new MemoryWatch(this.clockMs, this.metrics, pool.answerMemory()::usedBytes,
+				this.callers::requestBytes);
 		this.drain = new Drain(settings, this.loop, this.clockMs, this.callers, this.peers, router, openRequests,
 				this.dispatcher, this.store::calls);
 		this.quarantineSync = new QuarantineSync(this.store, this.loop, this.clockMs, this.promptParts, this.peers);
@@ -202,6 +206,7 @@
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
 	public void start() throws InterruptedException {
+		this.memoryWatch.start();
 		this.peers.start(this.settings.ip(), this.settings.firstPeerPort(), this);
 		this.watch.start();
 		ReadinessServer readiness = new ReadinessServer(this.loop, this::isReady, this.metrics);
@@ -392,6 +397,7 @@
 	 */
 	@Override
 	public void close() {
+		this.memoryWatch.close();
 		this.watch.close();
 		this.quarantineSync.close();
 		this.streamVersions.close();
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -174,6 +174,14 @@
 		return this.stalls;
 	}
 
+	/**
+	 * Returns what the bodies of all requests hold.
+	 * @return the number of bytes
+	 */
+	public long requestBytes() {
+		return this.memory.usedBytes();
+	}
+
 	RequestMemory memory() {
 		return this.memory;
 	}
--- a/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryProcess.java
@@ -45,7 +45,8 @@
 
 	private static final HttpClient CLIENT = HttpClient.newHttpClient();
 
-	private static final Pattern ERRORS = Pattern.compile("event=fatal|Terminating|Exception in thread|Error");
+	private static final Pattern ERRORS = Pattern
+		.compile("event=fatal|memory_short|Terminating|Exception in thread|Error");
 
 	private static final int MAX_PRINTED_LINES = 20;
 
