--- a/entry/src/test/java/org/fulmargap/entry/request/AnswerBodyTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/request/AnswerBodyTests.java
@@ -35,6 +35,15 @@
 		return Unpooled.wrappedBuffer(new byte[bytes]);
 	}
 
+	@Test
+	void partsAreKeptInOrder() {
+		try (AnswerBody body = body()) {
+			body.keep(Unpooled.copiedBuffer("one ", StandardCharsets.UTF_8));
+			body.keep(Unpooled.copiedBuffer("two", StandardCharsets.UTF_8));
+			assertThat(body.whole().toString(StandardCharsets.UTF_8)).isEqualTo("one two");
+		}
+	}
+
 	@Nested
 	class SmallParts {
 
@@ -94,13 +103,4 @@
 
 	}
 
-	@Test
-	void partsAreKeptInOrder() {
-		try (AnswerBody body = body()) {
-			body.keep(Unpooled.copiedBuffer("one ", StandardCharsets.UTF_8));
-			body.keep(Unpooled.copiedBuffer("two", StandardCharsets.UTF_8));
-			assertThat(body.whole().toString(StandardCharsets.UTF_8)).isEqualTo("one two");
-		}
-	}
-
 }
