Reach endpoints through other VMs while cut off from all of them

Cause: a VM had no other way to an endpoint than its own connection, and took its failure for that of the endpoint. It suspended all endpoints, counted no room, refused as OVERLOADED, and as a coordinator of a stage service failed the work of all VMs.

EndpointReach tells a cut from crashes of endpoints; while cut off, connections go through another VM, which passes the bytes on. Decisions stay where they were. NOT_CONNECTED and a crash confirmed by a probe now mean that the endpoint accepts no connection from a VM that reaches others.

--- a/core/src/main/java/org/fulmargap/fleet/FleetView.java
+++ b/core/src/main/java/org/fulmargap/fleet/FleetView.java
@@ -237,13 +237,23 @@
 		return new Hubs(usable(nowMs), count(nowMs));
 	}
 
-	private List<FleetMember> usable(long nowMs) {
-		List<FleetMember> usable = new ArrayList<>();
+	/**
+	 * Returns the other VMs that may get work from this one.
+	 * @param nowMs the current time in milliseconds
+	 * @return the VMs that are alive, reachable and not draining
+	 */
+	public List<FleetMember> reachable(long nowMs) {
+		List<FleetMember> reachable = new ArrayList<>();
 		for (Vm vm : this.others.values()) {
 			if (vm.isAlive(nowMs) && vm.reachable && !vm.draining) {
-				usable.add(vm.member);
+				reachable.add(vm.member);
 			}
 		}
+		return reachable;
+	}
+
+	private List<FleetMember> usable(long nowMs) {
+		List<FleetMember> usable = reachable(nowMs);
 		if (!this.draining || usable.isEmpty()) {
 			usable.add(this.own);
 		}
--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -322,6 +322,13 @@
 		this.health.failed(nowMs, suspend);
 	}
 
+	/**
+	 * Forgets the failed calls, because they were not the endpoint's fault.
+	 */
+	public void forgetFailures() {
+		this.health.clear();
+	}
+
 	/**
 	 * Records that the endpoint refused a call because it is busy.
 	 * @param untilMs the time until which it gets no calls, in milliseconds
--- a/core/src/main/java/org/fulmargap/placement/EndpointHealthState.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointHealthState.java
@@ -44,6 +44,12 @@
 		}
 	}
 
+	void clear() {
+		this.failureShare = 0;
+		this.consecutiveFailures = 0;
+		this.suspendedUntilMs = Long.MIN_VALUE;
+	}
+
 	boolean isSuspended(long nowMs) {
 		return nowMs < this.suspendedUntilMs;
 	}
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -1,11 +1,13 @@
 package org.fulmargap.entry;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -13,10 +15,13 @@
 import org.fulmargap.batch.AdmittedWork;
 import org.fulmargap.batch.AvailableEndpoints;
 import org.fulmargap.entry.caller.CallerServer;
+import org.fulmargap.entry.endpoint.EndpointConnector;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.peer.PeerListener;
 import org.fulmargap.entry.peer.PeerMessage;
 import org.fulmargap.entry.peer.PeerNetwork;
+import org.fulmargap.entry.peer.PeerRelays;
+import org.fulmargap.entry.peer.RelayServer;
 import org.fulmargap.entry.request.CallerTimes;
 import org.fulmargap.entry.request.OpenRequests;
 import org.fulmargap.entry.request.PromptPartWatch;
@@ -150,12 +155,26 @@
 	 * @param metricsPort the port that serves the metrics
 	 */
 	public EntryVm(NodeSettings settings, int metricsPort) {
+		this(settings, metricsPort, UnaryOperator.identity());
+	}
+
+	/**
+	 * Creates an entry VM whose connections to endpoints go elsewhere.
+	 * @param settings the settings from the platform
+	 * @param metricsPort the port that serves the metrics
+	 * @param endpointRoute where direct connections to an endpoint's address go
+	 */
+	EntryVm(NodeSettings settings, int metricsPort, UnaryOperator<InetSocketAddress> endpointRoute) {
 		this.settings = settings;
 		this.metricsPort = metricsPort;
 		this.setAside.recordsLoad(settings.speedsEnabled());
 		this.peers = new PeerNetwork(ownMember(settings), System.currentTimeMillis(), this.loop, this.clockMs,
 				this.stalls, this.metrics);
-		EndpointPool pool = new EndpointPool(this.loop, this.clockMs, this.stalls);
+		EndpointConnector connector = new EndpointConnector(this.loop, this.clockMs, this.view.directory(),
+				settings.failureDomain(), new PeerRelays(this.peers, this.loop, this.clockMs, settings.regionDomains()),
+				endpointRoute, this.metrics);
+		this.peers.relays(new RelayServer(this.view.directory(), connector, this.metrics));
+		EndpointPool pool = new EndpointPool(this.loop, this.clockMs, this.stalls, connector);
 		SharedRetryBudget retries = new SharedRetryBudget(settings.retryRatio(), settings.retrySlack(),
 				settings.retryWindowMs());
 		this.store = new StoreClient(settings.storeAddress());
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -47,6 +47,8 @@
 
 	private final Channel channel;
 
+	private final boolean relayed;
+
 	private final AnswerDecoder decoder = new AnswerDecoder(this);
 
 	private EndpointCall call;
@@ -78,10 +80,11 @@
 
 	private long idleSinceMs;
 
-	EndpointConnection(EndpointPool pool, String address, Channel channel) {
+	EndpointConnection(EndpointPool pool, String address, Channel channel, boolean relayed) {
 		this.pool = pool;
 		this.address = address;
 		this.channel = channel;
+		this.relayed = relayed;
 	}
 
 	AnswerDecoder decoder() {
@@ -92,6 +95,14 @@
 		return this.address;
 	}
 
+	/**
+	 * Returns whether the connection goes through another VM.
+	 * @return {@code false} if it is a direct one
+	 */
+	boolean isRelayed() {
+		return this.relayed;
+	}
+
 	long idleTimeoutMs() {
 		return this.idleTimeoutMs;
 	}
@@ -137,6 +148,7 @@
 	void send(Supplier<FullHttpRequest> request, EndpointCall newCall) {
 		FullHttpRequest http = request.get();
 		this.call = newCall;
+		this.pool.callStarted(this);
 		this.isHead = http.method().equals(HttpMethod.HEAD);
 		this.calls++;
 		this.newestAnswer = null;
@@ -167,7 +179,7 @@
 
 	@Override
 	public void cancel() {
-		this.call = null;
+		endOfCall();
 		this.channel.close();
 	}
 
@@ -180,9 +192,15 @@
 		this.channel.close();
 	}
 
-	private void fail(CallFailure failure) {
-		EndpointCall failed = this.call;
+	private EndpointCall endOfCall() {
+		EndpointCall ended = this.call;
 		this.call = null;
+		this.pool.callEnded(this);
+		return ended;
+	}
+
+	private void fail(CallFailure failure) {
+		EndpointCall failed = endOfCall();
 		this.channel.close();
 		if (failed != null) {
 			failed.failed((this.withdrawn) ? CallFailure.WITHDRAWN : failure);
@@ -191,6 +209,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		this.pool.received(this);
 		try {
 			read((HttpObject) message);
 		}
@@ -301,8 +320,7 @@
 			fail(CallFailure.CONNECTION_LOST);
 			return;
 		}
-		EndpointCall completed = this.call;
-		this.call = null;
+		EndpointCall completed = endOfCall();
 		boolean attributed = completed.ended();
 		if (!attributed) {
 			EventLog.state("answer_not_attributed")
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -1,36 +1,32 @@
 package org.fulmargap.entry.endpoint;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.LoopStalls;
+import org.fulmargap.placement.EndpointDirectory;
 
 /**
  * A pool of keep-alive connections to endpoints. Confined to its event loop.
  */
 public final class EndpointPool implements AutoCloseable {
 
-	/** The connect timeout in milliseconds. */
-	private static final int CONNECT_TIMEOUT_MS = 250;
-
 	/** The idle timeout if the endpoint does not state one, in milliseconds. */
 	private static final long DEFAULT_IDLE_MS = 900;
 
@@ -40,13 +36,16 @@
 	/** The interval at which connections that were idle too long are closed, in ms. */
 	private static final long SWEEP_INTERVAL_MS = 500;
 
+	/** The interval at which it is checked that endpoints send something, in ms. */
+	private static final long SILENCE_INTERVAL_MS = 250;
+
 	private final EventLoop loop;
 
 	private final LongSupplier clockMs;
 
 	private final LoopStalls stalls;
 
-	private final Bootstrap bootstrap;
+	private final EndpointConnector connector;
 
 	private final Map<String, Deque<EndpointConnection>> idleByAddress = new HashMap<>();
 
@@ -54,32 +53,38 @@
 
 	private final AnswerMemory answerMemory = new AnswerMemory();
 
-	private long connects;
+	// The direct connections with a call.
+	private final Set<EndpointConnection> calling = new HashSet<>();
+
+	private long callingSinceMs;
 
 	/**
-	 * Creates a pool.
+	 * Creates a pool of a VM that knows no other one.
 	 * @param loop the event loop of all connections
 	 * @param clockMs the current time in milliseconds
 	 * @param stalls the stalls of the event loop
 	 */
 	public EndpointPool(EventLoop loop, LongSupplier clockMs, LoopStalls stalls) {
+		this(loop, clockMs, stalls, new EndpointConnector(loop, clockMs, new EndpointDirectory(), "",
+				EndpointRelays.NONE, UnaryOperator.identity(), new EntryMetrics()));
+	}
+
+	/**
+	 * Creates a pool.
+	 * @param loop the event loop of all connections
+	 * @param clockMs the current time in milliseconds
+	 * @param stalls the stalls of the event loop
+	 * @param connector opens the connections
+	 */
+	public EndpointPool(EventLoop loop, LongSupplier clockMs, LoopStalls stalls, EndpointConnector connector) {
 		this.loop = loop;
 		this.clockMs = clockMs;
 		this.stalls = stalls;
-		this.bootstrap = new Bootstrap().group(loop)
-			.channel(NioSocketChannel.class)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			// A body without a length ends with the endpoint's output, not with any
-			// close.
-			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-			.handler(new ChannelInitializer<Channel>() {
-				@Override
-				protected void initChannel(Channel channel) {
-					channel.pipeline().addLast(new HttpRequestEncoder());
-				}
-			});
+		this.connector = connector;
+		connector.onChange((isCutOff) -> closeIdle());
 		loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		loop.scheduleWithFixedDelay(this::checkSilence, SILENCE_INTERVAL_MS, SILENCE_INTERVAL_MS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -135,25 +140,21 @@
 	}
 
 	private void connect(String address, PendingCall pending) {
-		this.connects++;
-		ChannelFuture future = this.bootstrap.connect(socketAddress(address));
-		pending.channel = future.channel();
-		future.addListener((connected) -> {
-			if (pending.cancelled) {
-				future.channel().close();
+		pending.opening = this.connector.open(address, new EndpointConnector.Listener() {
+			@Override
+			public void opened(Channel channel, boolean relayed) {
+				connected(new EndpointConnection(EndpointPool.this, address, channel, relayed), channel, pending);
 			}
-			else if (!connected.isSuccess()) {
+
+			@Override
+			public void failed() {
 				pending.call.failed(CallFailure.NOT_CONNECTED);
 			}
-			else {
-				connected(address, pending);
-			}
 		});
 	}
 
-	private void connected(String address, PendingCall pending) {
-		EndpointConnection connection = new EndpointConnection(this, address, pending.channel);
-		pending.channel.pipeline().addLast(connection.decoder(), connection);
+	private void connected(EndpointConnection connection, Channel channel, PendingCall pending) {
+		channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
 		if (this.stalls.isRecent()) {
 			this.stalls.afterPoll(() -> pending.sendOn(connection));
 		}
@@ -163,7 +164,8 @@
 	}
 
 	/**
-	 * Checks whether an endpoint accepts connections, by opening and closing one.
+	 * Checks whether an endpoint accepts connections, by opening and closing one; through
+	 * another VM while this one is cut off, so that its own links don't matter.
 	 * Concurrent probes of one address share one connection attempt.
 	 * @param address the address as {@code IP:port}
 	 * @param reachable receives {@code true} if a connection could be opened
@@ -175,16 +177,22 @@
 			return;
 		}
 		this.probes.put(address, new ArrayList<>(List.of(reachable)));
-		this.connects++;
-		this.bootstrap.connect(socketAddress(address)).addListener((ChannelFuture future) -> {
-			future.channel().close();
-			this.probes.remove(address).forEach((listener) -> listener.accept(future.isSuccess()));
+		this.connector.open(address, new EndpointConnector.Listener() {
+			@Override
+			public void opened(Channel channel, boolean relayed) {
+				channel.close();
+				probed(address, true);
+			}
+
+			@Override
+			public void failed() {
+				probed(address, false);
+			}
 		});
 	}
 
-	private static InetSocketAddress socketAddress(String address) {
-		int colon = address.lastIndexOf(':');
-		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	private void probed(String address, boolean isReachable) {
+		this.probes.remove(address).forEach((listener) -> listener.accept(isReachable));
 	}
 
 	private EndpointConnection takeIdle(String address) {
@@ -213,8 +221,37 @@
 		this.idleByAddress.values().removeIf(Deque::isEmpty);
 	}
 
+	private void checkSilence() {
+		if (!this.calling.isEmpty()) {
+			this.connector.checkSilence(this.callingSinceMs);
+		}
+	}
+
+	void callStarted(EndpointConnection connection) {
+		if (connection.isRelayed()) {
+			return;
+		}
+		if (this.calling.isEmpty()) {
+			this.callingSinceMs = this.clockMs.getAsLong();
+		}
+		this.calling.add(connection);
+	}
+
+	void callEnded(EndpointConnection connection) {
+		this.calling.remove(connection);
+	}
+
+	void received(EndpointConnection connection) {
+		if (!connection.isRelayed()) {
+			this.connector.heard();
+		}
+	}
+
 	void release(EndpointConnection connection) {
-		if (connection.isOpen()) {
+		if (connection.isRelayed() != this.connector.isCutOff()) {
+			connection.close();
+		}
+		else if (connection.isOpen()) {
 			this.idleByAddress.computeIfAbsent(connection.address(), (address) -> new ArrayDeque<>())
 				.addLast(connection);
 		}
@@ -240,16 +277,30 @@
 	}
 
 	/**
-	 * Returns the number of connection attempts, including probes and failed ones.
+	 * Returns the number of direct connection attempts, including probes and failed ones.
 	 * @return the number since the start
 	 */
 	public long connects() {
-		return this.connects;
+		return this.connector.connects();
+	}
+
+	/**
+	 * Returns whether no endpoint can be reached, directly or through another VM.
+	 * @return {@code true} if calls would fail
+	 */
+	public boolean isCutOff() {
+		return this.connector.isWithoutRelay();
+	}
+
+	private void closeIdle() {
+		List<EndpointConnection> idle = this.idleByAddress.values().stream().flatMap(Deque::stream).toList();
+		this.idleByAddress.clear();
+		idle.forEach(EndpointConnection::close);
 	}
 
 	@Override
 	public void close() {
-		this.loop.execute(() -> this.idleByAddress.values().forEach((idle) -> idle.forEach(EndpointConnection::close)));
+		this.loop.execute(this::closeIdle);
 	}
 
 	/**
@@ -288,8 +339,8 @@
 
 		private final EndpointCall call;
 
-		// Null until a new connection is opened.
-		private Channel channel;
+		// Null unless a new connection is opened.
+		private EndpointConnector.Opening opening;
 
 		// Null until the request is sent.
 		private EndpointConnection connection;
@@ -324,8 +375,8 @@
 			if (this.connection != null) {
 				this.connection.cancel();
 			}
-			else if (this.channel != null) {
-				this.channel.close();
+			else if (this.opening != null) {
+				this.opening.cancel();
 			}
 		}
 
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
@@ -0,0 +1,56 @@
+package org.fulmargap.entry.endpoint;
+
+import io.netty.channel.Channel;
+
+/**
+ * Opens connections to endpoints through other VMs. Called on the event loop.
+ */
+public interface EndpointRelays {
+
+	/** A VM that knows no other one. */
+	EndpointRelays NONE = new EndpointRelays() {
+		@Override
+		public boolean isAvailable(long nowMs) {
+			return false;
+		}
+
+		@Override
+		public void open(String address, String failureDomain, Listener listener) {
+			listener.failed();
+		}
+	};
+
+	/**
+	 * Returns whether another VM may relay.
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code false} if none is reachable, or those that are could not help
+	 * shortly before
+	 */
+	boolean isAvailable(long nowMs);
+
+	/**
+	 * Opens a connection to an endpoint.
+	 * @param address the address of the endpoint as {@code IP:port}
+	 * @param failureDomain its failure domain, or an empty string if it is not known
+	 * @param listener is told of the result
+	 */
+	void open(String address, String failureDomain, Listener listener);
+
+	/**
+	 * Is told whether a connection was opened.
+	 */
+	interface Listener {
+
+		/**
+		 * Handles a connection that carries the bytes of the endpoint.
+		 * @param channel the connection, without handlers for its content
+		 * @param relay the name of the other VM
+		 */
+		void opened(Channel channel, String relay);
+
+		/** Handles that the endpoint accepts no connection, or no VM could help. */
+		void failed();
+
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -162,6 +162,9 @@
 			out.packInt(Type.STREAM_BEGUN.ordinal()).packString(origin.attemptId());
 			out.packString(origin.service()).packString(origin.softwareVersion());
 		}
+		else if (message instanceof PeerMessage.RelayRequest request) {
+			out.packInt(Type.RELAY_REQUEST.ordinal()).packString(request.address());
+		}
 		else if (message instanceof PeerMessage.Ping ping) {
 			out.packInt(Type.PING.ordinal()).packBoolean(ping.answer()).packBoolean(ping.receiving());
 		}
@@ -634,6 +637,13 @@
 				return new PeerMessage.StreamBegun(
 						new StreamOrigin(in.unpackString(), in.unpackString(), in.unpackString()));
 			}
+		},
+
+		RELAY_REQUEST {
+			@Override
+			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
+				return new PeerMessage.RelayRequest(in.unpackString());
+			}
 		};
 
 		abstract PeerMessage read(MessageUnpacker in, long nowMs) throws IOException;
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerLink.java
@@ -1,6 +1,5 @@
 package org.fulmargap.entry.peer;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -111,9 +110,6 @@
 			return;
 		}
 		this.state = State.OPENING;
-		int colon = this.address.lastIndexOf(':');
-		InetSocketAddress target = new InetSocketAddress(this.address.substring(0, colon),
-				Integer.parseInt(this.address.substring(colon + 1)));
 		new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -124,7 +120,7 @@
 					opened.pipeline().addLast(new LengthFieldPrepender(PeerNetwork.LENGTH_BYTES), new Sender());
 				}
 			})
-			.connect(target)
+			.connect(PeerNetwork.socketAddress(this.address))
 			.addListener((future) -> {
 				if (!future.isSuccess()) {
 					failed();
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -184,6 +184,16 @@
 	record StreamBegun(StreamOrigin origin) implements PeerMessage {
 	}
 
+	/**
+	 * Asks for a connection to an endpoint, in place of a greeting. The answer is a frame
+	 * with a {@link RelayOutcome}; after {@code OPEN}, the connection carries the bytes
+	 * of the caller and of the endpoint.
+	 *
+	 * @param address the address of the endpoint as {@code IP:port}
+	 */
+	record RelayRequest(String address) implements PeerMessage {
+	}
+
 	/**
 	 * Several messages in one frame, in the order in which they are to be handled.
 	 *
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -1,5 +1,6 @@
 package org.fulmargap.entry.peer;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import org.fulmargap.entry.EntryMetrics;
 import org.fulmargap.entry.EventLog;
@@ -66,6 +68,9 @@
 
 	private PeerListener listener;
 
+	// Null if this VM does not relay.
+	private RelayServer relays;
+
 	private ListeningPort port;
 
 	private Hubs hubs;
@@ -96,6 +101,14 @@
 		this.hubs = this.fleet.hubs(clockMs.getAsLong());
 	}
 
+	/**
+	 * Makes this VM relay connections of other VMs to endpoints.
+	 * @param newRelays opens the connections to endpoints
+	 */
+	public void relays(RelayServer newRelays) {
+		this.relays = newRelays;
+	}
+
 	/**
 	 * Starts to listen and to send heartbeats.
 	 * @param ip the IP address to listen on
@@ -160,6 +173,27 @@
 		return this.fleet.own().name();
 	}
 
+	/**
+	 * Returns the failure domain of this VM.
+	 * @return its name
+	 */
+	String ownDomain() {
+		return this.fleet.own().failureDomain();
+	}
+
+	/**
+	 * Returns the other VMs that are alive, reachable from here and not shutting down.
+	 * @return the VMs
+	 */
+	List<FleetMember> reachable() {
+		return this.fleet.reachable(this.clockMs.getAsLong());
+	}
+
+	static InetSocketAddress socketAddress(String address) {
+		int colon = address.lastIndexOf(':');
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
 	/**
 	 * Returns the number of entry VMs over which shared limits are divided: this one,
 	 * those that were alive in the last 20 s, and those that were not heard of yet.
@@ -617,6 +651,16 @@
 			receiver.close();
 		}
 
+		@Override
+		public void relay(Channel channel, PeerMessage.RelayRequest request) {
+			if (PeerNetwork.this.relays != null) {
+				PeerNetwork.this.relays.accept(channel, request);
+			}
+			else {
+				channel.close();
+			}
+		}
+
 		@Override
 		public void closed(PeerServer.Receiver receiver) {
 			if (isCurrent(receiver)) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerServer.java
@@ -80,6 +80,13 @@
 		 */
 		void received(Receiver receiver, PeerMessage message, int bytes);
 
+		/**
+		 * Handles a request to relay a connection, which carries no further messages.
+		 * @param channel the connection, without handlers
+		 * @param request the request
+		 */
+		void relay(Channel channel, PeerMessage.RelayRequest request);
+
 		/**
 		 * Handles the end of a connection.
 		 * @param receiver identifies the connection
@@ -125,9 +132,19 @@
 			// The times in a message count from when it was sent.
 			PeerMessage message = PeerCodec.decode(bytes,
 					PeerServer.this.clockMs.getAsLong() - PeerServer.this.stalls.unreadMs());
+			if (this.peer == null && message instanceof PeerMessage.RelayRequest request) {
+				relay(request);
+				return;
+			}
 			PeerServer.this.listener.received(this, message, bytes.length);
 		}
 
+		private void relay(PeerMessage.RelayRequest request) {
+			this.channel.pipeline().remove(this);
+			this.channel.pipeline().remove(LengthFieldBasedFrameDecoder.class);
+			PeerServer.this.listener.relay(this.channel, request);
+		}
+
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			PeerServer.this.listener.closed(this);
--- /dev/null
+++ b/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
@@ -0,0 +1,157 @@
+package org.fulmargap.entry.peer;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+
+/**
+ * Passes bytes on between another VM and an endpoint, and how each side ends: the end of
+ * the endpoint's output, a reset, and the close of the VM. A side is not read while the
+ * other one takes no bytes. Confined to the event loop.
+ */
+final class Relay {
+
+	/**
+	 * A relay without any bytes for this time is closed, in milliseconds: the other VM
+	 * may be gone. It is longer than any request takes.
+	 */
+	private static final long IDLE_MS = 60_000;
+
+	private final Channel peer;
+
+	private final Channel endpoint;
+
+	private final Consumer<Relay> closed;
+
+	private boolean isClosed;
+
+	/**
+	 * Creates a relay that does not pass anything on yet.
+	 * @param peer the connection of the other VM
+	 * @param endpoint the connection to the endpoint
+	 * @param closed is told of the end
+	 */
+	Relay(Channel peer, Channel endpoint, Consumer<Relay> closed) {
+		this.peer = peer;
+		this.endpoint = endpoint;
+		this.closed = closed;
+	}
+
+	/** Starts to pass bytes on. */
+	void start() {
+		this.peer.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_MS, TimeUnit.MILLISECONDS), new FromPeer());
+		this.endpoint.pipeline().addLast(new FromEndpoint());
+	}
+
+	private void close() {
+		if (!this.isClosed) {
+			this.isClosed = true;
+			this.peer.close();
+			this.endpoint.close();
+			this.closed.accept(this);
+		}
+	}
+
+	// The VM takes a reset for the broken connection that it is.
+	private void reset() {
+		if (!this.isClosed) {
+			this.peer.config().setOption(ChannelOption.SO_LINGER, 0);
+			close();
+		}
+	}
+
+	/**
+	 * Passes on what one side sends.
+	 */
+	private abstract static class Side extends ChannelInboundHandlerAdapter {
+
+		private final Channel target;
+
+		private Side(Channel target) {
+			this.target = target;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object bytes) {
+			this.target.write(bytes);
+			if (!this.target.isWritable()) {
+				context.channel().config().setAutoRead(false);
+			}
+		}
+
+		@Override
+		public void channelReadComplete(ChannelHandlerContext context) {
+			this.target.flush();
+		}
+
+		// This side can be written to again, so the other one is read again.
+		@Override
+		public void channelWritabilityChanged(ChannelHandlerContext context) {
+			this.target.config().setAutoRead(context.channel().isWritable());
+		}
+
+	}
+
+	private final class FromPeer extends Side {
+
+		private FromPeer() {
+			super(Relay.this.endpoint);
+		}
+
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event instanceof ChannelInputShutdownEvent || event instanceof IdleStateEvent) {
+				close();
+			}
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			close();
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			close();
+		}
+
+	}
+
+	private final class FromEndpoint extends Side {
+
+		private FromEndpoint() {
+			super(Relay.this.peer);
+		}
+
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event instanceof ChannelInputShutdownEvent) {
+				Relay.this.peer.writeAndFlush(Unpooled.EMPTY_BUFFER)
+					.addListener((written) -> ((DuplexChannel) Relay.this.peer).shutdownOutput())
+					.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+			}
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			reset();
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			reset();
+		}
+
+	}
+
+}
--- a/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -33,6 +33,9 @@
 	/** No endpoint accepts the request at present. */
 	NO_ENDPOINT(503, 300),
 
+	/** This VM reaches no endpoint, and no other VM that could relay. */
+	CUT_OFF(503, 1_000),
+
 	/** No endpoint has the software version at which the stream must go on. */
 	NO_SUCH_VERSION(503, 300),
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -186,6 +186,10 @@
 			deadlinePassed();
 			return;
 		}
+		if (this.services.pool().isCutOff()) {
+			refuse(Refusal.CUT_OFF);
+			return;
+		}
 		if (isSetAside(this.arrivedAtMs) || this.candidates.limitWaitMs(this.arrivedAtMs) > 0) {
 			refuseWithoutEndpoint();
 			return;
--- a/entry/src/test/java/org/fulmargap/entry/Installation.java
+++ b/entry/src/test/java/org/fulmargap/entry/Installation.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -10,9 +11,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 import org.fulmargap.platform.NodeSettings;
 import org.fulmargap.platform.standin.CallerWire;
@@ -103,9 +106,13 @@
 	 * Starts an entry VM that reaches the store at a given address.
 	 */
 	EntryVm vm(String name, String storeAddress) throws IOException, InterruptedException {
-		NodeSettings node = newSettings(name, storeAddress);
+		return start(newSettings(name, storeAddress), UnaryOperator.identity());
+	}
+
+	private EntryVm start(NodeSettings node, UnaryOperator<InetSocketAddress> endpointRoute)
+			throws IOException, InterruptedException {
 		int metricsPort = freePort();
-		EntryVm vm = new EntryVm(node, metricsPort);
+		EntryVm vm = new EntryVm(node, metricsPort, endpointRoute);
 		vm.start();
 		this.settings.add(node);
 		this.metricsPorts.add(metricsPort);
@@ -113,11 +120,18 @@
 		return vm;
 	}
 
+	/**
+	 * Starts an entry VM whose direct connections to endpoints go elsewhere.
+	 */
+	EntryVm vm(String name, UnaryOperator<InetSocketAddress> endpointRoute) throws IOException, InterruptedException {
+		return start(newSettings(name, this.store.address()), endpointRoute);
+	}
+
 	private NodeSettings newSettings(String name, String storeAddress) throws IOException {
 		String ip = "127.0.0.1:";
-		return new NodeSettings(name, "a", "127.0.0.1", ip + freePort(), ip + freePort(), freePort(), storeAddress,
-				CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack, 10_000, 1, 1_000,
-				Optional.ofNullable(this.rolloutLimits), this.spillEnabled, true);
+		return new NodeSettings(name, "a", Set.of(), "127.0.0.1", ip + freePort(), ip + freePort(), freePort(),
+				storeAddress, CONTACT_MS, CONFIG_APPLY_MS, DRAIN_MS, this.graceMs, this.retryRatio, this.retrySlack,
+				10_000, 1, 1_000, Optional.ofNullable(this.rolloutLimits), this.spillEnabled, true);
 	}
 
 	/**
