Send nothing new through a relay that drains; wait for relayed connections

Change: an open relayed connection carries a new call only while its relay is reachable and not draining, and a drain waits for relayed connections within its limit.

CutOffVmTests.aRelayThatDrainsCutsNoRequest is new. It also passes without this change at its load, because the newest idle connections are used first, and they go through the other relay by then.

--- a/entry/src/main/java/org/fulmargap/entry/Drain.java
+++ b/entry/src/main/java/org/fulmargap/entry/Drain.java
@@ -71,8 +71,9 @@
 	}
 
 	/**
-	 * Drains the VM. Returns when each request is answered and no work item is in flight,
-	 * or when the time is over. Further calls change nothing and return at once.
+	 * Drains the VM. Returns when each request is answered, no work item is in flight and
+	 * no connection of another VM is relayed, or when the time is over. Further calls
+	 * change nothing and return at once.
 	 * @return {@code false} if an earlier call drains or has drained the VM
 	 * @throws InterruptedException if the thread is interrupted meanwhile
 	 */
@@ -127,7 +128,7 @@
 	}
 
 	private void awaitIdle(long limitAtMs) throws InterruptedException {
-		while ((busyConnections() > 0 || pendingItems() > 0) && this.clockMs.getAsLong() < limitAtMs) {
+		while ((busyConnections() > 0 || pendingItems() > 0 || relays() > 0) && this.clockMs.getAsLong() < limitAtMs) {
 			Thread.sleep(POLL_MS);
 		}
 	}
@@ -142,6 +143,10 @@
 		return this.loop.submit(this.dispatcher::pendingCount).awaitUninterruptibly().getNow();
 	}
 
+	private int relays() throws InterruptedException {
+		return this.loop.submit(this.peers::relayCount).awaitUninterruptibly().getNow();
+	}
+
 	private long busyConnections() throws InterruptedException {
 		return this.loop.submit(this.callers::busyConnections).awaitUninterruptibly().getNow();
 	}
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -47,7 +47,7 @@
 
 	private final Channel channel;
 
-	private final boolean relayed;
+	private final String relay;
 
 	private final AnswerDecoder decoder = new AnswerDecoder(this);
 
@@ -80,11 +80,11 @@
 
 	private long idleSinceMs;
 
-	EndpointConnection(EndpointPool pool, String address, Channel channel, boolean relayed) {
+	EndpointConnection(EndpointPool pool, String address, Channel channel, String relay) {
 		this.pool = pool;
 		this.address = address;
 		this.channel = channel;
-		this.relayed = relayed;
+		this.relay = relay;
 	}
 
 	AnswerDecoder decoder() {
@@ -95,12 +95,20 @@
 		return this.address;
 	}
 
+	/**
+	 * Returns the VM through which the connection goes.
+	 * @return its name, or {@link EndpointConnector#DIRECT}
+	 */
+	String relay() {
+		return this.relay;
+	}
+
 	/**
 	 * Returns whether the connection goes through another VM.
 	 * @return {@code false} if it is a direct one
 	 */
 	boolean isRelayed() {
-		return this.relayed;
+		return !this.relay.equals(EndpointConnector.DIRECT);
 	}
 
 	long idleTimeoutMs() {
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnector.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnector.java
@@ -27,6 +27,9 @@
  */
 public final class EndpointConnector {
 
+	/** In place of the name of a relay: the connection goes through no other VM. */
+	static final String DIRECT = "";
+
 	/** The connect timeout in milliseconds. */
 	private static final int CONNECT_TIMEOUT_MS = 250;
 
@@ -130,6 +133,16 @@
 		return this.cutOff && !this.relays.isAvailable(this.clockMs.getAsLong());
 	}
 
+	/**
+	 * Returns whether an open connection may carry a new call.
+	 * @param relay the VM through which it goes, {@link #DIRECT} if none
+	 * @return {@code false} if connections are opened in another way now, or the VM does
+	 * not relay any more
+	 */
+	boolean isUsable(String relay) {
+		return (this.cutOff) ? this.relays.isUsable(relay) : relay.equals(DIRECT);
+	}
+
 	/**
 	 * Returns the number of direct connection attempts, checks and failed ones included.
 	 * @return the number since the start
@@ -179,7 +192,7 @@
 		connecting.addListener((done) -> {
 			if (done.isSuccess()) {
 				reached();
-				opening.opened(connecting.channel(), false);
+				opening.opened(connecting.channel(), DIRECT);
 			}
 			else if (!opening.cancelled) {
 				notReached(opening.address, (isCutOff) -> directFailed(opening, isCutOff));
@@ -212,7 +225,7 @@
 					.with("relay", relay)
 					.with("local_port", ((InetSocketAddress) channel.localAddress()).getPort())
 					.write();
-				opening.opened(channel, true);
+				opening.opened(channel, relay);
 			}
 
 			@Override
@@ -338,9 +351,9 @@
 		/**
 		 * Handles an open connection.
 		 * @param channel the connection
-		 * @param relayed whether it goes through another VM
+		 * @param relay the VM through which it goes, {@link #DIRECT} if none
 		 */
-		void opened(Channel channel, boolean relayed);
+		void opened(Channel channel, String relay);
 
 		/** Handles that the endpoint accepts no connection. */
 		void failed();
@@ -384,12 +397,12 @@
 			this.listener = listener;
 		}
 
-		private void opened(Channel opened, boolean relayed) {
+		private void opened(Channel opened, String relay) {
 			if (this.cancelled) {
 				opened.close();
 			}
 			else {
-				this.listener.opened(opened, relayed);
+				this.listener.opened(opened, relay);
 			}
 		}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -142,8 +142,8 @@
 	private void connect(String address, PendingCall pending) {
 		pending.opening = this.connector.open(address, new EndpointConnector.Listener() {
 			@Override
-			public void opened(Channel channel, boolean relayed) {
-				connected(new EndpointConnection(EndpointPool.this, address, channel, relayed), channel, pending);
+			public void opened(Channel channel, String relay) {
+				connected(new EndpointConnection(EndpointPool.this, address, channel, relay), channel, pending);
 			}
 
 			@Override
@@ -179,7 +179,7 @@
 		this.probes.put(address, new ArrayList<>(List.of(reachable)));
 		this.connector.open(address, new EndpointConnector.Listener() {
 			@Override
-			public void opened(Channel channel, boolean relayed) {
+			public void opened(Channel channel, String relay) {
 				channel.close();
 				probed(address, true);
 			}
@@ -199,7 +199,7 @@
 		Deque<EndpointConnection> idle = this.idleByAddress.get(address);
 		while (idle != null && !idle.isEmpty()) {
 			EndpointConnection connection = idle.pollLast();
-			if (connection.isOpen() && !isIdleTooLong(connection)) {
+			if (connection.isOpen() && !isIdleTooLong(connection) && this.connector.isUsable(connection.relay())) {
 				return connection;
 			}
 			connection.close();
@@ -248,7 +248,7 @@
 	}
 
 	void release(EndpointConnection connection) {
-		if (connection.isRelayed() != this.connector.isCutOff()) {
+		if (!this.connector.isUsable(connection.relay())) {
 			connection.close();
 		}
 		else if (connection.isOpen()) {
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
@@ -14,6 +14,11 @@
 			return false;
 		}
 
+		@Override
+		public boolean isUsable(String relay) {
+			return false;
+		}
+
 		@Override
 		public void open(String address, String failureDomain, Listener listener) {
 			listener.failed();
@@ -28,6 +33,14 @@
 	 */
 	boolean isAvailable(long nowMs);
 
+	/**
+	 * Returns whether a VM still relays, so that its open connections may carry new
+	 * calls.
+	 * @param relay the name of the VM
+	 * @return {@code false} if it is not reachable any more, or shutting down
+	 */
+	boolean isUsable(String relay);
+
 	/**
 	 * Opens a connection to an endpoint.
 	 * @param address the address of the endpoint as {@code IP:port}
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -109,6 +109,14 @@
 		this.relays = newRelays;
 	}
 
+	/**
+	 * Returns the number of connections of other VMs that this one relays.
+	 * @return the number
+	 */
+	public int relayCount() {
+		return (this.relays != null) ? this.relays.count() : 0;
+	}
+
 	/**
 	 * Starts to listen and to send heartbeats.
 	 * @param ip the IP address to listen on
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerRelays.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerRelays.java
@@ -82,6 +82,11 @@
 		return this.peers.reachable().stream().anyMatch((member) -> mayRelay(member, nowMs));
 	}
 
+	@Override
+	public boolean isUsable(String relay) {
+		return this.peers.reachable().stream().anyMatch((member) -> member.name().equals(relay));
+	}
+
 	private boolean mayRelay(FleetMember member, long nowMs) {
 		return (this.regionDomains.isEmpty() || this.regionDomains.contains(member.failureDomain()))
 				&& nowMs >= this.unavailableUntilMs.getOrDefault(member.name(), Long.MIN_VALUE);
--- a/entry/src/test/java/org/fulmargap/entry/CutOffVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/CutOffVmTests.java
@@ -33,6 +33,8 @@
 
 	private static final int REQUESTS = 20;
 
+	private static final int WORK_MS = 200;
+
 	private final LogLines log = new LogLines();
 
 	private final Map<InetSocketAddress, TcpForwarder> forwarders = new ConcurrentHashMap<>();
@@ -170,6 +172,36 @@
 		Installation.await(() -> isServed(CUT_OFF));
 	}
 
+	@Test
+	void aRelayThatDrainsCutsNoRequest() throws Exception {
+		this.installation.vm("vm-next");
+		this.installation.awaitReady();
+		Cut.REFUSED.begin(this);
+		sendUntilInTouch();
+		this.endpoints.forEach((endpoint) -> endpoint.workMs(WORK_MS));
+		CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drainOther);
+		List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+		while (!drained.isDone()) {
+			statuses.add(this.installation.sendAsync(this.installation.attempt(CUT_OFF, "/push/x"))
+				.handle((response, ex) -> (ex != null) ? 0 : response.statusCode()));
+			Thread.sleep(50);
+		}
+		assertThat(drained.join()).isTrue();
+		assertThat(statuses).allSatisfy((status) -> assertThat(status.join()).isEqualTo(200));
+	}
+
+	private boolean drainOther() {
+		try {
+			boolean drained = this.installation.vm(OTHER).drain();
+			this.installation.vm(OTHER).close();
+			return drained;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
 	/**
 	 * The ways in which a VM loses the endpoints.
 	 */
