--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnector.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnector.java
@@ -250,11 +250,24 @@
 	void checkSilence(long callingSinceMs) {
 		long nowMs = this.clockMs.getAsLong();
 		boolean silent = nowMs - Math.max(this.heardAtMs, callingSinceMs) >= SILENCE_MS;
-		if (silent && this.reach.needsCheck(nowMs)) {
-			check();
+		if (silent && !this.checking && this.reach.needsCheck(nowMs)) {
+			this.reach.checkTargets(available()).stream().findFirst().ifPresent(this::checkOne);
 		}
 	}
 
+	private void checkOne(String address) {
+		connect(address).addListener((ChannelFuture connecting) -> {
+			connecting.channel().close();
+			if (connecting.isSuccess()) {
+				reached();
+			}
+			else {
+				notReached(address, (isCutOff) -> {
+				});
+			}
+		});
+	}
+
 	private void reached() {
 		this.reach.connected(this.clockMs.getAsLong());
 		update();
