Keep a process until its last line is written

Cause: after a drain the event loop ends, main returns, and the thread of the signal is a daemon. The JVM ends as soon as main has returned, perhaps before that thread has written the line.

Evidence: with a pause of 300 ms between the two in a trial, this test fails (1 of 19 in its class); with the same pause and this change it passes.

Change: main waits until the process exits.

--- a/entry/src/main/java/org/fulmargap/entry/EntryLauncher.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryLauncher.java
@@ -1,6 +1,7 @@
 package org.fulmargap.entry;
 
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import org.fulmargap.platform.NodeSettings;
@@ -82,6 +83,9 @@
 		}
 		this.vm.awaitEnd();
 		this.fatalErrors.end("the event loop has ended");
+		// Here a drain has ended the event loop. The thread of its signal writes the last
+		// line and exits; it is a daemon, so the JVM would not wait for it.
+		new CountDownLatch(1).await();
 	}
 
 	// The platform may be writing the file, so one that is missing or incomplete is read
