Decide that a VM is cut off only at the end of a check

Cause: three failures since the last connection counted as a cut before the check of other endpoints had ended, so that three endpoints that crashed together closed all idle connections and cleared all failures. And for 200 ms after a connection a failure needed no check, so that a cut that began then was taken for crashes, which are reported to all VMs.

Change: a check decides, and only a connection opened after the failed one was begun makes it needless. With two endpoints listed, both have to fail; before, such a VM was never cut off.

--- a/core/src/main/java/org/fulmargap/placement/EndpointReach.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointReach.java
@@ -24,11 +24,8 @@
 	/** The number of endpoints that are tried in one check. */
 	private static final int CHECKED_ENDPOINTS = 3;
 
-	/**
-	 * How long a connection that was opened shows that this VM is not cut off, in
-	 * milliseconds.
-	 */
-	private static final long CONNECTED_VALID_MS = 200;
+	/** With fewer endpoints listed, all of them have to fail, but not a single one. */
+	private static final int MIN_LISTED_ENDPOINTS = 2;
 
 	private final String ownDomain;
 
@@ -37,6 +34,8 @@
 
 	private long connectedAtMs = Long.MIN_VALUE / 2;
 
+	private boolean cutOff;
+
 	private int choices;
 
 	/**
@@ -54,6 +53,7 @@
 	public void connected(long nowMs) {
 		this.connectedAtMs = nowMs;
 		this.failed.clear();
+		this.cutOff = false;
 	}
 
 	/**
@@ -64,22 +64,34 @@
 		this.failed.add(address);
 	}
 
+	/**
+	 * Records that a check has ended, and decides whether this VM is cut off. Failures
+	 * alone don't decide it: endpoints may crash together.
+	 * @param listedEndpoints the number of endpoints that are listed
+	 */
+	public void checked(int listedEndpoints) {
+		int needed = Math.min(MIN_FAILED_ENDPOINTS, Math.max(MIN_LISTED_ENDPOINTS, listedEndpoints));
+		this.cutOff = this.failed.size() >= needed;
+	}
+
 	/**
 	 * Returns whether this VM is cut off.
-	 * @return {@code true} if several endpoints have failed and none was reached since
+	 * @return {@code true} if a check has found no endpoint that accepts connections, and
+	 * none was reached since
 	 */
 	public boolean isCutOff() {
-		return this.failed.size() >= MIN_FAILED_ENDPOINTS;
+		return this.cutOff;
 	}
 
 	/**
 	 * Returns whether a failure may mean that this VM is cut off, so that other endpoints
 	 * should be tried.
-	 * @param nowMs the current time in milliseconds
-	 * @return {@code false} if it is known to be cut off, or was not shortly before
+	 * @param sinceMs when the connection that failed was begun, in milliseconds
+	 * @return {@code false} if it is known to be cut off, or another connection was
+	 * opened after that time
 	 */
-	public boolean needsCheck(long nowMs) {
-		return !isCutOff() && nowMs - this.connectedAtMs >= CONNECTED_VALID_MS;
+	public boolean needsCheck(long sinceMs) {
+		return !this.cutOff && this.connectedAtMs <= sinceMs;
 	}
 
 	/**
--- a/core/src/test/java/org/fulmargap/placement/EndpointReachTests.java
+++ b/core/src/test/java/org/fulmargap/placement/EndpointReachTests.java
@@ -15,6 +15,8 @@
 
 	private static final long NOW_MS = 10_000;
 
+	private static final int LISTED = 6;
+
 	private final EndpointReach reach = new EndpointReach("a");
 
 	private final List<Endpoint> endpoints = new ArrayList<>();
@@ -36,14 +38,17 @@
 		@Test
 		void failuresOfOneEndpointAreNoCut() {
 			fail("1:1", "1:1", "1:1", "1:1");
+			EndpointReachTests.this.reach.checked(LISTED);
 			assertThat(EndpointReachTests.this.reach.isCutOff()).isFalse();
 		}
 
 		@Test
-		void failuresOfThreeEndpointsAreACut() {
+		void aCheckThatFailsAtThreeEndpointsShowsACut() {
 			fail("1:1", "2:1");
+			EndpointReachTests.this.reach.checked(LISTED);
 			assertThat(EndpointReachTests.this.reach.isCutOff()).isFalse();
 			fail("3:1");
+			EndpointReachTests.this.reach.checked(LISTED);
 			assertThat(EndpointReachTests.this.reach.isCutOff()).isTrue();
 		}
 
@@ -52,32 +57,57 @@
 			fail("1:1", "2:1");
 			EndpointReachTests.this.reach.connected(NOW_MS);
 			fail("3:1");
+			EndpointReachTests.this.reach.checked(LISTED);
 			assertThat(EndpointReachTests.this.reach.isCutOff()).isFalse();
 		}
 
 		@Test
 		void oneConnectionEndsTheCut() {
 			fail("1:1", "2:1", "3:1");
+			EndpointReachTests.this.reach.checked(LISTED);
 			EndpointReachTests.this.reach.connected(NOW_MS);
 			assertThat(EndpointReachTests.this.reach.isCutOff()).isFalse();
 		}
 
+		@Test
+		void endpointsThatCrashTogetherAreNoCutBeforeOthersWereTried() {
+			fail("1:1", "2:1", "3:1");
+			assertThat(EndpointReachTests.this.reach.isCutOff()).isFalse();
+		}
+
+		@Test
+		void withTwoEndpointsBothHaveToFail() {
+			fail("1:1");
+			EndpointReachTests.this.reach.checked(2);
+			assertThat(EndpointReachTests.this.reach.isCutOff()).isFalse();
+			fail("2:1");
+			EndpointReachTests.this.reach.checked(2);
+			assertThat(EndpointReachTests.this.reach.isCutOff()).isTrue();
+		}
+
+		@Test
+		void theFailureOfTheOnlyEndpointIsNoCut() {
+			fail("1:1");
+			EndpointReachTests.this.reach.checked(1);
+			assertThat(EndpointReachTests.this.reach.isCutOff()).isFalse();
+		}
+
 	}
 
 	@Nested
 	class Checks {
 
 		@Test
-		void aFailureNeedsNoCheckShortlyAfterAConnection() {
+		void onlyAConnectionOpenedAfterTheFailedOneWasBegunMakesACheckNeedless() {
 			EndpointReachTests.this.reach.connected(NOW_MS);
-			fail("1:1");
-			assertThat(EndpointReachTests.this.reach.needsCheck(NOW_MS + 100)).isFalse();
-			assertThat(EndpointReachTests.this.reach.needsCheck(NOW_MS + 200)).isTrue();
+			assertThat(EndpointReachTests.this.reach.needsCheck(NOW_MS - 1)).isFalse();
+			assertThat(EndpointReachTests.this.reach.needsCheck(NOW_MS)).isTrue();
 		}
 
 		@Test
 		void aCutNeedsNoCheck() {
 			fail("1:1", "2:1", "3:1");
+			EndpointReachTests.this.reach.checked(LISTED);
 			assertThat(EndpointReachTests.this.reach.needsCheck(NOW_MS)).isFalse();
 		}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnector.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnector.java
@@ -174,6 +174,7 @@
 	 * @param listener is told of the result
 	 */
 	public void openForPeer(String address, DirectListener listener) {
+		long startedAtMs = this.clockMs.getAsLong();
 		ChannelFuture connecting = connect(address);
 		connecting.addListener((done) -> {
 			if (done.isSuccess()) {
@@ -181,12 +182,13 @@
 				listener.opened(connecting.channel());
 			}
 			else {
-				notReached(address, listener::failed);
+				notReached(address, startedAtMs, listener::failed);
 			}
 		});
 	}
 
 	private void openDirect(Opening opening) {
+		long startedAtMs = this.clockMs.getAsLong();
 		ChannelFuture connecting = connect(opening.address);
 		opening.channel = connecting.channel();
 		connecting.addListener((done) -> {
@@ -195,7 +197,7 @@
 				opening.opened(connecting.channel(), DIRECT);
 			}
 			else if (!opening.cancelled) {
-				notReached(opening.address, (isCutOff) -> directFailed(opening, isCutOff));
+				notReached(opening.address, startedAtMs, (isCutOff) -> directFailed(opening, isCutOff));
 			}
 		});
 	}
@@ -250,19 +252,20 @@
 	void checkSilence(long callingSinceMs) {
 		long nowMs = this.clockMs.getAsLong();
 		boolean silent = nowMs - Math.max(this.heardAtMs, callingSinceMs) >= SILENCE_MS;
-		if (silent && !this.checking && this.reach.needsCheck(nowMs)) {
+		if (silent && !this.checking && this.reach.needsCheck(nowMs - SILENCE_MS)) {
 			this.reach.checkTargets(available()).stream().findFirst().ifPresent(this::checkOne);
 		}
 	}
 
 	private void checkOne(String address) {
+		long startedAtMs = this.clockMs.getAsLong();
 		connect(address).addListener((ChannelFuture connecting) -> {
 			connecting.channel().close();
 			if (connecting.isSuccess()) {
 				reached();
 			}
 			else {
-				notReached(address, (isCutOff) -> {
+				notReached(address, startedAtMs, (isCutOff) -> {
 				});
 			}
 		});
@@ -273,16 +276,14 @@
 		update();
 	}
 
-	private void notReached(String address, Consumer<Boolean> result) {
-		this.reach.failed(address);
-		update();
-		if (this.checking || this.reach.needsCheck(this.clockMs.getAsLong())) {
-			this.awaitingCheck.add(result);
-			check();
-		}
-		else {
+	private void notReached(String address, long startedAtMs, Consumer<Boolean> result) {
+		if (!this.reach.needsCheck(startedAtMs)) {
 			result.accept(this.cutOff);
+			return;
 		}
+		this.reach.failed(address);
+		this.awaitingCheck.add(result);
+		check();
 	}
 
 	private void check() {
@@ -301,6 +302,7 @@
 
 	private void endCheck() {
 		this.checking = false;
+		this.reach.checked(this.directory.all().size());
 		update();
 		List<Consumer<Boolean>> results = List.copyOf(this.awaitingCheck);
 		this.awaitingCheck.clear();
