Report no crash of an endpoint when no VM could reach it

Cause: when this VM was cut off and no relay could help, as when all VMs are cut off, a probe and a call ended like those of an endpoint that accepts no connection. So each connection that the cut had broken became a confirmed crash, for which requests and prompt parts are refused by all VMs, and the endpoint was suspended.

Change: EndpointRelays and EndpointConnector tell "no VM could help" from "accepts no connection". Calls fail with CUT_OFF, which is no fault of the endpoint, and a probe reports a crash in the second case only.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/CallFailure.java
@@ -8,6 +8,9 @@
 	/** The connection could not be opened, so nothing was sent. */
 	NOT_CONNECTED(false),
 
+	/** This VM reaches no endpoint and no other VM could help, so nothing was sent. */
+	CUT_OFF(false),
+
 	/**
 	 * The endpoint was set aside, the connection was closed, or the time or the caller of
 	 * the request was gone, before it was sent.
@@ -45,7 +48,7 @@
 	 * @return {@code false} if nothing was sent
 	 */
 	public boolean mayHaveArrived() {
-		return this != NOT_CONNECTED && this != WITHDRAWN;
+		return this != NOT_CONNECTED && this != CUT_OFF && this != WITHDRAWN;
 	}
 
 	/**
@@ -53,7 +56,7 @@
 	 * @return {@code false} if it was not sent the request or refused it
 	 */
 	public boolean isFault() {
-		return this != WITHDRAWN && this != REFUSED;
+		return this != CUT_OFF && this != WITHDRAWN && this != REFUSED;
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnector.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnector.java
@@ -206,6 +206,9 @@
 		if (isCutOff && this.relays.isAvailable(this.clockMs.getAsLong())) {
 			openRelayed(opening);
 		}
+		else if (isCutOff) {
+			opening.unavailable();
+		}
 		else {
 			opening.failed();
 		}
@@ -234,6 +237,11 @@
 			public void failed() {
 				opening.failed();
 			}
+
+			@Override
+			public void unavailable() {
+				opening.unavailable();
+			}
 		});
 	}
 
@@ -373,6 +381,12 @@
 		/** Handles that the endpoint accepts no connection. */
 		void failed();
 
+		/**
+		 * Handles that this VM is cut off and no other one could help, so that nothing is
+		 * known of the endpoint.
+		 */
+		void unavailable();
+
 	}
 
 	/**
@@ -427,6 +441,12 @@
 			}
 		}
 
+		private void unavailable() {
+			if (!this.cancelled) {
+				this.listener.unavailable();
+			}
+		}
+
 		/**
 		 * Gives the connection up. The listener is told nothing more.
 		 */
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -150,6 +150,11 @@
 			public void failed() {
 				pending.call.failed(CallFailure.NOT_CONNECTED);
 			}
+
+			@Override
+			public void unavailable() {
+				pending.call.failed(CallFailure.CUT_OFF);
+			}
 		});
 	}
 
@@ -168,7 +173,8 @@
 	 * another VM while this one is cut off, so that its own links don't matter.
 	 * Concurrent probes of one address share one connection attempt.
 	 * @param address the address as {@code IP:port}
-	 * @param reachable receives {@code true} if a connection could be opened
+	 * @param reachable receives {@code false} if the endpoint accepts no connection;
+	 * {@code true} also if that can't be found out, because no VM could help
 	 */
 	public void probe(String address, Consumer<Boolean> reachable) {
 		List<Consumer<Boolean>> waiting = this.probes.get(address);
@@ -188,6 +194,11 @@
 			public void failed() {
 				probed(address, false);
 			}
+
+			@Override
+			public void unavailable() {
+				probed(address, true);
+			}
 		});
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
@@ -21,7 +21,7 @@
 
 		@Override
 		public void open(String address, String failureDomain, Listener listener) {
-			listener.failed();
+			listener.unavailable();
 		}
 	};
 
@@ -61,9 +61,14 @@
 		 */
 		void opened(Channel channel, String relay);
 
-		/** Handles that the endpoint accepts no connection, or no VM could help. */
+		/**
+		 * Handles that the endpoint accepts no connection from a VM that reaches others.
+		 */
 		void failed();
 
+		/** Handles that no VM could help, so that nothing is known of the endpoint. */
+		void unavailable();
+
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerRelays.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerRelays.java
@@ -136,7 +136,7 @@
 		private void next() {
 			FleetMember member = this.candidates.poll();
 			if (member == null || this.tries == MAX_TRIES) {
-				this.listener.failed();
+				this.listener.unavailable();
 				return;
 			}
 			this.tries++;
--- a/entry/src/test/java/org/fulmargap/entry/endpoint/EndpointConnectorTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/EndpointConnectorTests.java
@@ -16,6 +16,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.fulmargap.entry.EntryMetrics;
+import org.fulmargap.entry.LoopStalls;
 import org.fulmargap.placement.EndpointDirectory;
 import org.fulmargap.placement.EndpointRecord;
 import org.junit.jupiter.api.AfterEach;
@@ -90,6 +91,11 @@
 			public void failed() {
 				opened.complete(false);
 			}
+
+			@Override
+			public void unavailable() {
+				opened.complete(false);
+			}
 		});
 		return opened;
 	}
@@ -127,4 +133,15 @@
 		assertThat(this.changes).containsExactly(true);
 	}
 
+	@Test
+	void aProbeWithoutRelayDoesNotReportACrash() throws Exception {
+		EndpointPool pool = new EndpointPool(this.loop, System::currentTimeMillis,
+				new LoopStalls(this.loop, System::currentTimeMillis), this.connector);
+		this.refusing = true;
+		CompletableFuture<Boolean> reachable = new CompletableFuture<>();
+		this.loop.execute(() -> pool.probe(address(this.endpoints.get(0)), reachable::complete));
+		assertThat(reachable.get(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+		assertThat(this.connector.isWithoutRelay()).isTrue();
+	}
+
 }
