Read what was missed before a stream of unknown origin goes on

Cause: a stream of unknown origin went on at any endpoint if the VM knew one software version of its service, however it had come to know that. A VM that was cut off from the other VMs and the store, or stood still, had missed the announcements of streams and the records of endpoints of a new version. Only the first 30 s after a start counted as incomplete.

Change: NewsGaps keeps when announcements may have been missed last: before the start, while another VM that may be alive is not heard, while the own heartbeats are late, after a suspension. A VM with such a gap in the last 30 s reads the endpoints' records since its position, the versions and the origins before it answers for an unknown origin. It refuses the stream if it has read nothing since and the store can't be read. The start is one of these gaps. An outage of the store alone is none, because other VMs announce streams at a version that this one has not read.

--- a/core/src/main/java/org/fulmargap/fleet/FleetView.java
+++ b/core/src/main/java/org/fulmargap/fleet/FleetView.java
@@ -171,6 +171,25 @@
 		return known && !domain.equals(this.own.failureDomain());
 	}
 
+	/**
+	 * Returns whether this VM may lack messages of VMs that are alive: one that was alive
+	 * lately, and is not shutting down, is not heard, or none of those that are known is.
+	 * @param nowMs the current time in milliseconds
+	 * @return {@code true} if messages may be missing
+	 */
+	public boolean isOutOfTouch(long nowMs) {
+		boolean anyHeard = false;
+		for (Vm vm : this.others.values()) {
+			boolean heard = vm.isAlive(nowMs) && vm.reachable;
+			boolean lost = !heard && vm.confirmed && nowMs - vm.confirmedAtMs < COUNTED_MS;
+			if (lost && !vm.draining) {
+				return true;
+			}
+			anyHeard |= heard;
+		}
+		return !anyHeard && !this.others.isEmpty();
+	}
+
 	/**
 	 * Returns the other VMs that were confirmed alive recently, for those that rely on
 	 * this VM.
--- a/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/fulmargap/fleet/FleetViewTests.java
@@ -38,6 +38,36 @@
 			assertThat(FleetViewTests.this.fleet.isAlive("large", FleetView.PRESUMED_MS)).isFalse();
 		}
 
+		@Test
+		void aVmIsOutOfTouchWhileOneThatMayBeAliveIsNotHeard() {
+			FleetView view = FleetViewTests.this.fleet;
+			confirmAll(10_000);
+			assertThat(view.isOutOfTouch(10_000)).isFalse();
+			view.reachable("large", false);
+			assertThat(view.isOutOfTouch(10_000)).isTrue();
+			view.confirm("small", false, 10_000 + FleetView.COUNTED_MS);
+			assertThat(view.isOutOfTouch(10_000 + FleetView.COUNTED_MS)).isFalse();
+		}
+
+		@Test
+		void aVmIsOutOfTouchAsLongAsItHearsNoOtherOne() {
+			FleetView view = FleetViewTests.this.fleet;
+			confirmAll(10_000);
+			assertThat(view.isOutOfTouch(10_000 + 10 * FleetView.COUNTED_MS)).isTrue();
+			view.remove("large");
+			view.remove("small");
+			assertThat(view.isOutOfTouch(10_000 + 10 * FleetView.COUNTED_MS)).isFalse();
+		}
+
+		@Test
+		void aVmThatShutDownIsNotMissed() {
+			FleetView view = FleetViewTests.this.fleet;
+			confirmAll(10_000);
+			view.confirm("large", true, 10_000);
+			view.reachable("large", false);
+			assertThat(view.isOutOfTouch(10_000)).isFalse();
+		}
+
 		@Test
 		void confirmationsExpire() {
 			confirmAll(10_000);
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -44,6 +44,7 @@
 import org.fulmargap.placement.SharedRetryBudget;
 import org.fulmargap.platform.NodeSettings;
 import org.fulmargap.platform.StoreClient;
+import org.fulmargap.platform.StoreException;
 import org.fulmargap.routing.CrashQuarantine;
 import org.fulmargap.routing.PromptPartQuarantine;
 
@@ -179,7 +180,7 @@
 				settings.retryWindowMs());
 		this.store = new StoreClient(settings.storeAddress());
 		this.streamVersions = new StreamVersions(this.store, this.loop, this.clockMs, this.view.directory(), this.peers,
-				this.metrics);
+				this::readEndpoints, this.metrics);
 		this.rolloutStore = new RolloutStore(this.store, this.loop);
 		this.rollouts = new Rollouts(settings.rolloutLimits(), this.view.directory(), this.peers, this.rolloutStore,
 				this.metrics, this.clockMs);
@@ -208,6 +209,10 @@
 				this.rollouts, settings, ownMember(settings));
 	}
 
+	private void readEndpoints() throws StoreException {
+		this.watch.readEndpoints();
+	}
+
 	private double limitShare(String endpoint, double limitPerSecond, long nowMs) {
 		return this.peers.limitShare(endpoint, limitPerSecond, nowMs);
 	}
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -28,6 +28,7 @@
 import org.fulmargap.platform.OperatorRecord;
 import org.fulmargap.platform.RolloutRecords;
 import org.fulmargap.platform.StoreClient;
+import org.fulmargap.platform.StoreException;
 import org.fulmargap.platform.StorePage;
 import org.fulmargap.platform.StoreTopic;
 
@@ -201,6 +202,46 @@
 				&& this.tails.get(StoreTopic.ENDPOINTS).isReached();
 	}
 
+	/**
+	 * Reads the records of endpoints up to now, beside the reads at intervals. Blocks the
+	 * calling thread; the event loop applies the records before what that thread gives it
+	 * next.
+	 * @throws StoreException if they could not be read
+	 */
+	void readEndpoints() throws StoreException {
+		StorePosition position = this.positions.get(StoreTopic.ENDPOINTS).get();
+		StorePage page;
+		do {
+			long startedAtMs = this.clockMs.getAsLong();
+			page = readEndpoints(position);
+			position = page.position();
+			if (page.isComplete() || !page.records().isEmpty()) {
+				StorePage news = page;
+				PageOrigin origin = new PageOrigin(PageOrigin.STORE, page.records().size(),
+						this.clockMs.getAsLong() - startedAtMs, -1, this.clockMs.getAsLong());
+				this.loop.execute(() -> apply(StoreTopic.ENDPOINTS, news, origin));
+			}
+		}
+		while (page.hasNext());
+	}
+
+	private StorePage readEndpoints(StorePosition from) throws StoreException {
+		if (from.isRead()) {
+			try {
+				StorePage page = this.store.read(StoreTopic.ENDPOINTS, from.offset(), 0);
+				if (page.history() == from.history()) {
+					return page;
+				}
+			}
+			catch (StoreException ex) {
+				if (ex.type() != StoreException.Type.EXPIRED) {
+					throw ex;
+				}
+			}
+		}
+		return this.store.newest(StoreTopic.ENDPOINTS);
+	}
+
 	private void run(String name, Runnable task) {
 		Thread thread = new Thread(task, name);
 		thread.setDaemon(true);
--- a/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
+++ b/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
@@ -24,6 +24,7 @@
 import org.fulmargap.platform.StoreException;
 import org.fulmargap.platform.StoreTopic;
 import org.fulmargap.platform.StreamRecords;
+import org.fulmargap.stream.NewsGaps;
 import org.fulmargap.stream.ServiceVersions;
 import org.fulmargap.stream.StreamOrigin;
 import org.fulmargap.stream.StreamOrigins;
@@ -88,7 +89,11 @@
 
 	private final EntryMetrics metrics;
 
-	private final long startedAtMs;
+	private final EndpointReader endpointReader;
+
+	private final SuspendedTime suspendedTime;
+
+	private final NewsGaps gaps = new NewsGaps();
 
 	private final StreamOrigins origins = new StreamOrigins();
 
@@ -100,7 +105,7 @@
 
 	private final Map<String, Long> versionsWrittenAtMs = new HashMap<>();
 
-	private final List<Runnable> waiting = new ArrayList<>();
+	private final List<Consumer<History>> waiting = new ArrayList<>();
 
 	// A single thread, started with the first call.
 	private final ExecutorService caller = Executors.newSingleThreadExecutor((task) -> {
@@ -109,21 +114,22 @@
 		return thread;
 	});
 
-	private History history = History.UNREAD;
+	private boolean reading;
 
 	private boolean writing;
 
 	private long nextWriteAtMs = Long.MIN_VALUE;
 
 	StreamVersions(StoreClient store, EventLoop loop, LongSupplier clockMs, EndpointDirectory directory,
-			PeerNetwork peers, EntryMetrics metrics) {
+			PeerNetwork peers, EndpointReader endpointReader, EntryMetrics metrics) {
 		this.store = store;
 		this.loop = loop;
 		this.clockMs = clockMs;
 		this.directory = directory;
 		this.peers = peers;
 		this.metrics = metrics;
-		this.startedAtMs = clockMs.getAsLong();
+		this.endpointReader = endpointReader;
+		this.suspendedTime = new SuspendedTime(SuspendedTime::uptimeMs, clockMs.getAsLong());
 	}
 
 	/**
@@ -175,8 +181,8 @@
 	}
 
 	/**
-	 * Finds out where a stream that is taken up may go on. A VM that has started lately
-	 * reads from the store what it needs for the answer.
+	 * Finds out where a stream that is taken up may go on. A VM that may have missed what
+	 * others announced reads from the store what it needs for the answer.
 	 * @param attemptId the id of the attempt that brought the first event, or an empty
 	 * string
 	 * @param service the service that is to go on with the stream
@@ -185,35 +191,52 @@
 	public void resolve(String attemptId, String service, Consumer<StreamPlacement> result) {
 		long nowMs = this.clockMs.getAsLong();
 		update(nowMs);
-		boolean lacksHistory = nowMs - this.startedAtMs < ServiceVersions.LATELY_MS && this.history != History.READ;
-		if (this.origins.find(attemptId).isPresent() || !lacksHistory) {
-			result.accept(placement(attemptId, service));
+		if (this.origins.find(attemptId).isPresent() || !lacksNews(nowMs)) {
+			result.accept(placement(attemptId, service, History.UNREAD));
 			return;
 		}
-		this.waiting.add(() -> result.accept(placement(attemptId, service)));
-		if (this.waiting.size() == 1) {
-			this.caller.execute(this::readHistory);
+		this.waiting.add((history) -> result.accept(placement(attemptId, service, history)));
+		readForWaiting();
+	}
+
+	private boolean lacksNews(long nowMs) {
+		if (this.suspendedTime.passedMs(nowMs) > 0) {
+			this.gaps.missed(nowMs);
 		}
+		return this.gaps.isOpen(nowMs);
 	}
 
-	private StreamPlacement placement(String attemptId, String service) {
+	// What is asked for during a read may have been written after it, so it waits for the
+	// next one.
+	private void readForWaiting() {
+		if (this.reading || this.waiting.isEmpty()) {
+			return;
+		}
+		this.reading = true;
+		List<Consumer<History>> asked = List.copyOf(this.waiting);
+		this.waiting.clear();
+		long startedAtMs = this.clockMs.getAsLong();
+		this.caller.execute(() -> readHistory(asked, startedAtMs));
+	}
+
+	private StreamPlacement placement(String attemptId, String service, History history) {
 		long nowMs = this.clockMs.getAsLong();
 		StreamPlacement placement = this.origins.find(attemptId)
 			.map((origin) -> StreamPlacement.at(origin.softwareVersion()))
-			.orElseGet(() -> ofUnknownOrigin(service, nowMs));
+			.orElseGet(() -> ofUnknownOrigin(service, history, nowMs));
 		EventLog.call("stream_taken_up")
 			.with("resumed", EventLog.cut(attemptId, MAX_LOGGED_LENGTH))
 			.with("service", service)
 			.with("placement", placement)
 			.with("versions", this.versions.lately(service, nowMs).size())
-			.with("history", this.history)
+			.with("history", history)
 			.write();
 		this.metrics.count("stream_taken_up_" + placement.kind().metric());
 		return placement;
 	}
 
-	private StreamPlacement ofUnknownOrigin(String service, long nowMs) {
-		boolean unsure = this.history == History.UNREADABLE && nowMs - this.startedAtMs < ServiceVersions.LATELY_MS;
+	private StreamPlacement ofUnknownOrigin(String service, History history, long nowMs) {
+		boolean unsure = history == History.UNREADABLE && this.gaps.isUnread(nowMs);
 		return (unsure || this.versions.isMixed(service, nowMs)) ? StreamPlacement.UNKNOWN : StreamPlacement.ANYWHERE;
 	}
 
@@ -223,6 +246,7 @@
 	 * @param nowMs the current time in milliseconds
 	 */
 	void update(long nowMs) {
+		this.gaps.missed(this.peers.missedAtMs(nowMs));
 		this.directory.softwareVersions().forEach((service, listed) -> {
 			listed.forEach((version) -> this.versions.listed(service, version, nowMs));
 			updateMixed(service, nowMs);
@@ -316,12 +340,15 @@
 		batch.forEach(this::addPending);
 	}
 
-	// Runs in the thread that calls the store.
-	private void readHistory() {
+	// Runs in the thread that calls the store. The endpoints are read first: a stream
+	// that
+	// began at a version that is not listed began later.
+	private void readHistory(List<Consumer<History>> asked, long startedAtMs) {
 		List<KeyedRecord> listed = List.of();
 		List<KeyedRecord> begun = List.of();
 		History result = History.READ;
 		try {
+			this.endpointReader.read();
 			listed = this.store.newest(StoreTopic.VERSIONS).records();
 			begun = (listed.isEmpty()) ? List.of() : this.store.newest(StoreTopic.STREAMS).records();
 		}
@@ -331,22 +358,27 @@
 		}
 		List<KeyedRecord> versionRecords = listed;
 		List<KeyedRecord> streamRecords = begun;
-		History outcome = result;
-		this.loop.execute(() -> historyRead(versionRecords, streamRecords, outcome));
+		History history = result;
+		this.loop.execute(() -> {
+			applyHistory(versionRecords, streamRecords);
+			historyRead(asked, history, startedAtMs);
+		});
 	}
 
-	private void historyRead(List<KeyedRecord> versionRecords, List<KeyedRecord> streamRecords, History outcome) {
-		this.history = outcome;
+	private void applyHistory(List<KeyedRecord> versionRecords, List<KeyedRecord> streamRecords) {
 		long nowMs = this.clockMs.getAsLong();
-		for (KeyedRecord record : versionRecords) {
-			applyVersion(record, nowMs);
-		}
-		for (KeyedRecord record : streamRecords) {
-			applyOrigins(record, nowMs);
+		versionRecords.forEach((record) -> applyVersion(record, nowMs));
+		streamRecords.forEach((record) -> applyOrigins(record, nowMs));
+		update(nowMs);
+	}
+
+	private void historyRead(List<Consumer<History>> asked, History history, long startedAtMs) {
+		this.reading = false;
+		if (history == History.READ) {
+			this.gaps.read(startedAtMs);
 		}
-		List<Runnable> resolved = List.copyOf(this.waiting);
-		this.waiting.clear();
-		resolved.forEach(Runnable::run);
+		asked.forEach((resolved) -> resolved.accept(history));
+		readForWaiting();
 	}
 
 	private void applyVersion(KeyedRecord record, long nowMs) {
@@ -386,11 +418,25 @@
 	}
 
 	/**
-	 * What is known of the time before this VM started.
+	 * Reads the records of endpoints up to now.
+	 */
+	@FunctionalInterface
+	interface EndpointReader {
+
+		/**
+		 * Reads the records and has the event loop apply them. Blocks the calling thread.
+		 * @throws StoreException if they could not be read
+		 */
+		void read() throws StoreException;
+
+	}
+
+	/**
+	 * What is known of announcements that this VM may have missed.
 	 */
 	private enum History {
 
-		/** It has not been needed yet. */
+		/** It is not needed, or was read lately. */
 		UNREAD,
 
 		/** What the store has of it. */
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -48,6 +48,12 @@
 	 */
 	private static final long PING_AFTER_MS = 500;
 
+	/**
+	 * Messages may be missing if a heartbeat, of a peer or of this VM, is late by this
+	 * time after the last one, in milliseconds: two in a row are.
+	 */
+	private static final long LATE_AFTER_MS = 600;
+
 	private final FleetView fleet;
 
 	private final long startedAtMs;
@@ -81,6 +87,9 @@
 
 	private long lastTickAtMs;
 
+	// When messages of peers may have been missed last.
+	private long missedAtMs;
+
 	/**
 	 * Creates a network without peers.
 	 * @param own this VM
@@ -99,6 +108,8 @@
 		this.stalls = stalls;
 		this.metrics = metrics;
 		this.hubs = this.fleet.hubs(clockMs.getAsLong());
+		this.lastTickAtMs = clockMs.getAsLong();
+		this.missedAtMs = this.lastTickAtMs;
 	}
 
 	/**
@@ -219,6 +230,28 @@
 		return 1 + this.fleet.confirmed(this.clockMs.getAsLong()).size();
 	}
 
+	/**
+	 * Returns when this VM may have missed messages last: before its start, while it was
+	 * out of touch with another VM that may be alive, or while it stood still.
+	 * @param nowMs the current time in milliseconds
+	 * @return the time in milliseconds; the current one if it may miss some now
+	 */
+	public long missedAtMs(long nowMs) {
+		if (isLate(nowMs) || this.fleet.isOutOfTouch(nowMs)
+				|| this.peers.values().stream().anyMatch((peer) -> isLate(peer, nowMs))) {
+			this.missedAtMs = nowMs;
+		}
+		return this.missedAtMs;
+	}
+
+	private boolean isLate(long nowMs) {
+		return nowMs - this.lastTickAtMs > LATE_AFTER_MS;
+	}
+
+	private boolean isLate(Peer peer, long nowMs) {
+		return peer.isAlive() && peer.sendsHeartbeats() && !peer.isDraining() && peer.silentMs(nowMs) > LATE_AFTER_MS;
+	}
+
 	/**
 	 * Returns the share of this VM in the rate that an endpoint takes from all entry VMs
 	 * together.
@@ -368,6 +401,7 @@
 	private void tick() {
 		long nowMs = this.clockMs.getAsLong();
 		boolean paused = nowMs - this.lastTickAtMs > LOST_AFTER_MS;
+		missedAtMs(nowMs);
 		this.lastTickAtMs = nowMs;
 		this.fleet.expire();
 		// After a pause of this process, messages that have arrived are read first.
@@ -529,6 +563,7 @@
 				.with("reason", reason)
 				.with("silent_ms", peer.silentMs(this.clockMs.getAsLong()))
 				.write();
+			this.missedAtMs = (peer.isDraining()) ? this.missedAtMs : this.clockMs.getAsLong();
 		}
 		peer.lost();
 		this.fleet.reachable(peer.name(), false);
@@ -539,6 +574,7 @@
 	private void heard(Peer peer, long nowMs) {
 		if (peer.heard(nowMs)) {
 			EventLog.state("peer_heard").with("peer", peer.name()).write();
+			this.missedAtMs = nowMs;
 		}
 		this.fleet.reachable(peer.name(), true);
 		this.fleet.confirm(peer.name(), peer.isDraining(), nowMs);
