Release the buffer of a large event and count all of it

Cause: the splitter of a stream kept the capacity that its largest event needed until the stream ended, while only the unread bytes counted in AnswerMemory. An open stream that had one event of 1 MB held 1 MiB and counted 0. Comments, which are dropped, counted instead.

Change: after a whole event the buffer shrinks to the partial event behind it, a broken-off event releases it, and the share of the answer is the capacity of the buffer. The limit between two events still includes comments.

--- a/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
@@ -48,6 +48,14 @@
 		return this.events.bytesSinceEvent();
 	}
 
+	/**
+	 * Returns the memory that the partial event at the end holds.
+	 * @return the number of bytes
+	 */
+	long heldBytes() {
+		return this.events.heldBytes();
+	}
+
 	/**
 	 * Forwards the events that are complete now.
 	 * @param content the next bytes of an endpoint's answer
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
@@ -16,7 +16,10 @@
 
 	private static final byte CARRIAGE_RETURN = '\r';
 
-	private final ByteBuf pending = Unpooled.buffer(0);
+	/** What the buffer may have unused after a whole event, in bytes. */
+	private static final int MAX_UNUSED_BYTES = 8_192;
+
+	private ByteBuf pending = Unpooled.buffer(0);
 
 	private int scanned;
 
@@ -37,6 +40,14 @@
 		return this.pending.readableBytes();
 	}
 
+	/**
+	 * Returns the memory that the splitter holds.
+	 * @return the number of bytes
+	 */
+	int heldBytes() {
+		return this.pending.capacity();
+	}
+
 	/**
 	 * Returns how much the endpoint has sent since the last whole event, comments
 	 * included.
@@ -96,8 +107,14 @@
 
 	private void discard(int length) {
 		this.pending.skipBytes(length);
-		this.pending.discardReadBytes();
 		this.scanned -= length;
+		int partialBytes = partialBytes();
+		if (length > 0 && this.pending.capacity() - partialBytes > MAX_UNUSED_BYTES) {
+			this.pending = Unpooled.buffer(partialBytes).writeBytes(this.pending);
+		}
+		else {
+			this.pending.discardReadBytes();
+		}
 	}
 
 	/**
@@ -114,7 +131,7 @@
 	 * endpoint follows.
 	 */
 	void reset() {
-		this.pending.clear();
+		this.pending = Unpooled.buffer(0);
 		this.scanned = 0;
 		this.lineIsEmpty = false;
 		this.malformed = false;
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -788,8 +788,9 @@
 				this.promptEvidence.event(RequestFlow.this.services.nowMs());
 				this.timer.restart();
 			}
-			long heldBytes = RequestFlow.this.stream.bytesSinceEvent();
-			return !RequestFlow.this.stream.isMalformed() && heldBytes <= MAX_EVENT_BYTES && this.body.hold(heldBytes);
+			CallerStream stream = RequestFlow.this.stream;
+			return !stream.isMalformed() && stream.bytesSinceEvent() <= MAX_EVENT_BYTES
+					&& this.body.hold(stream.heldBytes());
 		}
 
 		private boolean hasForeignBody() {
