Close idle connections through a relay that drains

Cause: a relay waits in its drain for the connections that it passes on, also for idle ones, which the VM that is cut off keeps for as long as the endpoint allows. So the relay used up its whole grace period.

The links of the test's VM move to a class of their own, so that a soak can use them.

Measured: aRelayThatDrainsDoesNotWaitForIdleConnections, with an endpoint that allows 30 s, took 7305 ms for the drain before and under 4000 ms now (one run each); EndpointPoolTests pass.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -33,7 +33,7 @@
 	/** Idle connections are closed this long before the idle timeout, in milliseconds. */
 	private static final long IDLE_MARGIN_MS = 300;
 
-	/** The interval at which connections that were idle too long are closed, in ms. */
+	/** The interval at which idle connections of no further use are closed, in ms. */
 	private static final long SWEEP_INTERVAL_MS = 500;
 
 	/** The interval at which it is checked that endpoints send something, in ms. */
@@ -225,9 +225,11 @@
 
 	private void sweep() {
 		for (Deque<EndpointConnection> idle : this.idleByAddress.values()) {
-			while (!idle.isEmpty() && isIdleTooLong(idle.peekFirst())) {
-				idle.pollFirst().close();
-			}
+			List<EndpointConnection> stale = idle.stream()
+				.filter((connection) -> isIdleTooLong(connection) || !this.connector.isUsable(connection.relay()))
+				.toList();
+			idle.removeAll(stale);
+			stale.forEach(EndpointConnection::close);
 		}
 		this.idleByAddress.values().removeIf(Deque::isEmpty);
 	}
--- a/entry/src/test/java/org/fulmargap/entry/CutOffVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/CutOffVmTests.java
@@ -1,18 +1,14 @@
 package org.fulmargap.entry;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.http.HttpRequest;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 
+import org.fulmargap.platform.standin.CallerWire;
 import org.fulmargap.platform.standin.EndpointStandIn;
+import org.fulmargap.platform.standin.RawEndpointStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -35,32 +31,29 @@
 
 	private static final int WORK_MS = 200;
 
-	private final LogLines log = new LogLines();
+	/** Far less than the grace period. */
+	private static final long MAX_IDLE_DRAIN_MS = 4_000;
 
-	private final Map<InetSocketAddress, TcpForwarder> forwarders = new ConcurrentHashMap<>();
+	private final LogLines log = new LogLines();
 
 	private final List<EndpointStandIn> endpoints = new ArrayList<>();
 
 	private Installation installation;
 
-	private InetSocketAddress closedPort;
-
-	private volatile boolean refusing;
+	private EndpointLinks links;
 
 	@BeforeEach
 	void start() throws Exception {
-		try (ServerSocket unused = new ServerSocket(0)) {
-			this.closedPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), unused.getLocalPort());
-		}
+		this.links = new EndpointLinks();
 		this.installation = new Installation();
 		for (String service : List.of("core", "stage", "pool")) {
 			this.endpoints.add(this.installation.endpoint(service + "-1", service));
 			this.endpoints.add(this.installation.endpoint(service + "-2", service));
 		}
 		for (EndpointStandIn endpoint : this.endpoints) {
-			route(TcpForwarder.address(endpoint.address()));
+			this.links.route(TcpForwarder.address(endpoint.address()));
 		}
-		this.installation.vm("vm-cut-off", this::route);
+		this.installation.vm("vm-cut-off", this.links::route);
 		this.installation.vm("vm-other");
 		this.installation.awaitReady();
 		Installation.await(() -> isServed(CUT_OFF) && isServed(OTHER));
@@ -69,32 +62,10 @@
 	@AfterEach
 	void stop() throws Exception {
 		this.installation.close();
-		for (TcpForwarder forwarder : this.forwarders.values()) {
-			forwarder.close();
-		}
+		this.links.close();
 		this.log.close();
 	}
 
-	private InetSocketAddress route(InetSocketAddress endpoint) {
-		if (this.refusing) {
-			return this.closedPort;
-		}
-		TcpForwarder forwarder = this.forwarders.computeIfAbsent(endpoint, (address) -> {
-			try {
-				return new TcpForwarder(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), address);
-			}
-			catch (IOException ex) {
-				throw new UncheckedIOException(ex);
-			}
-		});
-		try {
-			return TcpForwarder.address(forwarder.address());
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	private boolean isServed(int vm) {
 		return status(this.installation.pipeline(vm)) == 200 && status(this.installation.attempt(vm, "/push/x")) == 200;
 	}
@@ -131,8 +102,8 @@
 
 	@ParameterizedTest
 	@EnumSource
-	void callersOfAVmThatReachesNoEndpointAreServed(Cut cut) throws Exception {
-		cut.begin(this);
+	void callersOfAVmThatReachesNoEndpointAreServed(EndpointLinks.Cut cut) throws Exception {
+		this.links.cut(cut);
 		sendUntilInTouch();
 		for (int i = 0; i < REQUESTS; i++) {
 			assertThat(status(this.installation.attempt(CUT_OFF, "/push/" + i))).isEqualTo(200);
@@ -143,7 +114,7 @@
 		assertThat(isCutOff(OTHER)).isFalse();
 		assertThat(this.log.contain("relayed_connection", "relay=vm-other")).isTrue();
 		assertThat(this.log.contain("strike", "endpoint=.*")).isFalse();
-		cut.end(this);
+		this.links.restore();
 		Installation.await(() -> !isCutOff(CUT_OFF) && isServed(CUT_OFF));
 	}
 
@@ -163,12 +134,12 @@
 	@Test
 	void aVmWithoutRelayRefusesAtOnce() throws Exception {
 		this.installation.vm(OTHER).close();
-		Cut.RESET.begin(this);
+		this.links.cut(EndpointLinks.Cut.RESET);
 		Installation.await(() -> {
 			isServed(CUT_OFF);
 			return this.log.contain("refused", "reason=CUT_OFF");
 		});
-		Cut.RESET.end(this);
+		this.links.restore();
 		Installation.await(() -> isServed(CUT_OFF));
 	}
 
@@ -176,7 +147,7 @@
 	void aRelayThatDrainsCutsNoRequest() throws Exception {
 		this.installation.vm("vm-next");
 		this.installation.awaitReady();
-		Cut.REFUSED.begin(this);
+		this.links.cut(EndpointLinks.Cut.REFUSED);
 		sendUntilInTouch();
 		this.endpoints.forEach((endpoint) -> endpoint.workMs(WORK_MS));
 		CompletableFuture<Boolean> drained = CompletableFuture.supplyAsync(this::drainOther);
@@ -190,6 +161,26 @@
 		assertThat(statuses).allSatisfy((status) -> assertThat(status.join()).isEqualTo(200));
 	}
 
+	@Test
+	void aRelayThatDrainsDoesNotWaitForIdleConnections() throws Exception {
+		try (RawEndpointStandIn patient = new RawEndpointStandIn((socket, request) -> {
+			RawEndpointStandIn.write(socket,
+					RawEndpointStandIn.head(request.attemptId(), "Keep-Alive: timeout=30\r\nContent-Length: 0\r\n"));
+			return true;
+		})) {
+			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "core-3", patient.record("core"));
+			this.links.cut(EndpointLinks.Cut.REFUSED);
+			sendUntilInTouch();
+			Installation.await(() -> {
+				status(this.installation.attempt(CUT_OFF, "/read/x"));
+				return patient.openConnections() > 0;
+			});
+			long beganAtMs = System.currentTimeMillis();
+			assertThat(this.installation.vm(OTHER).drain()).isTrue();
+			assertThat(System.currentTimeMillis() - beganAtMs).isLessThan(MAX_IDLE_DRAIN_MS);
+		}
+	}
+
 	private boolean drainOther() {
 		try {
 			boolean drained = this.installation.vm(OTHER).drain();
@@ -202,59 +193,4 @@
 		}
 	}
 
-	/**
-	 * The ways in which a VM loses the endpoints.
-	 */
-	private enum Cut {
-
-		/** Open connections live on, and new ones are refused. */
-		REFUSED {
-			@Override
-			void begin(CutOffVmTests test) {
-				test.refusing = true;
-			}
-
-			@Override
-			void end(CutOffVmTests test) {
-				test.refusing = false;
-			}
-		},
-
-		/** Open connections are reset, and new ones are refused. */
-		RESET {
-			@Override
-			void begin(CutOffVmTests test) {
-				test.refusing = true;
-				test.forwarders.values().forEach((forwarder) -> forwarder.reset((greeting) -> true));
-			}
-
-			@Override
-			void end(CutOffVmTests test) {
-				test.refusing = false;
-			}
-		},
-
-		/** Open connections deliver nothing, and new ones are not answered. */
-		SILENT {
-			@Override
-			void begin(CutOffVmTests test) throws IOException {
-				for (TcpForwarder forwarder : test.forwarders.values()) {
-					forwarder.mode(TcpForwarder.Mode.CUT);
-				}
-			}
-
-			@Override
-			void end(CutOffVmTests test) throws IOException {
-				for (TcpForwarder forwarder : test.forwarders.values()) {
-					forwarder.mode(TcpForwarder.Mode.FORWARD);
-				}
-			}
-		};
-
-		abstract void begin(CutOffVmTests test) throws IOException;
-
-		abstract void end(CutOffVmTests test) throws IOException;
-
-	}
-
 }
