--- a/entry/src/test/java/org/fulmargap/entry/endpoint/EndpointConnectorTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/endpoint/EndpointConnectorTests.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -35,6 +37,9 @@
 
 	private static final int TIMEOUT_MS = 5_000;
 
+	/** Longer than the connect timeout. */
+	private static final int STALL_MS = 400;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = (EventLoop) this.group.next();
@@ -133,6 +138,41 @@
 		assertThat(this.changes).containsExactly(true);
 	}
 
+	@Test
+	void connectTimeoutsAfterAStallDoNotMakeAVmCutOff() throws Exception {
+		CompletableFuture<List<CompletableFuture<Boolean>>> openings = new CompletableFuture<>();
+		this.loop.execute(() -> this.connector.openForPeer(address(this.endpoints.get(0)),
+				new EndpointConnector.DirectListener() {
+					@Override
+					public void opened(Channel channel) {
+						channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+							@Override
+							public void channelInactive(ChannelHandlerContext context) {
+								openings.complete(List.of(open(1), open(2), open(3)));
+								stall();
+							}
+						});
+						channel.close();
+					}
+
+					@Override
+					public void failed(boolean isCutOff) {
+						openings.cancel(false);
+					}
+				}));
+		await(openings.get(TIMEOUT_MS, TimeUnit.MILLISECONDS));
+		assertThat(this.changes).isEmpty();
+	}
+
+	private static void stall() {
+		try {
+			Thread.sleep(STALL_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	@Test
 	void aProbeWithoutRelayDoesNotReportACrash() throws Exception {
 		EndpointPool pool = new EndpointPool(this.loop, System::currentTimeMillis,
