Send no calls through a relay that has just failed to answer

Cause: a relay that could not help was left out for new connections only. Idle connections through it were still used until it no longer counted as alive, so that calls hung on a relay whose process was frozen.

Change: isUsable also leaves it out.

Measured: PeerRelaysTests.aFrozenRelayCarriesNoNewCalls failed before and passes now.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
@@ -37,7 +37,8 @@
 	 * Returns whether a VM still relays, so that its open connections may carry new
 	 * calls.
 	 * @param relay the name of the VM
-	 * @return {@code false} if it is not reachable any more, or shutting down
+	 * @return {@code false} if it is not reachable any more, shutting down, or could not
+	 * help shortly before
 	 */
 	boolean isUsable(String relay);
 
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerRelays.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerRelays.java
@@ -84,7 +84,10 @@
 
 	@Override
 	public boolean isUsable(String relay) {
-		return this.peers.reachable().stream().anyMatch((member) -> member.name().equals(relay));
+		long nowMs = this.clockMs.getAsLong();
+		return this.peers.reachable()
+			.stream()
+			.anyMatch((member) -> member.name().equals(relay) && mayRelay(member, nowMs));
 	}
 
 	private boolean mayRelay(FleetMember member, long nowMs) {
