Set no socket option of a peer whose connection is closed

Cause: when the connections to a peer and to its endpoint broke in the same turn of the event loop, the relay set SO_LINGER on a closed socket. The exception left a warning with a stack trace in the log; the relay itself was closed when the peer's end was handled.

Change: the option is set on an open socket only.

No test forces it.

--- a/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
@@ -65,7 +65,10 @@
 	// The VM takes a reset for the broken connection that it is.
 	private void reset() {
 		if (!this.isClosed) {
-			this.peer.config().setOption(ChannelOption.SO_LINGER, 0);
+			// The option of a closed socket can't be set.
+			if (this.peer.isOpen()) {
+				this.peer.config().setOption(ChannelOption.SO_LINGER, 0);
+			}
 			close();
 		}
 	}
