Limit the parts of events, stage answers and skipped answers

Cause: a body that is kept is given up after 100,000 parts, but events, stage answers and answers to other calls were limited by their bytes only. A chunked answer of one-byte chunks took a million turns of the parser for 1 MiB, and several at once kept the event loop from other requests. The share of a stage answer was its content, not its buffer.

The share of a stage answer is the capacity of its buffer.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerFault.java
@@ -39,7 +39,7 @@
 	/** More answers than the limit were skipped during one call. */
 	TOO_MANY_SKIPPED,
 
-	/** The skipped answers have more bytes than the limit. */
+	/** The skipped answers have more bytes or parts than the limit. */
 	SKIPPED_TOO_LONG,
 
 	/** The call did not accept a part of the body. */
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -35,6 +35,12 @@
 	/** Larger answers to other calls close the connection. */
 	private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+	/**
+	 * More parts of answers to other calls close the connection, because a part of a few
+	 * bytes costs the event loop far more than its size.
+	 */
+	private static final int MAX_SKIPPED_PARTS = 10_000;
+
 	/**
 	 * A connection is closed after this number of calls, so that copies of answers can be
 	 * recognised with a bounded memory.
@@ -74,6 +80,8 @@
 
 	private long skippedBytes;
 
+	private int skippedParts;
+
 	private boolean closesAfterAnswer;
 
 	private long idleTimeoutMs = -1;
@@ -164,6 +172,7 @@
 		this.skipping = false;
 		this.skippedAnswers = 0;
 		this.skippedBytes = 0;
+		this.skippedParts = 0;
 		this.channel.write(http).addListener((future) -> {
 			this.requestWritten = future.isSuccess();
 			if (!future.isSuccess()) {
@@ -307,7 +316,8 @@
 		}
 		if (this.skipping) {
 			this.skippedBytes += content.content().readableBytes();
-			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+			this.skippedParts++;
+			if (this.skippedBytes > MAX_SKIPPED_BYTES || this.skippedParts > MAX_SKIPPED_PARTS) {
 				reject(AnswerFault.SKIPPED_TOO_LONG);
 			}
 			return;
--- a/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/CallerStream.java
@@ -48,6 +48,14 @@
 		return this.events.bytesSinceEvent();
 	}
 
+	/**
+	 * Returns in how many parts the bytes since the last whole event arrived.
+	 * @return the number of parts
+	 */
+	int partsSinceEvent() {
+		return this.events.partsSinceEvent();
+	}
+
 	/**
 	 * Returns the memory that the partial event at the end holds.
 	 * @return the number of bytes
--- a/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/EventSplitter.java
@@ -32,6 +32,8 @@
 	// The comments since the last event.
 	private long commentBytes;
 
+	private int partsSinceEvent;
+
 	/**
 	 * Returns the size of the partial event at the end of the stream so far.
 	 * @return the number of bytes
@@ -57,6 +59,14 @@
 		return this.commentBytes + this.pending.readableBytes();
 	}
 
+	/**
+	 * Returns in how many parts the bytes since the last whole event arrived.
+	 * @return the number of parts
+	 */
+	int partsSinceEvent() {
+		return this.partsSinceEvent;
+	}
+
 	/**
 	 * Adds bytes of the stream. Comments are dropped.
 	 * @param content the bytes
@@ -64,6 +74,7 @@
 	 */
 	ByteBuf add(ByteBuf content) {
 		this.pending.writeBytes(content);
+		this.partsSinceEvent++;
 		ByteBuf events = Unpooled.buffer(0);
 		int begin = 0;
 		int end = endOfNextEvent();
@@ -76,6 +87,7 @@
 			if (this.sequence.eventCount() > eventsBefore) {
 				events.writeBytes(this.pending, this.pending.readerIndex() + begin, end - begin);
 				this.commentBytes = 0;
+				this.partsSinceEvent = 0;
 			}
 			else {
 				this.commentBytes += end - begin;
@@ -136,6 +148,7 @@
 		this.lineIsEmpty = false;
 		this.malformed = false;
 		this.commentBytes = 0;
+		this.partsSinceEvent = 0;
 		this.sequence.continueWithNextAnswer();
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -61,6 +61,9 @@
 	 */
 	private static final int MAX_EVENT_BYTES = 1 << 20;
 
+	/** An event, with the comments before it, arrives in at most this number of parts. */
+	private static final int MAX_EVENT_PARTS = 10_000;
+
 	/**
 	 * How long a request waits before it is dispatched again when no endpoint could be
 	 * chosen, and how long an endpoint that refused a call gets no further calls, in
@@ -790,7 +793,7 @@
 			}
 			CallerStream stream = RequestFlow.this.stream;
 			return !stream.isMalformed() && stream.bytesSinceEvent() <= MAX_EVENT_BYTES
-					&& this.body.hold(stream.heldBytes());
+					&& stream.partsSinceEvent() <= MAX_EVENT_PARTS && this.body.hold(stream.heldBytes());
 		}
 
 		private boolean hasForeignBody() {
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -112,6 +112,9 @@
 	/** The size of the largest answer to a call, in bytes. */
 	private static final int MAX_ANSWER_BYTES = 1 << 20;
 
+	/** The largest number of parts in which the answer to a call arrives. */
+	private static final int MAX_ANSWER_PARTS = 10_000;
+
 	private final EventLoop loop;
 
 	private final LongSupplier clockMs;
@@ -548,6 +551,8 @@
 
 		private final ByteBuf body = Unpooled.buffer(512);
 
+		private int parts;
+
 		// How a rollout divides the calls, and counts the answers; null without one.
 		private final VersionSplit split;
 
@@ -630,7 +635,9 @@
 		@Override
 		public boolean received(ByteBuf content) {
 			this.body.writeBytes(content);
-			return this.body.readableBytes() <= MAX_ANSWER_BYTES && this.memory.hold(this.body.readableBytes());
+			this.parts++;
+			return this.parts <= MAX_ANSWER_PARTS && this.body.readableBytes() <= MAX_ANSWER_BYTES
+					&& this.memory.hold(this.body.capacity());
 		}
 
 		// Answers to stage calls have no attempt id. Only results that were never
@@ -803,6 +810,8 @@
 
 		private final ByteBuf body = Unpooled.buffer(16);
 
+		private int parts;
+
 		private EndpointAnswer answer;
 
 		private AnswerMemory.Share memory;
@@ -857,7 +866,9 @@
 		@Override
 		public boolean received(ByteBuf content) {
 			this.body.writeBytes(content);
-			return this.body.readableBytes() <= MAX_ANSWER_BYTES && this.memory.hold(this.body.readableBytes());
+			this.parts++;
+			return this.parts <= MAX_ANSWER_PARTS && this.body.readableBytes() <= MAX_ANSWER_BYTES
+					&& this.memory.hold(this.body.capacity());
 		}
 
 		@Override
