Store the stream origins that were announced while the writer was lost

Cause: only the coordinator of the duty "streams" kept announced origins for writing. Those that were announced after it was cut off and before another VM became the coordinator were never written, so that a VM that had missed the announcements could not read them. A coordinator that had not read the endpoint's record wrote origins without the version, and readers skip the origins if no version is stored.

Change: a VM that becomes the writer writes all origins of mixed services of the last 3 s. An announcement counts as a listing of its version.

Measured: originsThatWereAnnouncedWhileTheWriterWasLostAreWritten failed before the change (one run: an origin was not in the store 10 s later) and passed after it (one run), with the other cases of MissedStreamVersionTests (6) and StreamVersionTests (6), StreamOriginsTests. The late version record was found by reading and has no test of its own.

--- a/core/src/main/java/org/fulmargap/stream/StreamOrigins.java
+++ b/core/src/main/java/org/fulmargap/stream/StreamOrigins.java
@@ -61,6 +61,20 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the origins that were added lately, those of other VMs included.
+	 * @param service the service of their endpoints
+	 * @param sinceMs the time from which on they were added, in milliseconds
+	 * @return the origins
+	 */
+	public List<StreamOrigin> added(String service, long sinceMs) {
+		return this.entries.values()
+			.stream()
+			.filter((entry) -> entry.addedAtMs() >= sinceMs && entry.origin().service().equals(service))
+			.map(Entry::origin)
+			.toList();
+	}
+
 	private record Entry(StreamOrigin origin, boolean own, long addedAtMs) {
 	}
 
--- a/core/src/test/java/org/fulmargap/stream/StreamOriginsTests.java
+++ b/core/src/test/java/org/fulmargap/stream/StreamOriginsTests.java
@@ -37,6 +37,15 @@
 			assertThat(this.origins.own("pool", 0)).isEmpty();
 		}
 
+		@Test
+		void aNewWriterGetsTheLatestOriginsOfAllVms() {
+			StreamOrigin heard = new StreamOrigin("heard", "pool", "v1");
+			this.origins.add(new StreamOrigin("earlier", "pool", "v1"), true, 0);
+			this.origins.add(heard, false, 10);
+			this.origins.add(new StreamOrigin("other", "core", "v1"), false, 10);
+			assertThat(this.origins.added("pool", 10)).containsExactly(heard);
+		}
+
 	}
 
 	@Nested
--- a/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
+++ b/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
@@ -74,6 +74,13 @@
 	/** The length of the longest attempt id that is logged whole, in characters. */
 	private static final int MAX_LOGGED_LENGTH = 100;
 
+	/**
+	 * A VM that becomes the writer writes the origins of the time before, in
+	 * milliseconds: a writer counts as lost 900 ms after its last message, and another VM
+	 * that relied on it finds that out up to 1,500 ms later.
+	 */
+	private static final long WRITER_CHANGE_MS = 3_000;
+
 	/** The name whose coordinator writes. */
 	private static final String DUTY = "streams";
 
@@ -116,6 +123,8 @@
 
 	private boolean reading;
 
+	private boolean writer;
+
 	private boolean writing;
 
 	private long nextWriteAtMs = Long.MIN_VALUE;
@@ -155,7 +164,10 @@
 	 * @param origin where it began
 	 */
 	void heard(StreamOrigin origin) {
-		this.origins.add(origin, false, this.clockMs.getAsLong());
+		long nowMs = this.clockMs.getAsLong();
+		this.origins.add(origin, false, nowMs);
+		// This VM may not have read the records of these endpoints.
+		this.versions.listed(origin.service(), origin.softwareVersion(), nowMs);
 		addPending(origin);
 	}
 
@@ -251,6 +263,7 @@
 			listed.forEach((version) -> this.versions.listed(service, version, nowMs));
 			updateMixed(service, nowMs);
 		});
+		updateWriter(nowMs);
 		if (!this.writing && nowMs >= this.nextWriteAtMs && isWriter()) {
 			Map<String, byte[]> changes = dueRecords(nowMs);
 			if (!changes.isEmpty() || !this.pending.isEmpty()) {
@@ -259,6 +272,16 @@
 		}
 	}
 
+	private void updateWriter(long nowMs) {
+		boolean wasWriter = this.writer;
+		this.writer = isWriter();
+		if (this.writer && !wasWriter) {
+			for (String service : this.mixedServices) {
+				this.origins.added(service, nowMs - WRITER_CHANGE_MS).forEach(this::addPending);
+			}
+		}
+	}
+
 	private void updateMixed(String service, long nowMs) {
 		boolean mixed = this.versions.isMixed(service, nowMs);
 		if (mixed && this.mixedServices.add(service)) {
--- a/entry/src/test/java/org/fulmargap/entry/MissedStreamVersionTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/MissedStreamVersionTests.java
@@ -5,10 +5,14 @@
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -55,6 +59,8 @@
 
 		private static final int OUT_OF_TOUCH = 1;
 
+		private static final int STREAMS = 8;
+
 		/** Until the links between the VMs lead through the forwarders. */
 		private static final long SETTLE_MS = 1_500;
 
@@ -191,6 +197,36 @@
 			assertThat(ran(this.newer, "again")).isTrue();
 		}
 
+		// The VM that is cut off here is the one that writes, by the hash of its name.
+		@Test
+		void originsThatWereAnnouncedWhileTheWriterWasLostAreWritten() throws Exception {
+			beginAtNewer();
+			Installation.await(() -> written("begun0"));
+			this.log.await("versions_mixed", "service=pool");
+			peerLinks(TcpForwarder.Mode.CUT);
+			this.storePath.mode(TcpForwarder.Mode.CUT);
+			List<CompletableFuture<HttpResponse<String>>> begun = new ArrayList<>();
+			for (int i = 0; i < STREAMS; i++) {
+				begun.add(this.installation.sendAsync(stream(IN_TOUCH, "lost" + i)));
+			}
+			for (CompletableFuture<HttpResponse<String>> answer : begun) {
+				assertThat(answer.join().statusCode()).isEqualTo(OK);
+			}
+			assertThat(this.log.contain("peer_lost", "peer=vm-1 reason=silent")).as("the writer is known as lost")
+				.isFalse();
+			for (int i = 0; i < STREAMS; i++) {
+				String lost = "lost" + i;
+				Installation.await(() -> written(lost));
+			}
+		}
+
+		private boolean written(String attemptId) {
+			return this.installation.store()
+				.values(CallerWire.STREAMS_TOPIC)
+				.toString()
+				.contains('"' + attemptId + '"');
+		}
+
 		@Test
 		void streamsOfOneVersionGoOnAtAVmThatIsInTouchWhileTheStoreIsAway() throws Exception {
 			this.storePath.mode(TcpForwarder.Mode.CUT);
