Keep requests within the slots of brittle endpoints

An endpoint that names Server-Brittle fails if it rejects more requests in a second than that. The VMs sent it whatever they had, and again 40 ms after a rejection: three stand-ins with 8 places, which named 4, rejected 200, 244 and 260 requests in a second under 1.5 times their load from four VMs.

The slots of a brittle endpoint are now divided among the VMs, with a few surplus places while reports show room; a rejection pauses them for 1.25 s. Stage calls pause likewise. Heartbeats carry the state behind all other fields. A request without a place is refused at once (ENDPOINTS_BRITTLE).

--- a/core/src/main/java/org/fulmargap/fleet/FleetView.java
+++ b/core/src/main/java/org/fulmargap/fleet/FleetView.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.fulmargap.placement.FleetPosition;
 import org.fulmargap.placement.LimitShares;
 
 /**
@@ -217,7 +218,22 @@
 				? LimitShares.usablePerSecond(limitPerSecond) / holders : 0;
 	}
 
+	/**
+	 * Returns the position of this VM among those that count in shared limits, in the
+	 * order of the hash of endpoint and name.
+	 * @param endpoint the name of the endpoint
+	 * @param nowMs the current time in milliseconds
+	 * @return the position
+	 */
+	public FleetPosition position(String endpoint, long nowMs) {
+		return new FleetPosition(rank(endpoint, nowMs), count(nowMs));
+	}
+
 	private boolean isHolder(String endpoint, int holders, long nowMs) {
+		return rank(endpoint, nowMs) < holders;
+	}
+
+	private int rank(String endpoint, long nowMs) {
 		int ownRank = Rendezvous.rank(endpoint, this.own.name());
 		int before = 0;
 		for (Map.Entry<String, Vm> vm : this.others.entrySet()) {
@@ -225,7 +241,7 @@
 			boolean isBefore = order > 0 || (order == 0 && vm.getKey().compareTo(this.own.name()) < 0);
 			before += (isBefore && vm.getValue().isCounted(nowMs)) ? 1 : 0;
 		}
-		return before < holders;
+		return before;
 	}
 
 	/**
--- a/core/src/main/java/org/fulmargap/fleet/LoadReports.java
+++ b/core/src/main/java/org/fulmargap/fleet/LoadReports.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.fulmargap.placement.Brittleness;
 import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.NamedLimit;
 
@@ -62,6 +63,7 @@
 		Map<String, Map<String, Double>> available = new HashMap<>(own.availableEndpoints());
 		Set<EndpointProcess> leaving = new HashSet<>(own.leaving());
 		Map<EndpointProcess, NamedLimit> limits = new HashMap<>(own.limits());
+		Map<EndpointProcess, Brittleness> brittle = new HashMap<>(own.brittle());
 		RolloutExchange rollouts = own.rollouts();
 		own.admittedItems().forEach((service, items) -> admitted.put(service, items.clone()));
 		for (String vm : vms) {
@@ -76,8 +78,9 @@
 			leaving.addAll(report.leaving());
 			rollouts = rollouts.plus(report.rollouts());
 			report.limits().forEach((process, limit) -> limits.merge(process, limit, NamedLimit::newest));
+			report.brittle().forEach((process, observed) -> brittle.merge(process, observed, Brittleness::newest));
 		}
-		return new LoadReport(loads, admitted, available, leaving, limits, rollouts);
+		return new LoadReport(loads, admitted, available, leaving, limits, rollouts, brittle);
 	}
 
 	private static int[] add(int[] sum, int[] items) {
--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 
 /**
  * The state of an endpoint as seen by this entry VM: its record in the store, the
@@ -54,6 +55,8 @@
 
 	private final TokenBucket tokens = new TokenBucket();
 
+	private final BrittlePause brittlePause = new BrittlePause();
+
 	private EndpointRecord record;
 
 	private EndpointNotice notice;
@@ -102,6 +105,7 @@
 			this.slowdownFactor = 1;
 			this.loadNotice = null;
 			this.engineSpeed.clear();
+			this.brittlePause.clear();
 			this.knownSinceMs = nowMs;
 		}
 		this.record = record;
@@ -172,6 +176,20 @@
 		}
 	}
 
+	/**
+	 * Returns the rejections in a second that the process of the endpoint survives, as it
+	 * named them.
+	 * @return the number, or empty if the endpoint is not brittle
+	 */
+	public OptionalInt survivedRejections() {
+		return (this.notice.isBrittle(this.record)) ? OptionalInt.of(this.notice.brittleness().rejectionsPerSecond())
+				: OptionalInt.empty();
+	}
+
+	BrittlePause brittlePause() {
+		return this.brittlePause;
+	}
+
 	/**
 	 * Returns the rate of requests that the process of the endpoint takes from all entry
 	 * VMs together, as it named it.
--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -28,10 +28,13 @@
 	 */
 	private static final int MAX_REMEMBERED = 16_384;
 
-	/** How long the end of a limit is reported to other VMs, in milliseconds. */
+	/**
+	 * How long the end of a limit or of a brittle time is reported to other VMs, in
+	 * milliseconds.
+	 */
 	private static final long LIMIT_END_REPORTED_MS = 3_000;
 
-	/** The number of limits that are reported to other VMs. */
+	/** The number of limits, and of brittle endpoints, that are reported to other VMs. */
 	private static final int MAX_REPORTED_LIMITS = 1_024;
 
 	private final Map<String, Endpoint> byId = new HashMap<>();
@@ -312,6 +315,51 @@
 		return limits;
 	}
 
+	/**
+	 * Records what a process of an endpoint said about the rejections that it survives. A
+	 * newer observation that is known stays in force.
+	 * @param process the process
+	 * @param brittleness the observation
+	 */
+	public void recordBrittle(EndpointProcess process, Brittleness brittleness) {
+		add(process.endpoint(), EndpointNotice.brittle(process.startedAtMs(), brittleness));
+	}
+
+	/**
+	 * Records that an answer of a process did not say that it is brittle. It ends that
+	 * state unless the call was sent before the state was named last.
+	 * @param process the process
+	 * @param sentAtMs when the call was sent, in milliseconds
+	 * @param nowMs the current time in milliseconds
+	 */
+	public void recordSturdy(EndpointProcess process, long sentAtMs, long nowMs) {
+		EndpointNotice notice = find(process.endpoint()).map(Endpoint::notice).orElse(EndpointNotice.NONE);
+		boolean ends = notice.startedAtMs() == process.startedAtMs() && notice.brittleness().isInForce()
+				&& notice.brittleness().observedAtMs() < sentAtMs;
+		if (ends) {
+			recordBrittle(process, new Brittleness(Brittleness.STURDY, nowMs));
+		}
+	}
+
+	/**
+	 * Returns what processes of listed endpoints said about the rejections that they
+	 * survive: those that are brittle, and those that were lately.
+	 * @param nowMs the current time in milliseconds
+	 * @return the newest observation of each process
+	 */
+	public Map<EndpointProcess, Brittleness> brittle(long nowMs) {
+		Map<EndpointProcess, Brittleness> brittle = new HashMap<>();
+		for (Endpoint endpoint : this.byId.values()) {
+			EndpointNotice notice = endpoint.notice();
+			Brittleness brittleness = notice.brittleness();
+			boolean reported = brittleness.isInForce() || nowMs - LIMIT_END_REPORTED_MS < brittleness.observedAtMs();
+			if (reported && notice.appliesTo(endpoint.record()) && brittle.size() < MAX_REPORTED_LIMITS) {
+				brittle.put(new EndpointProcess(endpoint.record().id(), notice.startedAtMs()), brittleness);
+			}
+		}
+		return brittle;
+	}
+
 	/**
 	 * Records the load that a process of an endpoint stated in a response. Ignored if the
 	 * endpoint is not listed or has another process by now.
--- a/core/src/main/java/org/fulmargap/placement/EndpointNotice.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointNotice.java
@@ -8,22 +8,31 @@
  * @param leaving whether it said that it is leaving
  * @param restUntilMs the time until which it wants no work of this VM, in milliseconds
  * @param limit what it said last about the rate that it takes from all VMs
+ * @param brittleness what it said last about the rejections that it survives
  */
-record EndpointNotice(long startedAtMs, boolean leaving, long restUntilMs, NamedLimit limit) {
+record EndpointNotice(long startedAtMs, boolean leaving, long restUntilMs, NamedLimit limit, Brittleness brittleness) {
 
 	/** Nothing was announced. */
-	static final EndpointNotice NONE = new EndpointNotice(Long.MIN_VALUE, false, Long.MIN_VALUE, NamedLimit.NONE);
+	static final EndpointNotice NONE = ofProcess(Long.MIN_VALUE);
+
+	private static EndpointNotice ofProcess(long startedAtMs) {
+		return new EndpointNotice(startedAtMs, false, Long.MIN_VALUE, NamedLimit.NONE, Brittleness.NONE);
+	}
 
 	static EndpointNotice leaving(long startedAtMs) {
-		return new EndpointNotice(startedAtMs, true, Long.MIN_VALUE, NamedLimit.NONE);
+		return new EndpointNotice(startedAtMs, true, Long.MIN_VALUE, NamedLimit.NONE, Brittleness.NONE);
 	}
 
 	static EndpointNotice resting(long startedAtMs, long restUntilMs) {
-		return new EndpointNotice(startedAtMs, false, restUntilMs, NamedLimit.NONE);
+		return new EndpointNotice(startedAtMs, false, restUntilMs, NamedLimit.NONE, Brittleness.NONE);
 	}
 
 	static EndpointNotice limited(long startedAtMs, NamedLimit limit) {
-		return new EndpointNotice(startedAtMs, false, Long.MIN_VALUE, limit);
+		return new EndpointNotice(startedAtMs, false, Long.MIN_VALUE, limit, Brittleness.NONE);
+	}
+
+	static EndpointNotice brittle(long startedAtMs, Brittleness brittleness) {
+		return new EndpointNotice(startedAtMs, false, Long.MIN_VALUE, NamedLimit.NONE, brittleness);
 	}
 
 	/**
@@ -36,7 +45,8 @@
 			return (this.startedAtMs > other.startedAtMs) ? this : other;
 		}
 		return new EndpointNotice(this.startedAtMs, this.leaving || other.leaving,
-				Math.max(this.restUntilMs, other.restUntilMs), this.limit.newest(other.limit));
+				Math.max(this.restUntilMs, other.restUntilMs), this.limit.newest(other.limit),
+				this.brittleness.newest(other.brittleness));
 	}
 
 	/**
@@ -46,8 +56,8 @@
 	 */
 	EndpointNotice afterSuspension(long suspendedMs) {
 		boolean rested = this.restUntilMs != Long.MIN_VALUE;
-		return (rested) ? new EndpointNotice(this.startedAtMs, this.leaving, this.restUntilMs - suspendedMs, this.limit)
-				: this;
+		return (rested) ? new EndpointNotice(this.startedAtMs, this.leaving, this.restUntilMs - suspendedMs, this.limit,
+				this.brittleness) : this;
 	}
 
 	boolean isLeaving(EndpointRecord record) {
@@ -62,6 +72,10 @@
 		return this.limit.isInForce() && appliesTo(record);
 	}
 
+	boolean isBrittle(EndpointRecord record) {
+		return this.brittleness.isInForce() && appliesTo(record);
+	}
+
 	boolean appliesTo(EndpointRecord record) {
 		return record.startedAtMs() <= this.startedAtMs;
 	}
--- a/entry/src/main/java/org/fulmargap/entry/EntryVm.java
+++ b/entry/src/main/java/org/fulmargap/entry/EntryVm.java
@@ -37,6 +37,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.fleet.StorePosition;
+import org.fulmargap.placement.BrittleLimits;
 import org.fulmargap.placement.Endpoint;
 import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.PeerLoad;
@@ -195,7 +196,7 @@
 				new PromptPartWatch(this.promptParts, this.peers, pool, this.loop, this.clockMs), pool, this.stages,
 				this.admittedWork, this.endpointReports, this.peers, new ServiceTimes(), new RunTimes(),
 				new CallerTimes(), openRequests, this.setAside, this.streamVersions, this.rollouts, this.spills,
-				new EndpointLimits(this::limitShare), this.metrics);
+				new EndpointLimits(this::limitShare), new BrittleLimits(this.peers::position), this.metrics);
 		this.view.onEndpointChange((record) -> openRequests.endpointChanged());
 		RequestRouter router = new RequestRouter(services);
 		this.callers = new CallerServer(this.loop, this.clockMs, this.stalls, this.view::limits, router);
@@ -349,6 +350,7 @@
 		this.admittedWork.recordReport(peer, report.admittedItems(), nowMs);
 		this.setAside.reportedLeaving(report.leaving());
 		this.setAside.reportedLimits(report.limits());
+		this.setAside.reportedBrittle(report.brittle());
 		this.rollouts.reported(peer, report.rollouts(), nowMs);
 		report.availableEndpoints().forEach((vm, available) -> this.endpointReports.recordReport(vm, available, nowMs));
 		for (Endpoint endpoint : this.view.directory().all()) {
@@ -407,7 +409,8 @@
 			}
 		}
 		return new LoadReport(loads, this.admittedWork.own(), Map.of(this.settings.vm(), available),
-				this.view.directory().leaving(nowMs), this.view.directory().limits(nowMs), this.rollouts.own(nowMs));
+				this.view.directory().leaving(nowMs), this.view.directory().limits(nowMs), this.rollouts.own(nowMs),
+				this.view.directory().brittle(nowMs));
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
+++ b/entry/src/main/java/org/fulmargap/entry/SetAsideEndpoints.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
+import org.fulmargap.placement.Brittleness;
 import org.fulmargap.placement.Endpoint;
 import org.fulmargap.placement.EndpointDirectory;
 import org.fulmargap.placement.EndpointProcess;
@@ -40,6 +41,8 @@
 
 	private final LimitedEndpoints limited;
 
+	private final BrittleEndpoints brittle;
+
 	private final Map<Endpoint, Unavailability> logged = new HashMap<>();
 
 	private boolean recordsLoad = true;
@@ -50,7 +53,8 @@
 	 * @param clockMs the current time in milliseconds
 	 * @param directory the known endpoints
 	 * @param shares the shares of this VM in the limits of endpoints
-	 * @param metrics receives the numbers of endpoints that are set aside or limited
+	 * @param metrics receives the numbers of endpoints that are set aside, limited or
+	 * brittle
 	 */
 	public SetAsideEndpoints(EventLoop loop, LongSupplier clockMs, EndpointDirectory directory, LimitShares shares,
 			EntryMetrics metrics) {
@@ -58,6 +62,7 @@
 		this.directory = directory;
 		this.metrics = metrics;
 		this.limited = new LimitedEndpoints(clockMs, directory, shares, metrics);
+		this.brittle = new BrittleEndpoints(clockMs, directory, metrics);
 		this.suspendedTime = new SuspendedTime(SuspendedTime::uptimeMs, clockMs.getAsLong());
 		loop.scheduleWithFixedDelay(this::checkAgain, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
@@ -77,7 +82,10 @@
 	 * address
 	 */
 	public void headRead(EndpointRecord called, EndpointAnswer answer) {
-		sender(called, answer).ifPresent((process) -> this.limited.headRead(process, answer));
+		sender(called, answer).ifPresent((process) -> {
+			this.limited.headRead(process, answer);
+			this.brittle.headRead(process, answer);
+		});
 		answer.loadNotice()
 			.filter((load) -> this.recordsLoad)
 			.ifPresent((load) -> sender(called, answer)
@@ -130,7 +138,10 @@
 	 * @param sentAtMs when the call was sent, in milliseconds
 	 */
 	public void accepted(EndpointRecord called, EndpointAnswer answer, long sentAtMs) {
-		sender(called, answer).ifPresent((process) -> this.limited.accepted(process, answer, sentAtMs));
+		sender(called, answer).ifPresent((process) -> {
+			this.limited.accepted(process, answer, sentAtMs);
+			this.brittle.accepted(process, answer, sentAtMs);
+		});
 	}
 
 	/**
@@ -141,6 +152,14 @@
 		this.limited.reported(limits);
 	}
 
+	/**
+	 * Records what a peer knows of brittle endpoints.
+	 * @param reported the newest observation of each process
+	 */
+	public void reportedBrittle(Map<EndpointProcess, Brittleness> reported) {
+		this.brittle.reported(reported);
+	}
+
 	/**
 	 * Records the endpoints of which a peer learned that they are leaving.
 	 * @param leaving their processes
@@ -161,6 +180,7 @@
 		}
 		check("record");
 		this.limited.checkAgain();
+		this.brittle.checkAgain();
 	}
 
 	private void check(String source) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -17,6 +17,7 @@
 import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.fleet.RolloutExchange;
 import org.fulmargap.fleet.StorePosition;
+import org.fulmargap.placement.Brittleness;
 import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.NamedLimit;
 import org.fulmargap.placement.Prompt;
@@ -103,9 +104,13 @@
 			out.packDouble(limit.getValue().perSecond()).packLong(limit.getValue().observedAtMs() - nowMs);
 		}
 		writePositions(out, heartbeat.positions());
-		if (!report.rollouts().isEmpty()) {
+		// A receiver takes what follows the positions for rollouts.
+		if (!report.rollouts().isEmpty() || !report.brittle().isEmpty()) {
 			RolloutCodec.write(out, report.rollouts());
 		}
+		if (!report.brittle().isEmpty()) {
+			BrittleCodec.write(out, report.brittle(), nowMs);
+		}
 	}
 
 	// VMs with an older program read the offsets and skip the histories, so these are the
@@ -396,8 +401,9 @@
 		Map<EndpointProcess, NamedLimit> limits = readLimits(in, nowMs);
 		List<StorePosition> positions = readPositions(in);
 		RolloutExchange rollouts = (in.hasNext()) ? RolloutCodec.read(in) : RolloutExchange.NONE;
+		Map<EndpointProcess, Brittleness> brittle = (in.hasNext()) ? BrittleCodec.read(in, nowMs) : Map.of();
 		return new PeerMessage.Heartbeat(relation, draining, receiving, storeReached,
-				new LoadReport(loads, admitted, available, leaving, limits, rollouts), positions);
+				new LoadReport(loads, admitted, available, leaving, limits, rollouts, brittle), positions);
 	}
 
 	private static Map<EndpointProcess, NamedLimit> readLimits(MessageUnpacker in, long nowMs) throws IOException {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerNetwork.java
@@ -24,6 +24,7 @@
 import org.fulmargap.fleet.LoadReport;
 import org.fulmargap.fleet.LoadReports;
 import org.fulmargap.fleet.StorePosition;
+import org.fulmargap.placement.FleetPosition;
 
 /**
  * The messages between entry VMs. Hubs exchange heartbeats with all other hubs, the other
@@ -231,6 +232,16 @@
 		return this.fleet.limitShare(endpoint, limitPerSecond, nowMs);
 	}
 
+	/**
+	 * Returns the position of this VM among those that share an endpoint.
+	 * @param endpoint the name of the endpoint
+	 * @param nowMs the current time in milliseconds
+	 * @return the position
+	 */
+	public FleetPosition position(String endpoint, long nowMs) {
+		return this.fleet.position(endpoint, nowMs);
+	}
+
 	/**
 	 * Returns the coordinator of a service, as seen by this VM.
 	 * @param service the name of the service
--- a/entry/src/main/java/org/fulmargap/entry/peer/RolloutCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/RolloutCodec.java
@@ -15,7 +15,7 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Encodes what VMs tell each other about rollouts, the last field of a heartbeat.
+ * Encodes what VMs tell each other about rollouts, one of the last fields of a heartbeat.
  */
 final class RolloutCodec {
 
--- a/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/Refusal.java
@@ -57,6 +57,12 @@
 	 */
 	ENDPOINTS_LIMITED(503, 0, RetryAfterSpread.AFTER),
 
+	/**
+	 * All endpoints that could run the request are brittle, and this VM has no place
+	 * there. The caller may retry when a place may be free.
+	 */
+	ENDPOINTS_BRITTLE(503, 0, RetryAfterSpread.AFTER),
+
 	/**
 	 * The stage services are so loaded that the response is expected to be late.
 	 * Admission computes the time after which the caller may retry instead of the one
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestCandidates.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestCandidates.java
@@ -109,12 +109,13 @@
 
 	/**
 	 * Returns the available endpoints to which this VM may send now, given the limits
-	 * that they named.
+	 * that they named and the places at brittle ones.
 	 * @param nowMs the current time in milliseconds
 	 * @return the endpoints
 	 */
 	List<Endpoint> sendable(long nowMs) {
-		return this.services.limits().sendable(available(nowMs), this.priority, nowMs);
+		List<Endpoint> withinLimits = this.services.limits().sendable(available(nowMs), this.priority, nowMs);
+		return this.services.brittle().sendable(withinLimits, nowMs);
 	}
 
 	/**
@@ -162,6 +163,16 @@
 		return this.services.limits().waitMs(available(nowMs), this.priority, nowMs);
 	}
 
+	/**
+	 * Returns the time until this VM may send to one of the endpoints that the request
+	 * has not tried, if all are brittle.
+	 * @param nowMs the current time in milliseconds
+	 * @return the expected time in milliseconds; 0 if it may send now
+	 */
+	long brittleWaitMs(long nowMs) {
+		return this.services.brittle().waitMs(untried(nowMs), nowMs);
+	}
+
 	/**
 	 * Records that the request must not be sent to an endpoint again.
 	 * @param endpoint the name of the endpoint
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -386,7 +386,8 @@
 			return;
 		}
 		boolean worthWaiting = !untried.isEmpty()
-				&& (hasProgress() || this.services.limits().waitMs(untried, priority(), nowMs) == 0);
+				&& (hasProgress() || (this.services.limits().waitMs(untried, priority(), nowMs) == 0
+						&& this.candidates.brittleWaitMs(nowMs) == 0));
 		if (worthWaiting && waitedMs + NO_ENDPOINT_PAUSE_MS < this.route.objectiveMs() / 2) {
 			this.services.loop().schedule(this::dispatch, NO_ENDPOINT_PAUSE_MS, TimeUnit.MILLISECONDS);
 			return;
@@ -431,6 +432,11 @@
 		if (waitMs > 0) {
 			this.services.limits().refused(this.service.name(), priority(), waitMs, nowMs);
 			refuse(Refusal.ENDPOINTS_LIMITED, waitMs);
+			return;
+		}
+		long brittleMs = this.candidates.brittleWaitMs(nowMs);
+		if (brittleMs > 0) {
+			refuse(Refusal.ENDPOINTS_BRITTLE, brittleMs);
 		}
 		else {
 			refuse(Refusal.NO_ENDPOINT);
@@ -939,6 +945,7 @@
 			}
 			else {
 				this.endpoint.refused(nowMs + NO_ENDPOINT_PAUSE_MS);
+				RequestFlow.this.services.brittle().rejected(this.endpoint, nowMs);
 			}
 			RequestFlow.this.callFailed(this, CallFailure.REFUSED);
 		}
--- a/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestServices.java
@@ -16,6 +16,7 @@
 import org.fulmargap.entry.peer.PeerNetwork;
 import org.fulmargap.entry.rollout.Rollouts;
 import org.fulmargap.entry.stage.StageClient;
+import org.fulmargap.placement.BrittleLimits;
 import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.EndpointRecord;
 import org.fulmargap.placement.Placement;
@@ -46,6 +47,7 @@
  * @param rollouts the rollouts between software versions
  * @param spills the shares of requests that may leave the failure domain
  * @param limits the shares of this VM in the limits that endpoints named
+ * @param brittle the places of this VM at brittle endpoints
  * @param metrics counters and latencies
  */
 public record RequestServices(EventLoop loop, LongSupplier clockMs, StoreView view, Placement placement,
@@ -53,7 +55,7 @@
 		StageClient stages, AdmittedWork admittedWork, AvailableEndpoints endpointReports, PeerNetwork peers,
 		ServiceTimes serviceTimes, RunTimes runTimes, CallerTimes callerTimes, OpenRequests openRequests,
 		SetAsideEndpoints setAside, StreamVersions streamVersions, Rollouts rollouts, DomainSpills spills,
-		EndpointLimits limits, EntryMetrics metrics) {
+		EndpointLimits limits, BrittleLimits brittle, EntryMetrics metrics) {
 
 	/**
 	 * Records that the connection of a request broke, and probes the endpoint to find out
--- a/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
+++ b/entry/src/main/java/org/fulmargap/entry/stage/StageCallDispatcher.java
@@ -33,9 +33,11 @@
 import org.fulmargap.entry.endpoint.EndpointCall;
 import org.fulmargap.entry.endpoint.EndpointPool;
 import org.fulmargap.entry.rollout.Rollouts;
+import org.fulmargap.placement.BrittleLimits;
 import org.fulmargap.placement.Endpoint;
 import org.fulmargap.placement.EndpointLimits;
 import org.fulmargap.placement.EndpointRecord;
+import org.fulmargap.placement.FleetPosition;
 import org.fulmargap.placement.LimitShares;
 import org.fulmargap.placement.SharedRetryBudget;
 import org.fulmargap.platform.EndpointAnswer;
@@ -135,6 +137,8 @@
 	// Only the coordinator of a service calls its endpoints.
 	private final EndpointLimits limits = new EndpointLimits(LimitShares.WHOLE);
 
+	private final BrittleLimits brittle = new BrittleLimits((endpoint, nowMs) -> FleetPosition.ALONE);
+
 	private final Map<String, ServiceQueue> queues = new HashMap<>();
 
 	private final Map<String, List<String>> releasedByAddress = new HashMap<>();
@@ -424,8 +428,8 @@
 		}
 
 		private Optional<StageCall> nextAt(List<Endpoint> endpoints, long nowMs) {
-			return this.scheduler.next(StageCallDispatcher.this.limits.sendable(endpoints, CALL_PRIORITY, nowMs),
-					nowMs);
+			List<Endpoint> withinLimits = StageCallDispatcher.this.limits.sendable(endpoints, CALL_PRIORITY, nowMs);
+			return this.scheduler.next(StageCallDispatcher.this.brittle.sendable(withinLimits, nowMs), nowMs);
 		}
 
 		// All endpoints are leaving or rest: waiting could take until the deadline.
@@ -661,6 +665,7 @@
 			}
 			else {
 				this.call.endpoint().refused(nowMs + REFUSED_PAUSE_MS);
+				StageCallDispatcher.this.brittle.callRejected(this.call.endpoint(), nowMs);
 			}
 			retryAll("refused_" + this.answer.status(), true, nowMs);
 		}
--- a/entry/src/test/java/org/fulmargap/entry/StatedLoadTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/StatedLoadTests.java
@@ -41,7 +41,7 @@
 	}
 
 	private static EndpointAnswer answerOf(String id) {
-		return new EndpointAnswer(200, "", true, false, false, id, -1, -1, false, false, -1, -1, Optional.of(LOAD));
+		return new EndpointAnswer(200, "", true, false, false, id, -1, -1, false, false, -1, -1, -1, Optional.of(LOAD));
 	}
 
 	@Test
--- a/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/PeerCodecTests.java
@@ -12,7 +12,9 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.FleetView;
 import org.fulmargap.fleet.LoadReport;
+import org.fulmargap.fleet.RolloutExchange;
 import org.fulmargap.fleet.StorePosition;
+import org.fulmargap.placement.Brittleness;
 import org.fulmargap.placement.EndpointProcess;
 import org.fulmargap.placement.NamedLimit;
 import org.fulmargap.placement.Prompt;
@@ -100,6 +102,25 @@
 		assertThat(received.positions()).containsExactly(new StorePosition(0, 4), StorePosition.UNREAD);
 	}
 
+	@Test
+	void brittleEndpointsFollowTheRolloutsWhichOlderProgramsReadLast() throws IOException {
+		Map<EndpointProcess, Brittleness> brittle = Map.of(new EndpointProcess("e", 5), new Brittleness(4, 900),
+				new EndpointProcess("f", 6), new Brittleness(Brittleness.STURDY, 700));
+		LoadReport report = new LoadReport(Map.of(), Map.of(), Map.of(), Set.of(), Map.of(), RolloutExchange.NONE,
+				brittle);
+		byte[] frame = PeerCodec
+			.encode(new PeerMessage.Heartbeat(PeerRelation.NONE, false, true, true, report, List.of()), 1_000);
+		byte[] older = PeerCodec
+			.encode(new PeerMessage.Heartbeat(PeerRelation.NONE, false, true, true, LoadReport.NONE, List.of()), 1_000);
+		PeerMessage.Heartbeat received = (PeerMessage.Heartbeat) PeerCodec.decode(frame, 51_000);
+		assertThat(received.report().brittle()).isEqualTo(Map.of(new EndpointProcess("e", 5),
+				new Brittleness(4, 50_900), new EndpointProcess("f", 6), new Brittleness(Brittleness.STURDY, 50_700)));
+		byte[] noRollouts = { (byte) 0x80, (byte) 0x80 };
+		assertThat(Arrays.copyOf(frame, older.length)).isEqualTo(older);
+		assertThat(Arrays.copyOfRange(frame, older.length, older.length + 2)).isEqualTo(noRollouts);
+		assertThat(((PeerMessage.Heartbeat) PeerCodec.decode(older, 0)).report().brittle()).isEmpty();
+	}
+
 	@Test
 	void recordsAreDecodedWithTopicAndOffset() throws IOException {
 		StorePage page = new StorePage(2, List.of(new KeyedRecord("config", new byte[] { 1, 2 }, 6)), 7, true);
