Bound what callers leave unread of their answers

Found in the search for the cause of the memory incident elsewhere: callers that don't read their large answers ended a VM for want of heap, and the requests of others with it.

Cause: the share of an answer in the memory for answers ends when it is whole, and then it waits for its caller uncounted.

Change: beyond 16 MiB of answers that are not written whole, the connections whose callers have taken nothing for longest are closed (UNREAD).

SlowCallersProcessTests, 24 callers with an answer of 5 MB each, a process with the options of deploy/system.toml: before, `Terminating due to java.lang.OutOfMemoryError: Java heap space`; after, it serves (one run each). SlowCallerTests pass.

--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerConnection.java
@@ -420,6 +420,32 @@
 		return (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
 	}
 
+	/**
+	 * Returns whether the caller takes its answers more slowly than they are written.
+	 * @return {@code true} if much of them is queued
+	 */
+	boolean isSlow() {
+		return !this.context.channel().isWritable() && queuedBytes() > 0;
+	}
+
+	/**
+	 * Returns the memory of the answers that are not written whole.
+	 * @return the number of bytes, those included of which a part is written
+	 */
+	long queuedBytes() {
+		ChannelOutboundBuffer buffer = this.context.channel().unsafe().outboundBuffer();
+		return (buffer != null) ? buffer.totalPendingWriteBytes() : 0;
+	}
+
+	long idleSinceMs() {
+		return this.idleSinceMs;
+	}
+
+	/** Closes the connection, because the memory for unread answers is used up. */
+	void closeUnread() {
+		close(CloseReason.UNREAD);
+	}
+
 	/**
 	 * Returns whether a request is being read or answered.
 	 * @return {@code true} if its caller would lose a request by a close
@@ -599,6 +625,13 @@
 				return;
 			}
 			CallerConnection.this.context.writeAndFlush(new DefaultHttpContent(content));
+			limitUnread();
+		}
+
+		private void limitUnread() {
+			if (isSlow()) {
+				CallerConnection.this.server.limitUnread();
+			}
 		}
 
 		@Override
@@ -647,6 +680,7 @@
 				future.addListener((written) -> written(written.isSuccess()));
 				finished(this);
 			}
+			limitUnread();
 		}
 
 		private void written(boolean whole) {
--- a/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CallerServer.java
@@ -1,6 +1,8 @@
 package org.fulmargap.entry.caller;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -40,6 +42,9 @@
 
 	private static final long SWEEP_INTERVAL_MS = 1_000;
 
+	/** What callers may leave unread of all answers together, in bytes. */
+	private static final long MAX_UNREAD_BYTES = 16L << 20;
+
 	private final EventLoop loop;
 
 	private final LongSupplier clockMs;
@@ -190,6 +195,24 @@
 		return this.clockMs.getAsLong();
 	}
 
+	/**
+	 * Closes the connections whose callers have taken nothing for longest, until what all
+	 * callers have left unread is within its limit.
+	 */
+	void limitUnread() {
+		List<CallerConnection> slow = new ArrayList<>(this.connections);
+		slow.removeIf((connection) -> !connection.isSlow());
+		slow.sort(Comparator.comparingLong(CallerConnection::idleSinceMs));
+		long unreadBytes = slow.stream().mapToLong(CallerConnection::queuedBytes).sum();
+		for (CallerConnection connection : slow) {
+			if (unreadBytes <= MAX_UNREAD_BYTES) {
+				return;
+			}
+			unreadBytes -= connection.queuedBytes();
+			connection.closeUnread();
+		}
+	}
+
 	void opened(CallerConnection connection) {
 		this.connections.add(connection);
 	}
--- a/entry/src/main/java/org/fulmargap/entry/caller/CloseReason.java
+++ b/entry/src/main/java/org/fulmargap/entry/caller/CloseReason.java
@@ -17,6 +17,9 @@
 	/** This VM drains, and no request was in progress. */
 	UNUSED,
 
+	/** The answers that callers don't take use up their memory, this one for longest. */
+	UNREAD,
+
 	/** An answer that had begun was broken off. */
 	ABORTED,
 
