--- a/core/src/main/java/org/fulmargap/stream/NewsGaps.java
+++ b/core/src/main/java/org/fulmargap/stream/AnnouncementGaps.java
@@ -5,7 +5,7 @@
  * and while it was out of touch with them or stood still. What it missed is read from the
  * store when it is needed. Confined to one thread.
  */
-public final class NewsGaps {
+public final class AnnouncementGaps {
 
 	/**
 	 * How long after an announcement the store has it, in milliseconds: it is written
--- a/core/src/test/java/org/fulmargap/stream/NewsGapsTests.java
+++ b/core/src/test/java/org/fulmargap/stream/AnnouncementGapsTests.java
@@ -8,11 +8,11 @@
  * Guards against announcements that were missed and are not read before they are needed,
  * and against reads that nothing calls for.
  */
-class NewsGapsTests {
+class AnnouncementGapsTests {
 
 	private static final long AT_MS = 100_000;
 
-	private final NewsGaps gaps = new NewsGaps();
+	private final AnnouncementGaps gaps = new AnnouncementGaps();
 
 	@Test
 	void nothingIsReadWithoutAGap() {
--- a/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
+++ b/entry/src/main/java/org/fulmargap/entry/StreamVersions.java
@@ -24,7 +24,7 @@
 import org.fulmargap.platform.StoreException;
 import org.fulmargap.platform.StoreTopic;
 import org.fulmargap.platform.StreamRecords;
-import org.fulmargap.stream.NewsGaps;
+import org.fulmargap.stream.AnnouncementGaps;
 import org.fulmargap.stream.ServiceVersions;
 import org.fulmargap.stream.StreamOrigin;
 import org.fulmargap.stream.StreamOrigins;
@@ -100,7 +100,7 @@
 
 	private final SuspendedTime suspendedTime;
 
-	private final NewsGaps gaps = new NewsGaps();
+	private final AnnouncementGaps gaps = new AnnouncementGaps();
 
 	private final StreamOrigins origins = new StreamOrigins();
 
@@ -203,7 +203,7 @@
 	public void resolve(String attemptId, String service, Consumer<StreamPlacement> result) {
 		long nowMs = this.clockMs.getAsLong();
 		update(nowMs);
-		if (this.origins.find(attemptId).isPresent() || !lacksNews(nowMs)) {
+		if (this.origins.find(attemptId).isPresent() || !lacksAnnouncements(nowMs)) {
 			result.accept(placement(attemptId, service, History.UNREAD));
 			return;
 		}
@@ -211,7 +211,7 @@
 		readForWaiting();
 	}
 
-	private boolean lacksNews(long nowMs) {
+	private boolean lacksAnnouncements(long nowMs) {
 		if (this.suspendedTime.passedMs(nowMs) > 0) {
 			this.gaps.missed(nowMs);
 		}
