Show that a late status report makes a draining server ready again

Cause: records of servers are ordered by the log alone, not by born and sequence (DRAIN). Change: case 9 of the review, a script whose store executes one status report 6 s late.

--- a/review/standin-2/LateReport.java
+++ b/review/standin-2/LateReport.java
@@ -19,13 +19,13 @@
 	private static final long LATE_MS = 6_000;
 
 	/** The store has been undisturbed for longer than contact-ms when the drain begins. */
-	private static final long DRAINS_AFTER_MS = Fleet.CONTACT_MS + 450;
+	private static final long DRAINS_AFTER_MS = Fleet.CONTACT_MS + 550;
 
 	/** How long the server goes on serving after drain-ms. */
 	private static final long SERVES_LONGER_MS = 8_000;
 
 	/** The callers of each zone; the server that drains is in the last one. */
-	private static final int[] CALLERS = { 1, 1, 4 };
+	private static final int[] CALLERS = { 1, 1, 5 };
 
 	private static final long REQUEST_PAUSE_MS = 200;
 
