Keep cases 6, 7 and 10 of the review within the sites' spells and shares

Cause: cases 6 and 7 disturbed servers for longer than the site file does, and case 10 did not show what is lost.

--- a/review/standin-2/CrashingRequest.java
+++ b/review/standin-2/CrashingRequest.java
@@ -1,7 +1,9 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -19,6 +21,12 @@
 	/** The interval at which the request comes again. */
 	private static final long REPEAT_MS = 1_000;
 
+	/** The callers that book all the time. */
+	private static final int CALLERS = 4;
+
+	/** How long a server works on a booking. */
+	private static final long BOOKING_MS = 60;
+
 	/** A server is back after this time. */
 	private static final long SERVER_DOWN_MS = 2_500;
 
@@ -27,8 +35,7 @@
 
 	private static final String CONFIG = """
 			{"version":7,"routes":[
-			{"name":"r-act","host":"desk.example","path-prefix":"/act/","type":"non_idempotent","timeout-ms":800,"goal-ms":150,"priority":2,"service":"desk","max-attempts":1,"anonymous":false,"sticky":false,"resumable":false},
-			{"name":"r-read","host":"desk.example","path-prefix":"/read/","type":"idempotent","timeout-ms":800,"goal-ms":150,"priority":2,"service":"desk","max-attempts":2,"anonymous":false,"sticky":false,"resumable":false}],
+			{"name":"r-act","host":"desk.example","path-prefix":"/act/","type":"non_idempotent","timeout-ms":800,"goal-ms":150,"priority":2,"service":"desk","max-attempts":1,"anonymous":false,"sticky":false,"resumable":false}],
 			"services":[{"name":"desk","health-path":"/healthz","max-conns":48,"protocol":"h1","tls":false,"cold-s":0.0,"cold-per-s":0.0}],
 			"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
 			"tenants":[{"name":"bozi300","api-keys":["9dnn2ctnfzs989anu6ws"],"priority":1}]}""";
@@ -45,7 +52,12 @@
 
 	private final AtomicInteger served = new AtomicInteger();
 
-	private final AtomicInteger refused = new AtomicInteger();
+	private final AtomicInteger cut = new AtomicInteger();
+
+	private final AtomicInteger cutByLateRetries = new AtomicInteger();
+
+	// The bookings that run, by server.
+	private final Map<PlainServer, Set<String>> running = new ConcurrentHashMap<>();
 
 	private volatile long thirdCrashAtMs = Long.MAX_VALUE;
 
@@ -68,7 +80,9 @@
 		if (!this.fleet.start(MACHINES)) {
 			return 2;
 		}
-		PlainServer.daemon(this::readAllTheTime);
+		for (int i = 0; i < CALLERS; i++) {
+			PlainServer.daemon(this::bookAllTheTime);
+		}
 		PlainServer.daemon(this::repeatTheRequest);
 		long endMs = EntryVm.now() + 30_000;
 		while (this.crashes.get() < 3 && EntryVm.now() < endMs) {
@@ -95,18 +109,19 @@
 		this.ended = true;
 		int late = this.lateRetries.get();
 		String result = "retries that reached a server, from machines in touch, later than contact-ms after the third crash: "
-				+ late + " (allowed: 3); crashes in all: " + this.crashes.get() + "; other requests served: "
-				+ this.served.get() + ", not served: " + this.refused.get();
+				+ late + " (allowed: 3); crashes in all: " + this.crashes.get() + "; bookings of others made: "
+				+ this.served.get() + ", cut while they ran: " + this.cut.get() + ", of these by such a retry: "
+				+ this.cutByLateRetries.get();
 		this.record.line(result);
 		System.out.println(result);
 		return (late > 3) ? 1 : 0;
 	}
 
 	private PlainServer.Reply handle(PlainServer server, Http request) {
+		String id = request.header("x-fulmargap-attempt-id");
 		if (!request.startLine.contains("/poison")) {
-			return PlainServer.Reply.ok("price");
+			return book(server, id);
 		}
-		String id = request.header("x-fulmargap-attempt-id");
 		EntryVm vm = this.sentBy.get(id);
 		long nowMs = EntryVm.now();
 		int number = this.crashes.incrementAndGet();
@@ -121,10 +136,25 @@
 		this.record.line("run " + id + " at " + server.id() + " from " + vm.name() + " crash=" + number + " inTouch="
 				+ inTouch + " late=" + late);
 		server.crash();
+		Set<String> lost = this.running.getOrDefault(server, Set.of());
+		this.cut.addAndGet(lost.size());
+		this.cutByLateRetries.addAndGet((late && inTouch) ? lost.size() : 0);
+		this.record.line("the crash of " + server.id() + " cuts the bookings " + lost);
 		PlainServer.daemon(() -> comeBack(server));
 		return null;
 	}
 
+	private PlainServer.Reply book(PlainServer server, String id) {
+		Set<String> ids = this.running.computeIfAbsent(server, (key) -> ConcurrentHashMap.newKeySet());
+		ids.add(id);
+		pause(BOOKING_MS);
+		if (server.isCrashed()) {
+			return null;
+		}
+		ids.remove(id);
+		return PlainServer.Reply.ok("booked");
+	}
+
 	private void comeBack(PlainServer crashed) {
 		try {
 			Thread.sleep(SERVER_DOWN_MS);
@@ -154,14 +184,13 @@
 		}
 	}
 
-	private void readAllTheTime() {
-		for (int turn = 0; !this.ended; turn++) {
-			EntryVm vm = this.fleet.vms.get(turn % MACHINES.size());
-			if (vm.isReady()) {
-				String answer = call(vm, "GET", "/read/price", Caller.newId());
-				(answer.equals("200") ? this.served : this.refused).incrementAndGet();
+	private void bookAllTheTime() {
+		while (!this.ended) {
+			EntryVm vm = this.fleet.vms.get(ThreadLocalRandom.current().nextInt(MACHINES.size()));
+			if (vm.isReady() && call(vm, "POST", "/act/book", Caller.newId()).equals("200")) {
+				this.served.incrementAndGet();
 			}
-			pause(200);
+			pause(100);
 		}
 	}
 
--- a/review/standin-2/FailedBooking.java
+++ b/review/standin-2/FailedBooking.java
@@ -17,7 +17,7 @@
 
 	private static final int CALLERS = 4;
 
-	private static final int BOOKINGS_PER_CALLER = 60;
+	private static final int BOOKINGS_PER_CALLER = 400;
 
 	/** The share of the requests that the server fails, as in the site file. */
 	private static final double FAILED_SHARE = 0.45;
@@ -90,7 +90,7 @@
 		this.run.add(id);
 		this.runsOfBooking.merge(booking, 1, Integer::sum);
 		work();
-		boolean fails = this.trouble && server == this.grey
+		boolean fails = this.trouble && server == this.grey && Spells.isDisturbed()
 				&& ThreadLocalRandom.current().nextDouble() < FAILED_SHARE;
 		this.record.line("run " + id + " (" + booking + ") at " + server.id() + ", answered " + (fails ? 503 : 200));
 		return (fails)
--- a/review/standin-2/TornAnswer.java
+++ b/review/standin-2/TornAnswer.java
@@ -6,6 +6,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -18,12 +20,14 @@
  */
 public final class TornAnswer {
 
-	private static final int CALLERS = 9;
+	private static final int CALLERS = 12;
 
-	private static final long CALLS_FOR_MS = 70_000;
+	private static final long CALLS_FOR_MS = 75_000;
+
+	private static final List<String> SERVER_ZONES = List.of("gent-a", "gent-a", "gent-b", "gent-c");
 
 	/** The servers that spoil answers, and the share of their answers, as in the site file. */
-	private static final int GARBLING_SERVERS = 2;
+	private static final Set<Integer> GARBLING_SERVERS = Set.of(0, 2);
 
 	private static final double GARBLED_SHARE = 0.05;
 
@@ -60,8 +64,8 @@
 
 	private int run(Fleet fleet) throws Exception {
 		fleet.store.put("keyed.op", "config", CONFIG);
-		for (int i = 0; i < Fleet.ZONES.size(); i++) {
-			listen(fleet.store, "i-7f3a91c" + i, Fleet.ZONES.get(i), i < GARBLING_SERVERS);
+		for (int i = 0; i < SERVER_ZONES.size(); i++) {
+			listen(fleet.store, "i-7f3a91c" + i, SERVER_ZONES.get(i), GARBLING_SERVERS.contains(i));
 		}
 		if (!fleet.start()) {
 			return 2;
@@ -120,7 +124,7 @@
 				String id = request.header("x-fulmargap-attempt-id");
 				Thread.sleep(15);
 				String body = bodyOf(id);
-				if (garbles && this.trouble && ThreadLocalRandom.current().nextDouble() < GARBLED_SHARE) {
+				if (garbles && this.trouble && Spells.isDisturbed() && ThreadLocalRandom.current().nextDouble() < GARBLED_SHARE) {
 					int sent = ThreadLocalRandom.current().nextInt(body.length());
 					this.torn.incrementAndGet();
 					this.record.line("answer to " + id + " broken off after " + sent + " of " + body.length() + " bytes");
@@ -141,7 +145,8 @@
 	// Writes line by line, without a pause.
 	private static void write(Socket socket, String id, String body, int bodyBytes) throws IOException {
 		OutputStream out = socket.getOutputStream();
-		String[] lines = { "HTTP/1.1 200 OK", "Server: desk", "Cache-Control: no-store", "Content-Type: application/json",
+		String[] lines = { "HTTP/1.1 200 OK", "Date: Mon, 07 Dec 2026 05:30:00 GMT", "Server: desk", "Cache-Control: no-store",
+				"Vary: Accept", "X-Content-Type-Options: nosniff", "Content-Type: application/json",
 				"Content-Length: " + body.length(), "Keep-Alive: timeout=5",
 				"X-Fulmargap-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1", "X-Fulmargap-Attempt-Id: " + id, "" };
 		for (String line : lines) {
