Answer 502 where a status would deny that a request may have run

An endpoint that runs a request may answer 408, 429 or 503 without stating that it has not run it. Callers got that status unchanged, also for requests that must not run twice.

Cause: what may be repeated depended on the route and on X-Fulmargap-Not-Executed, what the caller gets depended on neither. Beside it, only statuses from 500 on counted as failures, so an endpoint that failed with 429 or 408 counted as one that succeeds and kept its share of the requests.

The log line error_answer is written for each failed answer with what became of the request; before, nothing said why a caller got 503.

--- a/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/fulmargap/entry/request/RequestFlow.java
@@ -865,30 +865,47 @@
 				flow.callFailed(this, CallFailure.WRONG_ANSWER);
 				return;
 			}
-			boolean mayRetry = this.answer.isServerError() && flow.route.isRetryable()
-					&& RetryRule.mayRetry(true, true, flow.runs + 1, flow.route.maxAttempts(), flow.calls)
-					&& flow.services.retryBudget()
-						.tryRetry(flow.service.name(), flow.services.peers().vmCount(), nowMs);
-			if (mayRetry) {
-				EventLog.request("error_answer", flow.request.attemptId())
-					.with("endpoint", this.endpoint)
-					.with("local_port", this.running.localPort())
-					.with("status", this.answer.status())
-					.with("after_ms", nowMs - this.sentAtMs)
-					.write();
-				recordError(nowMs);
-				flow.runs++;
-				flow.candidates.addTried(this.endpoint.record().id());
-				flow.dispatch();
-				return;
-			}
 			flow.runs++;
-			if (this.answer.isServerError()) {
+			if (this.answer.isEndpointFailure()) {
 				recordError(nowMs);
+				handleFailure(nowMs);
 			}
 			else {
 				succeeded(nowMs);
+				forward();
+			}
+		}
+
+		private void handleFailure(long nowMs) {
+			RequestFlow flow = RequestFlow.this;
+			FailureHandling handling = FailureHandling.of(this.answer, flow.route.isRetryable(), mayRetry(nowMs));
+			EventLog.request("error_answer", flow.request.attemptId())
+				.with("endpoint", this.endpoint)
+				.with("local_port", this.running.localPort())
+				.with("status", this.answer.status())
+				.with("handling", handling)
+				.with("after_ms", nowMs - this.sentAtMs)
+				.write();
+			switch (handling) {
+				case RETRY -> {
+					flow.candidates.addTried(this.endpoint.record().id());
+					flow.dispatch();
+				}
+				case FORWARD -> forward();
+				case REPLACE -> flow.refuse(Refusal.OUTCOME_UNKNOWN);
 			}
+		}
+
+		private boolean mayRetry(long nowMs) {
+			RequestFlow flow = RequestFlow.this;
+			return flow.route.isRetryable()
+					&& RetryRule.mayRetry(true, true, flow.runs, flow.route.maxAttempts(), flow.calls)
+					&& flow.services.retryBudget()
+						.tryRetry(flow.service.name(), flow.services.peers().vmCount(), nowMs);
+		}
+
+		private void forward() {
+			RequestFlow flow = RequestFlow.this;
 			flow.exchange.answer(this.answer.status(), this.body.headersForCaller(flow.message.isHead()),
 					this.body.whole());
 			flow.done(this, this.answer.status());
