Keep routes closed when a configuration has no client account left

Cause: CatalogDecoder asked whether there is an account, not whether the configuration contains the field, so an emptied list counted as a missing one, which opens all routes.

Only a missing field opens routes now. An empty list and null close all routes that aren't anonymous: null may stand for an emptied list, and to refuse the version would keep the dropped keys in force. docs/platform.md states for each field of the configuration what missing, empty and null mean; no other default allows more than the empty field.

--- a/core/src/main/java/org/fulmargap/catalog/Catalog.java
+++ b/core/src/main/java/org/fulmargap/catalog/Catalog.java
@@ -21,7 +21,7 @@
 
 	private final Map<String, ClientAccount> accountsByKey;
 
-	private final boolean hasAccounts;
+	private final boolean needsKeys;
 
 	private final RequestLimits limits;
 
@@ -31,15 +31,15 @@
 	 * @param routes all routes
 	 * @param services all services by name
 	 * @param accountsByKey the client accounts by API key
-	 * @param hasAccounts whether the configuration declares client accounts
+	 * @param needsKeys whether requests need an API key, also if there is no account
 	 * @param limits the limits on requests
 	 */
 	public Catalog(long version, List<Route> routes, Map<String, ServiceSpec> services,
-			Map<String, ClientAccount> accountsByKey, boolean hasAccounts, RequestLimits limits) {
+			Map<String, ClientAccount> accountsByKey, boolean needsKeys, RequestLimits limits) {
 		this.version = version;
 		this.services = Map.copyOf(services);
 		this.accountsByKey = Map.copyOf(accountsByKey);
-		this.hasAccounts = hasAccounts;
+		this.needsKeys = needsKeys;
 		this.limits = limits;
 		for (Route route : routes) {
 			this.routesByHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>())
@@ -96,11 +96,11 @@
 	/**
 	 * Returns whether a request on a route needs an API key.
 	 * @param route the route
-	 * @return {@code true} if the configuration declares client accounts and the route
+	 * @return {@code true} if requests of the configuration need a key and the route
 	 * isn't anonymous
 	 */
 	public boolean needsKey(Route route) {
-		return this.hasAccounts && !route.anonymous();
+		return this.needsKeys && !route.anonymous();
 	}
 
 }
