Compare records of endpoints by when they were written

The store may execute a write seconds late, after later writes of the same endpoint.

EndpointDirectory.put now compares each record with the last known one of its name, by start time and sequence, also after a removal.

AnnouncementProperties and EndpointDirectoryTests read records without a sequence again after a removal, which no endpoint writes; their records are numbered now, and AnnouncementProperties also expects that a late record changes nothing.

--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -157,6 +157,14 @@
 		this.removeAtMs = Math.min(this.removeAtMs, removeAtMs);
 	}
 
+	/**
+	 * Returns whether the record was removed, also if the endpoint may still be used.
+	 * @return {@code true} until a newer record is read
+	 */
+	boolean isRemovalDue() {
+		return this.removeAtMs != Long.MAX_VALUE;
+	}
+
 	boolean isRemoved(long nowMs) {
 		return nowMs >= this.removeAtMs;
 	}
--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -47,9 +47,8 @@
 		}
 	};
 
-	// The last records of deleted endpoints. A store that came back from an older copy
-	// may
-	// list them again.
+	// The last records of deleted endpoints. A store that executes a write late, or came
+	// back from an older copy, may list them again.
 	private final Map<String, EndpointRecord> deleted = new LinkedHashMap<>() {
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<String, EndpointRecord> eldest) {
@@ -70,12 +69,29 @@
 	private Set<String> evacuatedDomains = Set.of();
 
 	/**
-	 * Adds or updates an endpoint.
-	 * @param record the newest record of an endpoint
+	 * Adds or updates an endpoint, unless the record is outdated: the store may execute a
+	 * write seconds later, so what it lists last need not be what the endpoint wrote
+	 * last.
+	 * @param record a record of an endpoint
 	 * @param nowMs the current time in milliseconds
 	 * @return what changed
 	 */
 	public Change put(EndpointRecord record, long nowMs) {
+		return (isOutdated(record)) ? Change.OUTDATED : apply(record, nowMs);
+	}
+
+	/**
+	 * Adds or updates an endpoint by an outdated record, because the store has listed it
+	 * for so long that the endpoint must be alive. A process that was draining stays so.
+	 * @param record the record
+	 * @param nowMs the current time in milliseconds
+	 * @return what changed
+	 */
+	public Change putListed(EndpointRecord record, long nowMs) {
+		return (endsDraining(record)) ? Change.OUTDATED : apply(record, nowMs);
+	}
+
+	private Change apply(EndpointRecord record, long nowMs) {
 		Endpoint known = this.byId.get(record.id());
 		if (known == null) {
 			Endpoint added = new Endpoint(record, this.notices.getOrDefault(record.id(), EndpointNotice.NONE), nowMs);
@@ -99,6 +115,28 @@
 		return (restarted) ? Change.RESTARTED : Change.UPDATED;
 	}
 
+	// Whether the endpoint wrote the record before the last one of it that is known, or
+	// has been removed since.
+	private boolean isOutdated(EndpointRecord record) {
+		EndpointRecord last = lastRecord(record.id());
+		if (last == null) {
+			return false;
+		}
+		Endpoint known = this.byId.get(record.id());
+		boolean removed = known == null || known.isRemovalDue();
+		return record.isBefore(last) || (removed && !last.isBefore(record));
+	}
+
+	private EndpointRecord lastRecord(String id) {
+		Endpoint known = this.byId.get(id);
+		return (known != null) ? known.record() : this.deleted.get(id);
+	}
+
+	private boolean endsDraining(EndpointRecord record) {
+		EndpointRecord last = lastRecord(record.id());
+		return last != null && last.draining() && !record.draining() && last.startedAtMs() == record.startedAtMs();
+	}
+
 	private void recordStart(Endpoint endpoint, long nowMs) {
 		EndpointRecord record = endpoint.record();
 		Long previousMs = this.startsByAddress.get(record.address());
@@ -122,24 +160,6 @@
 		return startedAtMs > 0 && this.startsByAddress.getOrDefault(address, 0L) > startedAtMs;
 	}
 
-	/**
-	 * Returns whether an endpoint wrote a record before the last one of it that is known,
-	 * or has been removed since. Of records that follow each other in the store, the
-	 * later one holds without this comparison.
-	 * @param record the record
-	 * @param nowMs the current time in milliseconds
-	 * @return {@code true} if the record is outdated
-	 */
-	public boolean isOutdated(EndpointRecord record, long nowMs) {
-		Endpoint known = this.byId.get(record.id());
-		EndpointRecord last = (known != null) ? known.record() : this.deleted.get(record.id());
-		if (last == null) {
-			return false;
-		}
-		boolean removed = known == null || known.isRemoved(nowMs);
-		return record.isBefore(last) || (removed && !last.isBefore(record));
-	}
-
 	/**
 	 * Marks an endpoint as removed. It stays known until {@link #purge}.
 	 * @param id the name of the endpoint
@@ -484,16 +504,37 @@
 	public enum Change {
 
 		/** The endpoint was not known before. */
-		ADDED,
+		ADDED(true),
 
 		/** The endpoint has started to drain. */
-		DRAINING,
+		DRAINING(true),
 
 		/** A new process of the endpoint has started. */
-		RESTARTED,
+		RESTARTED(true),
 
 		/** Something else changed, or nothing. */
-		UPDATED
+		UPDATED(false),
+
+		/**
+		 * Nothing changed: the endpoint wrote the record before the last known one, or
+		 * before it was removed.
+		 */
+		OUTDATED(false);
+
+		private final boolean affectsWork;
+
+		Change(boolean affectsWork) {
+			this.affectsWork = affectsWork;
+		}
+
+		/**
+		 * Returns whether the endpoint may get work that it could not get before, or the
+		 * other way round.
+		 * @return {@code true} if it was added, drains or has started again
+		 */
+		public boolean affectsWork() {
+			return this.affectsWork;
+		}
 
 	}
 
--- a/core/src/test/java/org/fulmargap/placement/AnnouncementProperties.java
+++ b/core/src/test/java/org/fulmargap/placement/AnnouncementProperties.java
@@ -58,9 +58,13 @@
 		// On the true time, which includes suspensions.
 		private final Map<EndpointProcess, Long> restUntilMs = new HashMap<>();
 
-		// The process in the last record that was read, unless it was a removal.
+		// The process in the last record that counts, unless it was a removal.
 		private final Map<String, Long> listedProcess = new HashMap<>();
 
+		private final Map<String, Long> lastReadProcess = new HashMap<>();
+
+		private long sequence;
+
 		private long nowMs;
 
 		private long suspendedMs;
@@ -113,9 +117,13 @@
 			this.directory.recordSuspension(lengthMs);
 		}
 
+		// A record of an earlier process than the last one that was read changes nothing.
 		private void read(String id, long process) {
-			this.directory.put(new EndpointRecord(id, "service", "10.0.0.1:80", "a", 8, false, 0, process), this.nowMs);
-			this.listedProcess.put(id, process);
+			this.sequence++;
+			this.directory.put(Endpoints.record(id, false, process, this.sequence), this.nowMs);
+			if (this.lastReadProcess.merge(id, process, Math::max) == process) {
+				this.listedProcess.put(id, process);
+			}
 		}
 
 		private void remove(String id) {
--- a/core/src/test/java/org/fulmargap/placement/EndpointDirectoryTests.java
+++ b/core/src/test/java/org/fulmargap/placement/EndpointDirectoryTests.java
@@ -39,7 +39,7 @@
 	void anEndpointThatIsListedAgainWithinTheGracePeriodStays() {
 		this.directory.put(Endpoints.record("one", "a", false, 0), 0);
 		this.directory.remove("one", EndpointDirectory.LAPSE_GRACE_MS, 1_000);
-		this.directory.put(Endpoints.record("one", "a", false, 0), 1_500);
+		this.directory.put(Endpoints.record("one", false, 1, 1), 1_500);
 		assertThat(available(9_000)).containsExactly("one");
 	}
 
@@ -63,4 +63,33 @@
 		assertThat(this.directory.all()).hasSize(1);
 	}
 
+	@Test
+	void anOutdatedRecordThatStaysListedIsUsedUnlessItsProcessDrained() {
+		this.directory.put(Endpoints.record("lapsed", false, 5, 9), 0);
+		this.directory.put(Endpoints.record("draining", true, 5, 9), 0);
+		this.directory.remove("lapsed", 0, 1);
+		this.directory.purge(1);
+		for (String id : List.of("lapsed", "draining")) {
+			assertThat(this.directory.put(Endpoints.record(id, false, 5, 4), 2))
+				.isEqualTo(EndpointDirectory.Change.OUTDATED);
+		}
+		assertThat(available(2)).isEmpty();
+		assertThat(this.directory.putListed(Endpoints.record("lapsed", false, 5, 4), 3))
+			.isEqualTo(EndpointDirectory.Change.ADDED);
+		assertThat(this.directory.putListed(Endpoints.record("draining", false, 5, 4), 3))
+			.isEqualTo(EndpointDirectory.Change.OUTDATED);
+		assertThat(available(3)).containsExactly("lapsed");
+	}
+
+	// A step back of the endpoint's clock may give the later process the earlier start.
+	@Test
+	void aProcessWithAnEarlierStartIsUsedOnceItStaysListed() {
+		this.directory.put(Endpoints.record("one", true, 5, 9), 0);
+		assertThat(this.directory.put(Endpoints.record("one", false, 4, 1), 1))
+			.isEqualTo(EndpointDirectory.Change.OUTDATED);
+		assertThat(this.directory.putListed(Endpoints.record("one", false, 4, 1), 2))
+			.isEqualTo(EndpointDirectory.Change.RESTARTED);
+		assertThat(available(2)).containsExactly("one");
+	}
+
 }
--- a/core/src/test/java/org/fulmargap/placement/Endpoints.java
+++ b/core/src/test/java/org/fulmargap/placement/Endpoints.java
@@ -42,4 +42,8 @@
 		return new EndpointRecord(id, "service", "10.0.0.1:80", domain, 8, draining, coldForMs, 1);
 	}
 
+	static EndpointRecord record(String id, boolean draining, long startedAtMs, long sequence) {
+		return new EndpointRecord(id, "service", "10.0.0.1:80", "a", 8, draining, 0, startedAtMs, sequence, "v1");
+	}
+
 }
--- a/entry/src/main/java/org/fulmargap/entry/RestoredTopic.java
+++ b/entry/src/main/java/org/fulmargap/entry/RestoredTopic.java
@@ -1,8 +1,5 @@
 package org.fulmargap.entry;
 
-import java.util.HashSet;
-import java.util.Set;
-
 /**
  * What a VM uses on of the earlier history of a topic after the store came back from an
  * older copy. The copy may lack records that are written again soon, and may list records
@@ -16,14 +13,10 @@
 
 	private final long outdatedMs;
 
-	private final Set<String> outdated = new HashSet<>();
-
 	private long restoredAtMs = NEVER_MS;
 
 	private boolean missingDropped = true;
 
-	private boolean outdatedDropped = true;
-
 	/**
 	 * Creates a topic whose store has not been restored.
 	 * @param missingMs how long a record that the copy lacks may take to be written
@@ -43,24 +36,15 @@
 	void restored(long returnedAtMs) {
 		this.restoredAtMs = returnedAtMs;
 		this.missingDropped = false;
-		this.outdatedDropped = false;
-	}
-
-	/**
-	 * Returns whether a record of the copy may have been replaced or removed.
-	 * @param nowMs the current time in milliseconds
-	 * @return {@code true} shortly after the store came back
-	 */
-	boolean mayBeOutdated(long nowMs) {
-		return nowMs - this.restoredAtMs < this.outdatedMs;
 	}
 
 	/**
-	 * Records that a record was not applied because it is outdated.
-	 * @param key its key
+	 * Returns until when the copy may list records that were replaced or removed.
+	 * @return the time in milliseconds, in the past unless the store came back shortly
+	 * before
 	 */
-	void skipped(String key) {
-		this.outdated.add(key);
+	long outdatedUntilMs() {
+		return this.restoredAtMs + this.outdatedMs;
 	}
 
 	/**
@@ -74,20 +58,4 @@
 		return due;
 	}
 
-	/**
-	 * Returns the keys of the skipped records when they are to be applied, because
-	 * nothing newer was written.
-	 * @param nowMs the current time in milliseconds
-	 * @return the keys, once after each return of the store; else none
-	 */
-	Set<String> dueRecords(long nowMs) {
-		if (this.outdatedDropped || mayBeOutdated(nowMs)) {
-			return Set.of();
-		}
-		this.outdatedDropped = true;
-		Set<String> due = Set.copyOf(this.outdated);
-		this.outdated.clear();
-		return due;
-	}
-
 }
--- a/entry/src/main/java/org/fulmargap/entry/StoreView.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreView.java
@@ -65,14 +65,27 @@
 	}
 
 	/**
-	 * Adds or updates an endpoint.
+	 * Adds or updates an endpoint, unless the record is outdated.
 	 * @param record the record
 	 * @param nowMs the current time in milliseconds
 	 * @return what changed
 	 */
 	public EndpointDirectory.Change put(EndpointRecord record, long nowMs) {
-		EndpointDirectory.Change change = this.directory.put(record, nowMs);
-		if (change != EndpointDirectory.Change.UPDATED) {
+		return changed(record, this.directory.put(record, nowMs));
+	}
+
+	/**
+	 * Adds or updates an endpoint by an outdated record that the store goes on to list.
+	 * @param record the record
+	 * @param nowMs the current time in milliseconds
+	 * @return what changed
+	 */
+	EndpointDirectory.Change putListed(EndpointRecord record, long nowMs) {
+		return changed(record, this.directory.putListed(record, nowMs));
+	}
+
+	private EndpointDirectory.Change changed(EndpointRecord record, EndpointDirectory.Change change) {
+		if (change.affectsWork()) {
 			this.endpointListener.accept(record);
 		}
 		return change;
--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -122,6 +122,8 @@
 
 	private final RestoredTopic restoredEndpoints = new RestoredTopic(ENDPOINT_MISSING_MS, COPY_OUTDATED_MS);
 
+	private final OutdatedRecords outdated = new OutdatedRecords();
+
 	private final Map<StoreTopic, StoreTail> tails = new EnumMap<>(StoreTopic.class);
 
 	private final List<Thread> threads = new ArrayList<>();
@@ -152,7 +154,7 @@
 			this.lags.put(topic, new RecordLag());
 			this.positions.put(topic, new AtomicReference<>(StorePosition.UNREAD));
 		}
-		Runnable outageListener = () -> this.storeOutageAtMs = this.clockMs.getAsLong();
+		Runnable outageListener = this::storeAway;
 		addTail(StoreTopic.OPERATOR,
 				LongPollWait.within(settings.contactMs(), settings.configApplyMs(), OPERATOR_INTERVAL_MS, MAX_WAIT_MS),
 				OPERATOR_INTERVAL_MS, outageListener);
@@ -165,6 +167,12 @@
 		});
 	}
 
+	// Called at the start and at the end of an outage.
+	private void storeAway() {
+		this.storeOutageAtMs = this.clockMs.getAsLong();
+		this.outdated.storeAway(this.storeOutageAtMs);
+	}
+
 	void start() {
 		run("tail-operator", this.tails.get(StoreTopic.OPERATOR));
 		run("tail-endpoints", this.tails.get(StoreTopic.ENDPOINTS));
@@ -181,8 +189,9 @@
 	}
 
 	/**
-	 * Decides whether this VM reads the store by itself, and drops what it used on after
-	 * the store came back from an older copy. Called with each heartbeat.
+	 * Decides whether this VM reads the store by itself, drops what it used on after the
+	 * store came back from an older copy, and uses endpoints that the store goes on to
+	 * list. Called with each heartbeat.
 	 * @param nowMs the current time in milliseconds
 	 */
 	void update(long nowMs) {
@@ -341,22 +350,21 @@
 				.dropUnconfirmed()
 				.forEach((removal) -> removeEndpoint(removal, 0, nowMs));
 		}
-		Set<String> due = this.restoredEndpoints.dueRecords(nowMs);
+		useListed(nowMs);
+	}
+
+	private void useListed(long nowMs) {
+		Set<String> due = this.outdated.takeDue(nowMs);
 		if (!due.isEmpty()) {
 			this.topics.get(StoreTopic.ENDPOINTS)
 				.listing()
 				.records()
 				.stream()
-				.filter((record) -> due.contains(record.key()) && !isDraining(record.key()))
-				.forEach((record) -> updateEndpoint(record, nowMs));
+				.filter((record) -> due.contains(record.key()))
+				.forEach((record) -> updateEndpoint(record, this.view::putListed, nowMs));
 		}
 	}
 
-	// An endpoint that drains doesn't become ready again.
-	private boolean isDraining(String endpoint) {
-		return this.view.directory().find(endpoint).filter((known) -> known.record().draining()).isPresent();
-	}
-
 	private StorePage pageOf(StoreTopic topic, List<KeyedRecord> records) {
 		StorePosition position = this.topics.get(topic).position();
 		return new StorePage(position.history(), records, position.offset(), false);
@@ -500,8 +508,11 @@
 			if (record.isRemoval()) {
 				removeEndpoint(record, graceMs, nowMs);
 			}
+			else if (updateEndpoint(record, this.view::put, nowMs)) {
+				this.outdated.replaced(record.key());
+			}
 			else {
-				updateEndpoint(record, nowMs);
+				skip(record, page.isComplete(), nowMs);
 			}
 		}
 		this.view.endpointsListed();
@@ -509,6 +520,7 @@
 	}
 
 	private void removeEndpoint(KeyedRecord record, long graceMs, long nowMs) {
+		this.outdated.replaced(record.key());
 		if (this.view.directory().remove(record.key(), graceMs, nowMs)) {
 			EventLog.state("endpoint_gone")
 				.with("endpoint", record.key())
@@ -518,15 +530,12 @@
 		}
 	}
 
-	private void updateEndpoint(KeyedRecord record, long nowMs) {
+	// Returns false if the record is outdated.
+	private boolean updateEndpoint(KeyedRecord record, EndpointUpdate update, long nowMs) {
 		try {
 			EndpointRecord endpoint = EndpointRecordDecoder.decode(record.key(), record.value());
-			if (this.restoredEndpoints.mayBeOutdated(nowMs) && this.view.directory().isOutdated(endpoint, nowMs)) {
-				skip(record);
-				return;
-			}
-			EndpointDirectory.Change change = this.view.put(endpoint, nowMs);
-			if (change != EndpointDirectory.Change.UPDATED) {
+			EndpointDirectory.Change change = update.apply(endpoint, nowMs);
+			if (change.affectsWork()) {
 				EventLog.state("endpoint_" + change.name().toLowerCase(Locale.ROOT))
 					.with("endpoint", endpoint.id())
 					.with("service", endpoint.service())
@@ -536,6 +545,7 @@
 					.with("offset", record.offset())
 					.write();
 			}
+			return change != EndpointDirectory.Change.OUTDATED;
 		}
 		catch (MalformedRecordException ex) {
 			EventLog.state("endpoint_record_refused")
@@ -545,14 +555,22 @@
 				.write();
 			this.topics.get(StoreTopic.ENDPOINTS).dropValue(record);
 			this.view.directory().remove(record.key(), 0, nowMs);
+			return true;
 		}
 	}
 
-	private void skip(KeyedRecord outdated) {
-		this.restoredEndpoints.skipped(outdated.key());
+	private void skip(KeyedRecord record, boolean isListing, long nowMs) {
+		boolean ofCopy = isListing && nowMs < this.restoredEndpoints.outdatedUntilMs();
+		if (ofCopy) {
+			this.outdated.listedByCopy(record.key(), this.restoredEndpoints.outdatedUntilMs());
+		}
+		else {
+			this.outdated.listed(record.key(), nowMs);
+		}
 		EventLog.state("endpoint_record_outdated")
-			.with("endpoint", outdated.key())
-			.with("offset", outdated.offset())
+			.with("endpoint", record.key())
+			.with("offset", record.offset())
+			.with("of_copy", ofCopy)
 			.write();
 	}
 
@@ -586,6 +604,16 @@
 		this.threads.forEach(Thread::interrupt);
 	}
 
+	/**
+	 * Applies the record of an endpoint.
+	 */
+	@FunctionalInterface
+	private interface EndpointUpdate {
+
+		EndpointDirectory.Change apply(EndpointRecord record, long nowMs);
+
+	}
+
 	/**
 	 * Hubs read the store. Other VMs read it only at their start and while no hub relays
 	 * its records.
--- a/entry/src/test/java/org/fulmargap/entry/LogTableTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LogTableTests.java
@@ -83,7 +83,7 @@
 		}
 		Set<String> names = new TreeSet<>();
 		for (EndpointDirectory.Change change : EndpointDirectory.Change.values()) {
-			if (change != EndpointDirectory.Change.UPDATED) {
+			if (change.affectsWork()) {
 				names.add(ENDPOINT_EVENT + change.name().toLowerCase(Locale.ROOT));
 			}
 		}
