--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -103,11 +103,8 @@
 		return this.address;
 	}
 
-	/**
-	 * Returns the VM through which the connection goes.
-	 * @return its name, or {@link EndpointConnector#DIRECT}
-	 */
-	String relay() {
+	@Override
+	public String relay() {
 		return this.relay;
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointPool.java
@@ -341,6 +341,13 @@
 		 */
 		int localPort();
 
+		/**
+		 * Returns the VM through which the connection goes, for the log.
+		 * @return its name, or an empty string if the connection is a direct one or there
+		 * is none
+		 */
+		String relay();
+
 	}
 
 	/**
@@ -406,6 +413,11 @@
 			return (this.connection != null) ? this.connection.localPort() : 0;
 		}
 
+		@Override
+		public String relay() {
+			return (this.connection != null) ? this.connection.relay() : EndpointConnector.DIRECT;
+		}
+
 	}
 
 }
--- a/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
@@ -1,7 +1,7 @@
 package org.fulmargap.entry.peer;
 
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -31,17 +31,19 @@
 
 	private final Channel endpoint;
 
-	private final Consumer<Relay> closed;
+	private final BiConsumer<Relay, RelayEnd> closed;
 
 	private boolean isClosed;
 
+	private boolean endpointEnded;
+
 	/**
 	 * Creates a relay that does not pass anything on yet.
 	 * @param peer the connection of the other VM
 	 * @param endpoint the connection to the endpoint
-	 * @param closed is told of the end
+	 * @param closed is told of the end and its reason
 	 */
-	Relay(Channel peer, Channel endpoint, Consumer<Relay> closed) {
+	Relay(Channel peer, Channel endpoint, BiConsumer<Relay, RelayEnd> closed) {
 		this.peer = peer;
 		this.endpoint = endpoint;
 		this.closed = closed;
@@ -53,12 +55,12 @@
 		this.endpoint.pipeline().addLast(new FromEndpoint());
 	}
 
-	private void close() {
+	private void close(RelayEnd end) {
 		if (!this.isClosed) {
 			this.isClosed = true;
 			this.peer.close();
 			this.endpoint.close();
-			this.closed.accept(this);
+			this.closed.accept(this, end);
 		}
 	}
 
@@ -69,7 +71,7 @@
 			if (this.peer.isOpen()) {
 				this.peer.config().setOption(ChannelOption.SO_LINGER, 0);
 			}
-			close();
+			close(RelayEnd.ENDPOINT_BROKEN);
 		}
 	}
 
@@ -113,19 +115,26 @@
 
 		@Override
 		public void userEventTriggered(ChannelHandlerContext context, Object event) {
-			if (event instanceof ChannelInputShutdownEvent || event instanceof IdleStateEvent) {
-				close();
+			if (event instanceof IdleStateEvent) {
+				close(RelayEnd.IDLE);
+			}
+			else if (event instanceof ChannelInputShutdownEvent) {
+				peerClosed();
 			}
 		}
 
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
-			close();
+			peerClosed();
+		}
+
+		private void peerClosed() {
+			close((Relay.this.endpointEnded) ? RelayEnd.ENDPOINT_ENDED : RelayEnd.PEER_CLOSED);
 		}
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			close();
+			close(RelayEnd.PEER_BROKEN);
 		}
 
 	}
@@ -139,6 +148,7 @@
 		@Override
 		public void userEventTriggered(ChannelHandlerContext context, Object event) {
 			if (event instanceof ChannelInputShutdownEvent) {
+				Relay.this.endpointEnded = true;
 				Relay.this.peer.writeAndFlush(Unpooled.EMPTY_BUFFER)
 					.addListener((written) -> ((DuplexChannel) Relay.this.peer).shutdownOutput())
 					.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
--- a/entry/src/main/java/org/fulmargap/entry/peer/RelayServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/RelayServer.java
@@ -86,14 +86,15 @@
 		}
 		EventLog.call("relay_opened").with("peer", peer.remoteAddress()).with("address", address).write();
 		this.metrics.count("relays_opened");
-		Relay relay = new Relay(peer, endpoint, this::closed);
+		Relay relay = new Relay(peer, endpoint, (closed, end) -> closed(closed, address, end));
 		this.open.add(relay);
 		countOpen();
 		peer.writeAndFlush(RelayOutcome.OPEN.toFrame());
 		relay.start();
 	}
 
-	private void closed(Relay relay) {
+	private void closed(Relay relay, String address, RelayEnd end) {
+		EventLog.call("relay_closed").with("address", address).with("reason", end).write();
 		this.open.remove(relay);
 		countOpen();
 	}
