Tell the end of an endpoint's output from the end of its relay

A VM that is cut off from all endpoints reaches them through another VM.

Cause: a relay passed the end of the endpoint's output on by ending its connection, and the kernel ends the connections of a killed process in the same way. The VM behind it could not tell the two apart.

The relay now sends the output in frames, and an empty frame when the endpoint has ended it. A connection that ends without that frame was broken. VMs with an older program ask for no frames; for them, a relay's connections are reset by any close, also by the kernel. Behind a relay with an older program, an answer without framing is never taken for complete.

--- a/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerDecoder.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/AnswerDecoder.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -45,6 +46,15 @@
 		this.connection.receivedWithoutCall();
 	}
 
+	// The end of the input may end a body, so the connection has to know of it before.
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		if (event instanceof ChannelInputShutdownEvent) {
+			this.connection.outputEnded();
+		}
+		super.userEventTriggered(context, event);
+	}
+
 	@Override
 	protected HttpMessage createMessage(String[] initialLine) {
 		if (!STATUS.matcher(initialLine[1]).matches()) {
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -70,6 +69,10 @@
 
 	private boolean requestWritten;
 
+	// Whether the endpoint has ended its output, which a connection through another VM
+	// tells apart from its own end.
+	private boolean outputEnded;
+
 	private boolean withdrawn;
 
 	private boolean isSuccess;
@@ -125,7 +128,7 @@
 	}
 
 	boolean isOpen() {
-		return this.channel.isActive() && !((DuplexChannel) this.channel).isInputShutdown();
+		return this.channel.isActive() && !this.outputEnded;
 	}
 
 	boolean hasCall() {
@@ -142,6 +145,14 @@
 		return this.isHead && !isForeign(decode(head));
 	}
 
+	/**
+	 * Records that the endpoint has ended its output. A body without a length ends with
+	 * it.
+	 */
+	void outputEnded() {
+		this.outputEnded = true;
+	}
+
 	/**
 	 * Closes the connection, because bytes arrived that belong to no call. The rest of
 	 * what was read before it was closed is dropped.
@@ -359,8 +370,7 @@
 	// complete answer without a length. A request that was not read whole can't have
 	// succeeded, but may have been rejected.
 	private boolean isCutBeforeRequest() {
-		boolean endedByConnection = ((DuplexChannel) this.channel).isInputShutdown();
-		return endedByConnection && this.isSuccess && !this.requestWritten;
+		return this.outputEnded && this.isSuccess && !this.requestWritten;
 	}
 
 	private void reject(AnswerFault fault) {
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerCodec.java
@@ -169,6 +169,8 @@
 		}
 		else if (message instanceof PeerMessage.RelayRequest request) {
 			out.packInt(Type.RELAY_REQUEST.ordinal()).packString(request.address());
+			// VMs with an older program skip it.
+			out.packBoolean(request.readsFrames());
 		}
 		else if (message instanceof PeerMessage.Ping ping) {
 			out.packInt(Type.PING.ordinal()).packBoolean(ping.answer()).packBoolean(ping.receiving());
@@ -648,7 +650,7 @@
 		RELAY_REQUEST {
 			@Override
 			PeerMessage read(MessageUnpacker in, long nowMs) throws IOException {
-				return new PeerMessage.RelayRequest(in.unpackString());
+				return new PeerMessage.RelayRequest(in.unpackString(), in.hasNext() && in.unpackBoolean());
 			}
 		};
 
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerMessage.java
@@ -186,12 +186,14 @@
 
 	/**
 	 * Asks for a connection to an endpoint, in place of a greeting. The answer is a frame
-	 * with a {@link RelayOutcome}; after {@code OPEN}, the connection carries the bytes
-	 * of the caller and of the endpoint.
+	 * with a {@link RelayOutcome}; if it is open, the connection carries the bytes of the
+	 * caller and of the endpoint.
 	 *
 	 * @param address the address of the endpoint as {@code IP:port}
+	 * @param readsFrames whether the sender understands
+	 * {@link RelayOutcome#OPEN_WITH_FRAMES}
 	 */
-	record RelayRequest(String address) implements PeerMessage {
+	record RelayRequest(String address, boolean readsFrames) implements PeerMessage {
 	}
 
 	/**
--- a/entry/src/main/java/org/fulmargap/entry/peer/PeerRelays.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/PeerRelays.java
@@ -190,7 +190,7 @@
 
 		@Override
 		public void channelActive(ChannelHandlerContext context) {
-			byte[] request = PeerCodec.encode(new PeerMessage.RelayRequest(this.attempt.address),
+			byte[] request = PeerCodec.encode(new PeerMessage.RelayRequest(this.attempt.address, true),
 					PeerRelays.this.clockMs.getAsLong());
 			context.writeAndFlush(Unpooled.buffer(PeerNetwork.LENGTH_BYTES + request.length)
 				.writeInt(request.length)
@@ -218,6 +218,7 @@
 			}
 			// The handlers of the content are added before bytes that have already
 			// arrived leave the decoder of frames.
+			RelayedOutput.add(context.channel(), outcome);
 			this.attempt.listener.opened(context.channel(), this.member.name());
 			context.pipeline().remove(this);
 			context.pipeline().remove(LengthFieldBasedFrameDecoder.class);
--- a/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -31,6 +32,8 @@
 
 	private final Channel endpoint;
 
+	private final boolean writesFrames;
+
 	private final BiConsumer<Relay, RelayEnd> closed;
 
 	private boolean isClosed;
@@ -41,16 +44,21 @@
 	 * Creates a relay that does not pass anything on yet.
 	 * @param peer the connection of the other VM
 	 * @param endpoint the connection to the endpoint
+	 * @param outcome what the other VM was told, which says how it gets the output
 	 * @param closed is told of the end and its reason
 	 */
-	Relay(Channel peer, Channel endpoint, BiConsumer<Relay, RelayEnd> closed) {
+	Relay(Channel peer, Channel endpoint, RelayOutcome outcome, BiConsumer<Relay, RelayEnd> closed) {
 		this.peer = peer;
 		this.endpoint = endpoint;
+		this.writesFrames = outcome == RelayOutcome.OPEN_WITH_FRAMES;
 		this.closed = closed;
 	}
 
 	/** Starts to pass bytes on. */
 	void start() {
+		// Any close resets the connection, also by the kernel if this process is killed:
+		// it is no end of the endpoint's output.
+		this.peer.config().setOption(ChannelOption.SO_LINGER, 0);
 		this.peer.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_MS, TimeUnit.MILLISECONDS), new FromPeer());
 		this.endpoint.pipeline().addLast(new FromEndpoint());
 	}
@@ -64,17 +72,6 @@
 		}
 	}
 
-	// The VM takes a reset for the broken connection that it is.
-	private void reset() {
-		if (!this.isClosed) {
-			// The option of a closed socket can't be set.
-			if (this.peer.isOpen()) {
-				this.peer.config().setOption(ChannelOption.SO_LINGER, 0);
-			}
-			close(RelayEnd.ENDPOINT_BROKEN);
-		}
-	}
-
 	/**
 	 * Passes on what one side sends.
 	 */
@@ -88,12 +85,16 @@
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object bytes) {
-			this.target.write(bytes);
+			write(this.target, bytes);
 			if (!this.target.isWritable()) {
 				context.channel().config().setAutoRead(false);
 			}
 		}
 
+		void write(Channel to, Object bytes) {
+			to.write(bytes);
+		}
+
 		@Override
 		public void channelReadComplete(ChannelHandlerContext context) {
 			this.target.flush();
@@ -145,11 +146,19 @@
 			super(Relay.this.peer);
 		}
 
+		@Override
+		void write(Channel to, Object bytes) {
+			if (Relay.this.writesFrames) {
+				to.write(RelayFrames.header(((ByteBuf) bytes).readableBytes()));
+			}
+			to.write(bytes);
+		}
+
 		@Override
 		public void userEventTriggered(ChannelHandlerContext context, Object event) {
 			if (event instanceof ChannelInputShutdownEvent) {
 				Relay.this.endpointEnded = true;
-				Relay.this.peer.writeAndFlush(Unpooled.EMPTY_BUFFER)
+				Relay.this.peer.writeAndFlush((Relay.this.writesFrames) ? RelayFrames.end() : Unpooled.EMPTY_BUFFER)
 					.addListener((written) -> ((DuplexChannel) Relay.this.peer).shutdownOutput())
 					.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
 			}
@@ -157,12 +166,12 @@
 
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
-			reset();
+			close(RelayEnd.ENDPOINT_BROKEN);
 		}
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			reset();
+			close(RelayEnd.ENDPOINT_BROKEN);
 		}
 
 	}
--- a/entry/src/main/java/org/fulmargap/entry/peer/RelayOutcome.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/RelayOutcome.java
@@ -11,7 +11,10 @@
  */
 enum RelayOutcome {
 
-	/** The connection to the endpoint is open. */
+	/**
+	 * The connection to the endpoint is open, and its output follows as it is. The end of
+	 * the connection does not tell whether the endpoint has ended its output.
+	 */
 	OPEN,
 
 	/** The endpoint accepts no connection, though the VM reaches other endpoints. */
@@ -21,7 +24,17 @@
 	 * The VM reaches no endpoint itself, knows no endpoint at the address, or has too
 	 * many connections.
 	 */
-	UNAVAILABLE;
+	UNAVAILABLE,
+
+	/**
+	 * The connection to the endpoint is open, and its output follows in the frames of
+	 * {@link RelayFrames}.
+	 */
+	OPEN_WITH_FRAMES;
+
+	boolean isOpen() {
+		return this == OPEN || this == OPEN_WITH_FRAMES;
+	}
 
 	ByteBuf toFrame() {
 		return Unpooled.buffer(PeerNetwork.LENGTH_BYTES + 1).writeInt(1).writeByte(ordinal());
--- a/entry/src/main/java/org/fulmargap/entry/peer/RelayServer.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/RelayServer.java
@@ -65,7 +65,7 @@
 		this.connector.openForPeer(request.address(), new EndpointConnector.DirectListener() {
 			@Override
 			public void opened(Channel endpoint) {
-				relay(peer, endpoint, request.address());
+				relay(peer, endpoint, request);
 			}
 
 			@Override
@@ -79,17 +79,18 @@
 		peer.writeAndFlush(outcome.toFrame()).addListener(ChannelFutureListener.CLOSE);
 	}
 
-	private void relay(Channel peer, Channel endpoint, String address) {
+	private void relay(Channel peer, Channel endpoint, PeerMessage.RelayRequest request) {
 		if (!peer.isActive()) {
 			endpoint.close();
 			return;
 		}
-		EventLog.call("relay_opened").with("peer", peer.remoteAddress()).with("address", address).write();
+		EventLog.call("relay_opened").with("peer", peer.remoteAddress()).with("address", request.address()).write();
 		this.metrics.count("relays_opened");
-		Relay relay = new Relay(peer, endpoint, (closed, end) -> closed(closed, address, end));
+		RelayOutcome outcome = (request.readsFrames()) ? RelayOutcome.OPEN_WITH_FRAMES : RelayOutcome.OPEN;
+		Relay relay = new Relay(peer, endpoint, outcome, (closed, end) -> closed(closed, request.address(), end));
 		this.open.add(relay);
 		countOpen();
-		peer.writeAndFlush(RelayOutcome.OPEN.toFrame());
+		peer.writeAndFlush(outcome.toFrame());
 		relay.start();
 	}
 
--- a/entry/src/test/java/org/fulmargap/entry/peer/RelayTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/peer/RelayTests.java
@@ -3,10 +3,12 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
 import io.netty.channel.EventLoop;
@@ -76,10 +78,15 @@
 				0);
 	}
 
+	// A request of a VM with an older program, which knows no frames.
 	private Socket request(int endpointPort) throws IOException {
+		return request(endpointPort, false);
+	}
+
+	private Socket request(int endpointPort, boolean readsFrames) throws IOException {
 		Socket socket = new Socket(InetAddress.getLoopbackAddress(), this.port);
 		socket.setSoTimeout(TIMEOUT_MS);
-		byte[] frame = PeerCodec.encode(new PeerMessage.RelayRequest("127.0.0.1:" + endpointPort), 0);
+		byte[] frame = PeerCodec.encode(new PeerMessage.RelayRequest("127.0.0.1:" + endpointPort, readsFrames), 0);
 		DataOutputStream out = new DataOutputStream(socket.getOutputStream());
 		out.writeInt(frame.length);
 		out.write(frame);
@@ -178,6 +185,14 @@
 			assertThatThrownBy(() -> this.vm.getInputStream().read()).isInstanceOf(SocketException.class);
 		}
 
+		@Test
+		void theEndOfTheRelayIsNoEndOfTheOutput() throws Exception {
+			this.accepted.getOutputStream().write("part".getBytes());
+			assertThat(this.vm.getInputStream().readNBytes(4)).asString().isEqualTo("part");
+			RelayTests.this.group.shutdownGracefully(0, TIMEOUT_MS, TimeUnit.MILLISECONDS);
+			assertThatThrownBy(() -> this.vm.getInputStream().read()).isInstanceOf(SocketException.class);
+		}
+
 		@Test
 		void theCloseOfTheVmClosesTheConnectionToTheEndpoint() throws Exception {
 			this.vm.close();
@@ -186,4 +201,73 @@
 
 	}
 
+	@Nested
+	class Frames {
+
+		private Socket vm;
+
+		private Socket accepted;
+
+		private DataInputStream in;
+
+		@BeforeEach
+		void open() throws IOException {
+			this.vm = request(RelayTests.this.endpoint.getLocalPort(), true);
+			this.accepted = RelayTests.this.endpoint.accept();
+			assertThat(outcome(this.vm)).isEqualTo(RelayOutcome.OPEN_WITH_FRAMES);
+			this.in = new DataInputStream(this.vm.getInputStream());
+		}
+
+		@AfterEach
+		void close() throws IOException {
+			this.vm.close();
+			this.accepted.close();
+		}
+
+		private String content(int bytes) throws IOException {
+			StringBuilder content = new StringBuilder();
+			while (content.length() < bytes) {
+				int length = this.in.readInt();
+				assertThat(length).isPositive();
+				content.append(new String(this.in.readNBytes(length)));
+			}
+			return content.toString();
+		}
+
+		@Test
+		void requestsPassWithoutFrames() throws Exception {
+			this.vm.getOutputStream().write("request".getBytes());
+			assertThat(this.accepted.getInputStream().readNBytes(7)).asString().isEqualTo("request");
+		}
+
+		@Test
+		void theEndOfTheOutputIsAnEmptyFrameBehindAllBytes() throws Exception {
+			String answer = "x".repeat(3_000_000);
+			Thread writer = new Thread(() -> {
+				try {
+					this.accepted.getOutputStream().write(answer.getBytes());
+					this.accepted.shutdownOutput();
+				}
+				catch (IOException ex) {
+					throw new UncheckedIOException(ex);
+				}
+			});
+			writer.start();
+			assertThat(content(answer.length())).isEqualTo(answer);
+			assertThat(this.in.readInt()).isZero();
+			assertThat(this.in.read()).isEqualTo(-1);
+			writer.join();
+		}
+
+		@Test
+		void aResetIsNoEndOfTheOutput() throws Exception {
+			this.accepted.getOutputStream().write("part".getBytes());
+			assertThat(content(4)).isEqualTo("part");
+			this.accepted.setSoLinger(true, 0);
+			this.accepted.close();
+			assertThatThrownBy(this.in::readInt).isInstanceOf(SocketException.class);
+		}
+
+	}
+
 }
