Move the records of endpoints out of StoreWatch

EndpointRecords holds what was in it about the records of endpoints: outages, restored copies and late writes. No behaviour changes. RestoredStoreTests and LateReportTests pass.

--- a/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
+++ b/entry/src/main/java/org/fulmargap/entry/StoreWatch.java
@@ -3,11 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 
@@ -18,11 +15,7 @@
 import org.fulmargap.fleet.FleetMember;
 import org.fulmargap.fleet.RecordLag;
 import org.fulmargap.fleet.StorePosition;
-import org.fulmargap.placement.EndpointDirectory;
-import org.fulmargap.placement.EndpointRecord;
-import org.fulmargap.platform.EndpointRecordDecoder;
 import org.fulmargap.platform.KeyedRecord;
-import org.fulmargap.platform.MalformedRecordException;
 import org.fulmargap.platform.NodeSettings;
 import org.fulmargap.platform.OperatorPage;
 import org.fulmargap.platform.OperatorRecord;
@@ -61,12 +54,6 @@
 
 	private static final long MEMBERS_INTERVAL_MS = 1_000;
 
-	/**
-	 * Endpoint records that are removed within this time after the start or end of an
-	 * outage of the store may have expired because of it, in milliseconds.
-	 */
-	private static final long OUTAGE_EXPIRY_MS = 2_500;
-
 	/**
 	 * How long this VM is behind a peer before it requests records, in milliseconds,
 	 * while it reads the store itself.
@@ -83,20 +70,10 @@
 	private static final long MEMBER_RETRY_DELAY_MS = 3_000;
 
 	/**
-	 * How long endpoints are used on that are missing after the store came back from an
-	 * older copy, in milliseconds: they write their records again with their next
-	 * heartbeat.
+	 * How long evacuations are kept that are missing after the store came back from an
+	 * older copy, in milliseconds.
 	 */
-	private static final long ENDPOINT_MISSING_MS = 2_500;
-
-	/**
-	 * How long records of the copy don't replace what is known to be newer, in
-	 * milliseconds: until the store has removed endpoints that send no heartbeats.
-	 */
-	private static final long COPY_OUTDATED_MS = 6_000;
-
-	/** The length of the longest version that is logged whole, in characters. */
-	private static final int MAX_LOGGED_LENGTH = 100;
+	private static final long EVACUATION_MISSING_MS = 6_000;
 
 	private final StoreClient store;
 
@@ -118,11 +95,9 @@
 
 	private final Map<StoreTopic, AtomicReference<StorePosition>> positions = new EnumMap<>(StoreTopic.class);
 
-	private final RestoredTopic restoredOperator = new RestoredTopic(COPY_OUTDATED_MS, 0);
+	private final RestoredTopic restoredOperator = new RestoredTopic(EVACUATION_MISSING_MS, 0);
 
-	private final RestoredTopic restoredEndpoints = new RestoredTopic(ENDPOINT_MISSING_MS, COPY_OUTDATED_MS);
-
-	private final OutdatedRecords outdated = new OutdatedRecords();
+	private final EndpointRecords endpoints;
 
 	private final Map<StoreTopic, StoreTail> tails = new EnumMap<>(StoreTopic.class);
 
@@ -136,8 +111,6 @@
 
 	private long newestHistoryAtMs;
 
-	private long storeOutageAtMs = Long.MIN_VALUE / 2;
-
 	StoreWatch(StoreClient store, EventLoop loop, LongSupplier clockMs, StoreView view, PeerNetwork peers,
 			QuarantineSync quarantine, Rollouts rollouts, NodeSettings settings, FleetMember own) {
 		this.store = store;
@@ -154,7 +127,8 @@
 			this.lags.put(topic, new RecordLag());
 			this.positions.put(topic, new AtomicReference<>(StorePosition.UNREAD));
 		}
-		Runnable outageListener = this::storeAway;
+		this.endpoints = new EndpointRecords(view, this.topics.get(StoreTopic.ENDPOINTS));
+		Runnable outageListener = () -> this.endpoints.storeAway(this.clockMs.getAsLong());
 		addTail(StoreTopic.OPERATOR,
 				LongPollWait.within(settings.contactMs(), settings.configApplyMs(), OPERATOR_INTERVAL_MS, MAX_WAIT_MS),
 				OPERATOR_INTERVAL_MS, outageListener);
@@ -167,12 +141,6 @@
 		});
 	}
 
-	// Called at the start and at the end of an outage.
-	private void storeAway() {
-		this.storeOutageAtMs = this.clockMs.getAsLong();
-		this.outdated.storeAway(this.storeOutageAtMs);
-	}
-
 	void start() {
 		run("tail-operator", this.tails.get(StoreTopic.OPERATOR));
 		run("tail-endpoints", this.tails.get(StoreTopic.ENDPOINTS));
@@ -196,6 +164,7 @@
 	 */
 	void update(long nowMs) {
 		dropEarlierHistory(nowMs);
+		this.endpoints.update(nowMs);
 		this.source.update(this.peers.isHub(), this.peers.relayingHub(), nowMs);
 		if (this.source.isStore()) {
 			this.tails.values().forEach(StoreTail::needChanged);
@@ -297,7 +266,7 @@
 		}
 		switch (topic) {
 			case OPERATOR -> applyOperatorPage(fresh, origin);
-			case ENDPOINTS -> applyEndpointPage(fresh);
+			case ENDPOINTS -> this.endpoints.apply(fresh, this.clockMs.getAsLong());
 			case MEMBERS -> applyMemberPage(fresh);
 			case QUARANTINE -> this.quarantine.apply(fresh.records());
 			case STATUS, VERSIONS, STREAMS, ROLLOUTS -> throw new IllegalStateException("not followed: " + topic);
@@ -331,7 +300,7 @@
 				this.restoredOperator.restored(this.newestHistoryAtMs);
 				this.rollouts.storeRestored();
 			}
-			case ENDPOINTS -> this.restoredEndpoints.restored(this.newestHistoryAtMs);
+			case ENDPOINTS -> this.endpoints.restored(this.newestHistoryAtMs);
 			case QUARANTINE -> this.quarantine.restored(known.position().history());
 			case MEMBERS, STATUS, VERSIONS, STREAMS, ROLLOUTS -> {
 			}
@@ -345,24 +314,6 @@
 			applyOperatorPage(pageOf(StoreTopic.OPERATOR, removals),
 					PageOrigin.relayed("none", removals.size(), nowMs));
 		}
-		if (this.restoredEndpoints.dropsMissing(nowMs)) {
-			this.topics.get(StoreTopic.ENDPOINTS)
-				.dropUnconfirmed()
-				.forEach((removal) -> removeEndpoint(removal, 0, nowMs));
-		}
-		useListed(nowMs);
-	}
-
-	private void useListed(long nowMs) {
-		Set<String> due = this.outdated.takeDue(nowMs);
-		if (!due.isEmpty()) {
-			this.topics.get(StoreTopic.ENDPOINTS)
-				.listing()
-				.records()
-				.stream()
-				.filter((record) -> due.contains(record.key()))
-				.forEach((record) -> updateEndpoint(record, this.view::putListed, nowMs));
-		}
 	}
 
 	private StorePage pageOf(StoreTopic topic, List<KeyedRecord> records) {
@@ -498,82 +449,6 @@
 		}
 	}
 
-	private void applyEndpointPage(StorePage page) {
-		long nowMs = this.clockMs.getAsLong();
-		boolean mayHaveExpired = nowMs - this.storeOutageAtMs < OUTAGE_EXPIRY_MS;
-		long graceMs = (mayHaveExpired) ? EndpointDirectory.LAPSE_GRACE_MS : 0;
-		Map<String, KeyedRecord> newest = new HashMap<>();
-		page.records().forEach((record) -> newest.put(record.key(), record));
-		for (KeyedRecord record : newest.values()) {
-			if (record.isRemoval()) {
-				removeEndpoint(record, graceMs, nowMs);
-			}
-			else if (updateEndpoint(record, this.view::put, nowMs)) {
-				this.outdated.replaced(record.key());
-			}
-			else {
-				skip(record, page.isComplete(), nowMs);
-			}
-		}
-		this.view.endpointsListed();
-		this.view.directory().purge(nowMs);
-	}
-
-	private void removeEndpoint(KeyedRecord record, long graceMs, long nowMs) {
-		this.outdated.replaced(record.key());
-		if (this.view.directory().remove(record.key(), graceMs, nowMs)) {
-			EventLog.state("endpoint_gone")
-				.with("endpoint", record.key())
-				.with("offset", record.offset())
-				.with("grace_ms", graceMs)
-				.write();
-		}
-	}
-
-	// Returns false if the record is outdated.
-	private boolean updateEndpoint(KeyedRecord record, EndpointUpdate update, long nowMs) {
-		try {
-			EndpointRecord endpoint = EndpointRecordDecoder.decode(record.key(), record.value());
-			EndpointDirectory.Change change = update.apply(endpoint, nowMs);
-			if (change.affectsWork()) {
-				EventLog.state("endpoint_" + change.name().toLowerCase(Locale.ROOT))
-					.with("endpoint", endpoint.id())
-					.with("service", endpoint.service())
-					.with("domain", endpoint.failureDomain())
-					.with("software_version", EventLog.cut(endpoint.softwareVersion(), MAX_LOGGED_LENGTH))
-					.with("cold_ms", endpoint.coldForMs())
-					.with("offset", record.offset())
-					.write();
-			}
-			return change != EndpointDirectory.Change.OUTDATED;
-		}
-		catch (MalformedRecordException ex) {
-			EventLog.state("endpoint_record_refused")
-				.with("endpoint", record.key())
-				.with("offset", record.offset())
-				.with("cause", ex.getMessage())
-				.write();
-			this.topics.get(StoreTopic.ENDPOINTS).dropValue(record);
-			this.view.directory().remove(record.key(), 0, nowMs);
-			return true;
-		}
-	}
-
-	private void skip(KeyedRecord record, boolean isListing, long nowMs) {
-		boolean ofCopy = isListing && nowMs < this.restoredEndpoints.outdatedUntilMs();
-		if (ofCopy) {
-			this.outdated.listedByCopy(record.key(), this.restoredEndpoints.outdatedUntilMs());
-		}
-		else {
-			this.outdated.listed(record.key(), nowMs);
-		}
-		EventLog.state("endpoint_record_outdated")
-			.with("endpoint", record.key())
-			.with("offset", record.offset())
-			.with("of_copy", ofCopy)
-			.write();
-	}
-
 	private void applyMemberPage(StorePage page) {
 		for (KeyedRecord record : page.records()) {
 			if (record.isRemoval()) {
@@ -604,16 +479,6 @@
 		this.threads.forEach(Thread::interrupt);
 	}
 
-	/**
-	 * Applies the record of an endpoint.
-	 */
-	@FunctionalInterface
-	private interface EndpointUpdate {
-
-		EndpointDirectory.Change apply(EndpointRecord record, long nowMs);
-
-	}
-
 	/**
 	 * Hubs read the store. Other VMs read it only at their start and while no hub relays
 	 * its records.
