Apply all records of endpoints of a page

Of the records that a VM reads at once, only the last of each endpoint was looked at. If the store executed a late report "ready" within the same read as the drain or the removal before it, the VM never saw these, and requests reached the endpoint.

All records are applied in their order now. Both cases of LateReportTests.RecordsOfOnePage failed before and pass now.

Endpoints come back with a higher sequence, so the test writes one.

--- a/entry/src/main/java/org/fulmargap/entry/EndpointRecords.java
+++ b/entry/src/main/java/org/fulmargap/entry/EndpointRecords.java
@@ -1,8 +1,6 @@
 package org.fulmargap.entry;
 
-import java.util.HashMap;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 
 import org.fulmargap.placement.EndpointDirectory;
@@ -86,9 +84,8 @@
 	void apply(StorePage page, long nowMs) {
 		boolean mayHaveExpired = nowMs - this.outageAtMs < OUTAGE_EXPIRY_MS;
 		long graceMs = (mayHaveExpired) ? EndpointDirectory.LAPSE_GRACE_MS : 0;
-		Map<String, KeyedRecord> newest = new HashMap<>();
-		page.records().forEach((record) -> newest.put(record.key(), record));
-		for (KeyedRecord record : newest.values()) {
+		// The last record of an endpoint need not be the one that counts.
+		for (KeyedRecord record : page.records()) {
 			if (record.isRemoval()) {
 				remove(record, graceMs, nowMs);
 			}
--- a/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EntryVmTests.java
@@ -533,7 +533,8 @@
 			while (System.currentTimeMillis() - returnedAtMs < 3_000) {
 				if (!back && System.currentTimeMillis() - returnedAtMs > 1_000) {
 					back = true;
-					store.put(CallerWire.ENDPOINT_TOPIC, "core-1", core.record("core", "a", "ready"));
+					store.put(CallerWire.ENDPOINT_TOPIC, "core-1",
+							core.record("core", "a", "ready", EndpointStandIn.STARTED_AT_MS, 2));
 				}
 				statuses.add(send("/push/x").statusCode());
 			}
--- a/entry/src/test/java/org/fulmargap/entry/LateReportTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/LateReportTests.java
@@ -94,6 +94,39 @@
 		assertThat(send()).isPositive();
 	}
 
+	@Nested
+	class RecordsOfOnePage {
+
+		@BeforeEach
+		void leaveStore() {
+			LateReportTests.this.installation.store().fault(StoreStandIn.Fault.DOWN);
+		}
+
+		private void returnToStore() throws InterruptedException {
+			settle();
+			LateReportTests.this.installation.store().fault(StoreStandIn.Fault.NONE);
+			settle();
+		}
+
+		@Test
+		void aLateReportDoesNotHideADrain() throws Exception {
+			report("draining", LATE_SEQUENCE);
+			report("ready", EARLY_SEQUENCE);
+			returnToStore();
+			assertNothingArrives();
+		}
+
+		@Test
+		void aLateReportDoesNotHideARemoval() throws Exception {
+			report("ready", LATE_SEQUENCE);
+			remove();
+			report("ready", EARLY_SEQUENCE);
+			returnToStore();
+			assertNothingArrives();
+		}
+
+	}
+
 	@Nested
 	class Drains {
 
