Close a relay whose other side has gone before it starts

If the answer to a relay request can't be written, the connection of the other VM is closed at once, and the options of a closed socket can't be set; the connection to the endpoint would stay open. Found by reading. Endpoint.isMarkedRemoved and the listener of EndpointRelays say what they mean.

--- a/core/src/main/java/org/fulmargap/placement/Endpoint.java
+++ b/core/src/main/java/org/fulmargap/placement/Endpoint.java
@@ -161,7 +161,7 @@
 	 * Returns whether the record was removed, also if the endpoint may still be used.
 	 * @return {@code true} until a newer record is read
 	 */
-	boolean isRemovalDue() {
+	boolean isMarkedRemoved() {
 		return this.removeAtMs != Long.MAX_VALUE;
 	}
 
--- a/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
+++ b/core/src/main/java/org/fulmargap/placement/EndpointDirectory.java
@@ -123,7 +123,7 @@
 			return false;
 		}
 		Endpoint known = this.byId.get(record.id());
-		boolean removed = known == null || known.isRemovalDue();
+		boolean removed = known == null || known.isMarkedRemoved();
 		return record.isBefore(last) || (removed && !last.isBefore(record));
 	}
 
--- a/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
+++ b/entry/src/main/java/org/fulmargap/entry/endpoint/EndpointRelays.java
@@ -57,7 +57,8 @@
 
 		/**
 		 * Handles a connection that carries the bytes of the endpoint.
-		 * @param channel the connection, without handlers for its content
+		 * @param channel the connection, without handlers for its content; its input ends
+		 * only where the endpoint has ended its output
 		 * @param relay the name of the other VM
 		 */
 		void opened(Channel channel, String relay);
--- a/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
+++ b/entry/src/main/java/org/fulmargap/entry/peer/Relay.java
@@ -54,8 +54,12 @@
 		this.closed = closed;
 	}
 
-	/** Starts to pass bytes on. */
+	/** Starts to pass bytes on, unless the other VM has closed its connection. */
 	void start() {
+		if (!this.peer.isActive()) {
+			close(RelayEnd.PEER_CLOSED);
+			return;
+		}
 		// Any close resets the connection, also by the kernel if this process is killed:
 		// it is no end of the endpoint's output.
 		this.peer.config().setOption(ChannelOption.SO_LINGER, 0);
