--- a/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
+++ b/entry/src/test/java/org/fulmargap/entry/EarlierAnswerTests.java
@@ -159,9 +159,10 @@
 
 	@Test
 	void aRequestThatIsRefusedBeforeItsBodyIsReadRunsOnceElsewhere() throws Exception {
-		EndpointStandIn other = this.installation.endpoint("core-9", "core");
 		try (EarlyRefusingStandIn early = new EarlyRefusingStandIn()) {
+			// Of two endpoints that seem equal, the one that was listed first is called.
 			this.installation.store().put(CallerWire.ENDPOINT_TOPIC, "core-0", early.record("core"));
+			EndpointStandIn other = this.installation.endpoint("core-9", "core");
 			startVm();
 			for (int i = 0; i < 8; i++) {
 				assertThat(this.installation
